Serve one completion end to end with separate processes

Adds the workspace with three packages, checked INI settings, adapters for the platform's services, the engine adapter, emulators and the design page.

--- /dev/null
+++ b/packages/trefoilctl/src/trefoilctl/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the command line."""
+
+import sys
+
+from trefoilctl._internal.main import run
+
+
+def main() -> int:
+    """Run the command line."""
+    return run(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/trefoilctl/src/trefoilctl/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the command line."""
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the emulators and tools."""
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -0,0 +1,12 @@
+"""Commands, one module each."""
+
+from cleo.commands.command import Command
+
+from trefoilreach_emulator._internal.commands.engine import EngineCommand
+from trefoilreach_emulator._internal.commands.platform import PlatformCommand
+from trefoilreach_emulator._internal.commands.service import ServiceCommand
+
+
+def command_classes() -> list[type[Command]]:
+    """Return every command."""
+    return [EngineCommand, PlatformCommand, ServiceCommand]
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/server.py
@@ -0,0 +1,112 @@
+"""A small HTTP server that gives emulators full control of each answer."""
+
+import signal
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import orjson
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    def __init__(self, handler: BaseHTTPRequestHandler) -> None:
+        self._handler = handler
+        parts = urlsplit(handler.path)
+        self.method = handler.command
+        self.path = unquote(parts.path)
+        self.query = dict(parse_qsl(parts.query, keep_blank_values=True))
+        self.headers = handler.headers
+        length = int(handler.headers.get("Content-Length") or 0)
+        self.body = handler.rfile.read(length) if length else b""
+
+    def json(self) -> Any:
+        """Decode the request body."""
+        return orjson.loads(self.body)
+
+    def reply(self, value: Any, status: int = 200, headers: dict[str, str] | None = None) -> None:
+        """Answer with a JSON value, or with bytes as they are."""
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
+        self._handler.send_response(status)
+        self._handler.send_header("Content-Type", "application/json")
+        self._handler.send_header("Content-Length", str(len(data)))
+        for name, text in (headers or {}).items():
+            self._handler.send_header(name, text)
+        self._handler.end_headers()
+        self._handler.wfile.write(data)
+
+    def start_events(self) -> None:
+        """Begin a stream of server-sent events in chunked encoding."""
+        self._handler.send_response(200)
+        self._handler.send_header("Content-Type", "text/event-stream")
+        self._handler.send_header("Transfer-Encoding", "chunked")
+        self._handler.end_headers()
+
+    def send_event(self, payload: bytes) -> None:
+        """Send one event."""
+        data = b"data: " + payload + b"\n\n"
+        self._handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self._handler.wfile.flush()
+
+    def end_events(self) -> None:
+        """End the stream."""
+        self.send_event(b"[DONE]")
+        self._handler.wfile.write(b"0\r\n\r\n")
+
+    def drop(self) -> None:
+        """Close the connection without completing the answer."""
+        self._handler.close_connection = True
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Ignore callers that went away."""
+
+
+def build_server(host: str, port: int, handle: Callable[[Exchange], None]) -> ThreadingHTTPServer:
+    """Return a server that passes each request to ``handle``."""
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+        disable_nagle_algorithm = True
+        wbufsize = -1
+
+        def do_request(self) -> None:
+            """Pass the request on."""
+            handle(Exchange(self))
+
+        do_GET = do_POST = do_PUT = do_DELETE = do_PATCH = do_request  # noqa: N815
+
+        def log_message(self, format: str, *args: Any) -> None:
+            """Write no access log."""
+
+    return _Server((host, port), Handler)
+
+
+@contextmanager
+def run_server(host: str, port: int, handle: Callable[[Exchange], None]) -> Iterator[int]:
+    """Serve in a thread for the time of a ``with`` block; give the port."""
+    server = build_server(host, port, handle)
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    try:
+        yield server.server_address[1]
+    finally:
+        server.shutdown()
+        server.server_close()
+
+
+def serve_until_signal(host: str, port: int, handle: Callable[[Exchange], None]) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: stop.set())
+    signal.signal(signal.SIGINT, lambda number, frame: stop.set())
+    with run_server(host, port, handle):
+        stop.wait()
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the daemon; nothing here is a public interface."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers for callers, operators and the monitor."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -0,0 +1,59 @@
+"""The WSGI application: finds the handler, answers refusals in the API's error shape."""
+
+import math
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from trefoilreach._internal.api import callers  # noqa: F401 - registers its routes
+from trefoilreach._internal.api.parts import Parts
+from trefoilreach._internal.api.web import (
+    JSON_TYPE,
+    WebRequest,
+    WebResponse,
+    respond_bytes,
+    routes,
+)
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.openai import encode_error
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+VERDICT_HEADER = "Trefoilreach-Verdict"
+
+
+class Application:
+    """WSGI callable over the parts of a daemon."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        request = WebRequest(environ)
+        response = self._answer(request)
+        start_response(response.status_line, response.headers)
+        return response.body
+
+    def _answer(self, request: WebRequest) -> WebResponse:
+        try:
+            handler, values = routes.find(request.method, request.path)
+            return handler(self._parts, request, **values)
+        except Refusal as refusal:
+            return respond_refusal(refusal)
+        except Exception as error:
+            incident = uuid.uuid4().hex
+            log_event("api:error", incident=incident, path=request.path, error=repr(error))
+            message = f"internal error, incident {incident}"
+            return respond_refusal(Refusal(500, "internal", message, Verdict.MAY_HAVE_RUN))
+
+
+def respond_refusal(refusal: Refusal) -> WebResponse:
+    """Return the response of a refusal."""
+    response = respond_bytes(encode_error(refusal), JSON_TYPE, refusal.status)
+    response.headers.append((VERDICT_HEADER, refusal.verdict.value))
+    if refusal.retry_after is not None:
+        seconds = max(1, math.ceil(refusal.retry_after))
+        response.headers.append(("Retry-After", str(seconds)))
+        response.headers.append(("Retry-After-Ms", str(math.ceil(refusal.retry_after * 1000))))
+    return response
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -0,0 +1,25 @@
+"""The parts of a daemon that HTTP handlers use."""
+
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_sync import ConfigSync
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.dispatch import Dispatcher
+from trefoilreach._internal.metrics import Metrics
+from trefoilreach._internal.settings import Settings
+from trefoilreach._internal.state.objects import ObjectStore
+from trefoilreach._internal.state.table import TableService
+
+
+class Parts(NamedTuple):
+    """Everything that a handler may need."""
+
+    settings: Settings
+    clock: Clock
+    metrics: Metrics
+    table: TableService
+    objects: ObjectStore
+    config: ConfigHolder
+    config_sync: ConfigSync
+    dispatcher: Dispatcher
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/web.py
@@ -0,0 +1,168 @@
+"""Requests, responses and the table of HTTP routes."""
+
+import re
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl
+
+import orjson
+
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
+
+JSON_TYPE = "application/json"
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    428: "Precondition Required",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class WebRequest:
+    """One HTTP request."""
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self._environ = environ
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return str(self._environ["REQUEST_METHOD"])
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return str(self._environ.get("PATH_INFO", "/"))
+
+    @property
+    def query_text(self) -> str:
+        """Query string as it came."""
+        return str(self._environ.get("QUERY_STRING", ""))
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Query parameters."""
+        return dict(parse_qsl(self.query_text, keep_blank_values=True))
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Header fields with lower-case names."""
+        found = {
+            name[5:].replace("_", "-").lower(): value
+            for name, value in self._environ.items()
+            if name.startswith("HTTP_")
+        }
+        if "CONTENT_TYPE" in self._environ:
+            found["content-type"] = self._environ["CONTENT_TYPE"]
+        return found
+
+    def header(self, name: str) -> str | None:
+        """Return one header field, or None."""
+        return self._environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+    def bearer_key(self) -> str | None:
+        """Return the key of the Authorization header, or None."""
+        scheme, _, secret = (self.header("Authorization") or "").partition(" ")
+        return secret.strip() if scheme.lower() == "bearer" and secret.strip() else None
+
+    def read_body(self, limit: int) -> bytes:
+        """Read the body.
+
+        :param limit: bytes.
+        :raises Refusal: when the body is too long or stops half-way.
+        """
+        length = int(self._environ.get("CONTENT_LENGTH") or 0)
+        if length > limit:
+            raise Refusal(413, "body_too_large", f"the body is over {limit} bytes")
+        data = self._environ["wsgi.input"].read(length)
+        if len(data) < length:
+            raise refuse_bad_request("the body is shorter than its Content-Length")
+        return bytes(data)
+
+
+class WebResponse(NamedTuple):
+    """One HTTP response; ``body`` is sent piece by piece."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+
+    @property
+    def status_line(self) -> str:
+        """Status code with its reason phrase."""
+        return f"{self.status} {_REASONS.get(self.status, 'Unknown')}"
+
+
+def respond_json(value: Any, status: int = 200) -> WebResponse:
+    """Return a JSON response."""
+    return respond_bytes(orjson.dumps(value), JSON_TYPE, status)
+
+
+def respond_bytes(data: bytes, content_type: str, status: int = 200) -> WebResponse:
+    """Return a response with a whole body."""
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(data)))]
+    return WebResponse(status, headers, [data])
+
+
+Handler = Callable[..., WebResponse]
+
+
+class _Entry(NamedTuple):
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+class RouteTable:
+    """Handlers by method and path, filled by a decorator."""
+
+    def __init__(self) -> None:
+        self._entries: list[_Entry] = []
+
+    def register(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Return a decorator for the handler of ``path``.
+
+        ``{name}`` in the path matches one segment and ``{name*}`` the rest; both
+        are passed to the handler by name.
+        """
+        pattern = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", path)
+        pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern)
+
+        def add(handler: Handler) -> Handler:
+            self._entries.append(_Entry(method, re.compile(pattern), handler))
+            return handler
+
+        return add
+
+    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]]:
+        """Return the handler and the values of the path.
+
+        :raises Refusal: when there is none.
+        """
+        known_path = False
+        for entry in self._entries:
+            match = entry.pattern.fullmatch(path)
+            if match is None:
+                continue
+            known_path = True
+            if entry.method in (method, "*"):
+                return entry.handler, match.groupdict()
+        if known_path:
+            raise Refusal(405, "method_not_allowed", f"{method} is not allowed on {path}")
+        raise Refusal(404, "not_found", f"there is no {path}")
+
+
+routes = RouteTable()
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/clock.py
@@ -0,0 +1,112 @@
+"""Time sources: the system clock, and a manual clock that tests pause and advance."""
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from trefoilreach._internal.registry import Registry
+
+
+class Clock(Protocol):
+    """Source of time for everything that waits or expires."""
+
+    def now(self) -> float:
+        """Return seconds that never go back; only differences have a meaning."""
+
+    def wall_time(self) -> float:
+        """Return seconds since the epoch, for display only."""
+
+    def sleep(self, seconds: float) -> None:
+        """Block the calling thread."""
+
+    def wait(self, event: threading.Event, timeout: float) -> bool:
+        """Block until the event is set or the timeout is over; return whether it is set."""
+
+    def wait_for(
+        self, condition: threading.Condition, predicate: Callable[[], bool], timeout: float
+    ) -> bool:
+        """Block on a held condition until the predicate is true or the timeout is over."""
+
+
+clocks: Registry[Callable[[], Clock]] = Registry("clock")
+
+
+@clocks.register("system")
+class SystemClock:
+    """Boot-time clock, which also counts the time that a suspended VM spent asleep."""
+
+    def now(self) -> float:
+        """Return seconds since boot."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall_time(self) -> float:
+        """Return seconds since the epoch."""
+        return time.time()
+
+    def sleep(self, seconds: float) -> None:
+        """Block the calling thread."""
+        time.sleep(seconds)
+
+    def wait(self, event: threading.Event, timeout: float) -> bool:
+        """Wait for an event."""
+        return event.wait(timeout)
+
+    def wait_for(
+        self, condition: threading.Condition, predicate: Callable[[], bool], timeout: float
+    ) -> bool:
+        """Wait for a predicate on a held condition."""
+        return condition.wait_for(predicate, timeout)
+
+
+# Real seconds between two looks of a waiting thread at the manual clock.
+_MANUAL_POLL_SECONDS = 0.001
+
+
+@clocks.register("manual")
+class ManualClock:
+    """Clock that moves only when :meth:`advance` is called."""
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self._now = start
+        self._moved = threading.Condition()
+
+    def now(self) -> float:
+        """Return the manual time."""
+        with self._moved:
+            return self._now
+
+    def wall_time(self) -> float:
+        """Return the manual time as seconds since the epoch."""
+        return self.now()
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward and wake the sleepers."""
+        with self._moved:
+            self._now += seconds
+            self._moved.notify_all()
+
+    def sleep(self, seconds: float) -> None:
+        """Block until the clock was advanced far enough."""
+        with self._moved:
+            end = self._now + seconds
+            self._moved.wait_for(lambda: self._now >= end)
+
+    def wait(self, event: threading.Event, timeout: float) -> bool:
+        """Wait for an event on manual time."""
+        end = self.now() + timeout
+        while not event.wait(_MANUAL_POLL_SECONDS):
+            if self.now() >= end:
+                return event.is_set()
+        return True
+
+    def wait_for(
+        self, condition: threading.Condition, predicate: Callable[[], bool], timeout: float
+    ) -> bool:
+        """Wait for a predicate on manual time."""
+        end = self.now() + timeout
+        while not predicate():
+            if self.now() >= end:
+                return False
+            condition.wait(_MANUAL_POLL_SECONDS)
+        return True
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that daemons take together: membership, quota, routing, batch, placement."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/main.py
@@ -0,0 +1,69 @@
+"""Command line of the daemon."""
+
+import signal
+import sys
+from types import FrameType
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
+
+from trefoilreach import __version__
+from trefoilreach._internal.daemon import Daemon
+from trefoilreach._internal.settings import Settings, SettingsError, load_settings
+
+_BAD_SETTINGS_EXIT_CODE = 2
+
+
+class RunCommand(Command):
+    """Runs the daemon until it is told to stop."""
+
+    name = "run"
+    description = "Run the daemon."
+    options = [  # noqa: RUF012 - the library reads a class attribute
+        option("config", "c", "Settings file in INI form.", flag=False),
+        option("check-config", None, "Check this settings file and exit.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        check = self.option("check-config")
+        try:
+            settings = _load(check or self.option("config"))
+        except SettingsError as error:
+            print(f"trefoilreachd: {error}", file=sys.stderr)
+            return _BAD_SETTINGS_EXIT_CODE
+        if check:
+            self.line(f"{check}: ok")
+            return 0
+        serve(settings)
+        return 0
+
+
+def _load(path: str | None) -> Settings:
+    return load_settings(path) if path else Settings()
+
+
+def serve(settings: Settings) -> None:
+    """Run a daemon; SIGTERM and SIGINT begin a planned stop."""
+    daemon = Daemon(settings)
+
+    def handle_signal(number: int, frame: FrameType | None) -> None:
+        daemon.stop()
+
+    signal.signal(signal.SIGTERM, handle_signal)
+    signal.signal(signal.SIGINT, handle_signal)
+    daemon.run()
+
+
+def run(arguments: list[str]) -> int:
+    """Run the command line; options without a command mean ``run``."""
+    application = Application("trefoilreachd", __version__)
+    application.auto_exits(False)
+    application.add(RunCommand())
+    if not arguments or arguments[0] not in {"run", "help", "list", "completion"}:
+        plain = {"-V", "--version", "-h", "--help"}
+        if not plain.intersection(arguments):
+            arguments = ["run", *arguments]
+    return application.run(ArgvInput(["trefoilreachd", *arguments]))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, verdicts and parsing."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from peer.thrift."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -0,0 +1,93 @@
+// Messages between daemons. Times are seconds; durations only, never a clock reading,
+// except wall_time, which is for display.
+
+namespace py peer
+
+enum MemberState {
+  LIVE = 1,
+  LEAVING = 2,
+  SUSPECT = 3,
+  UNREACHABLE = 4,
+}
+
+struct MemberUpdate {
+  1: string vm,
+  2: string host,
+  3: i32 peer_port,
+  4: i32 http_port,
+  5: string data_centre,
+  6: string region,
+  7: i64 incarnation,
+  8: MemberState state,
+}
+
+struct ProbeRequest {
+  1: MemberUpdate sender,
+  2: i64 config_version,
+  3: i64 withdrawals_digest,
+  4: list<MemberUpdate> updates,
+}
+
+struct ProbeReply {
+  1: MemberUpdate sender,
+  2: i64 config_version,
+  3: i64 withdrawals_digest,
+  4: list<MemberUpdate> updates,
+}
+
+struct Withdrawal {
+  1: string key_id,
+  2: double wall_time,
+}
+
+struct ConfigReply {
+  1: i64 version,
+  2: binary document,
+  3: list<Withdrawal> withdrawals,
+}
+
+// What a borrower of quota needs for one account.
+struct QuotaDemand {
+  1: string account,
+  2: double rate,      // requests a second that arrive at the borrower
+  3: double tokens,    // tokens that waiting requests need now
+}
+
+struct BorrowRequest {
+  1: string vm,
+  2: i64 incarnation,
+  3: list<QuotaDemand> demands,
+}
+
+// Terms that replace those of the borrower's earlier loan from the same lender.
+struct QuotaLoan {
+  1: string account,
+  2: double rate,      // refill rate lent, requests a second
+  3: double capacity,  // bucket capacity lent, requests
+  4: double tokens,    // tokens handed over with this message
+  5: double duration,  // seconds, counted by the borrower from before its request
+}
+
+struct BorrowReply {
+  1: list<QuotaLoan> loans,
+}
+
+struct Suspect {
+  1: string fingerprint,
+  2: i32 crashes,
+  3: bool poison,
+}
+
+service Peer {
+  ProbeReply probe(1: ProbeRequest request),
+  // True when this daemon can reach the target.
+  bool probe_via(1: string host, 2: i32 peer_port),
+  void withdraw(1: list<Withdrawal> withdrawals),
+  // Configuration of at least min_version, or the highest known one.
+  ConfigReply fetch_config(1: i64 min_version),
+  BorrowReply borrow(1: BorrowRequest request),
+  // Online requests sent to the worker since the last notice.
+  void online_started(1: string worker, 2: i32 count),
+  void cancel_job(1: string job_id),
+  void suspects(1: list<Suspect> suspects),
+}
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Records and the stores that keep them."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
@@ -0,0 +1,149 @@
+"""The configuration document: classes of work, accounts, keys, routes and backend servers."""
+
+import hashlib
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+import orjson
+
+
+class ConfigError(ValueError):
+    """A configuration document that breaks a rule."""
+
+
+class WorkClass(NamedTuple):
+    """Targets of one class of work; ``kind`` is ``online`` or ``batch``.
+
+    :param first_token_seconds: time to the first token, online classes.
+    :param token_interval_seconds: time between tokens, online classes.
+    :param percentile: share of requests that must meet both targets, in percent.
+    :param deadline_seconds: time to finish a job, batch classes.
+    """
+
+    name: str
+    kind: str = "online"
+    first_token_seconds: float = 2.0
+    token_interval_seconds: float = 0.2
+    percentile: float = 95.0
+    deadline_seconds: float = 86400.0
+
+
+class Account(NamedTuple):
+    """A client account with its agreed rate (requests a second) and burst (requests)."""
+
+    name: str
+    rate: float
+    burst: float
+
+
+class Key(NamedTuple):
+    """A granted key, kept as a hash; ``role`` is ``caller``, ``operator`` or ``monitor``."""
+
+    id: str
+    hash: str
+    role: str
+    account: str = ""
+
+
+class Route(NamedTuple):
+    """A model or plain service that callers can name.
+
+    ``accounts`` lists who may use it; empty means every account. A route that is
+    ``open_to_all`` needs no key.
+    """
+
+    name: str
+    kind: str = "model"
+    work_class: str = ""
+    open_to_all: bool = False
+    accounts: tuple[str, ...] = ()
+    idempotent: bool = True
+    fencing_checked: bool = False
+
+
+class Server(NamedTuple):
+    """A backend server; ``kind`` is ``engine`` or ``service``, ``state`` ``live`` or ``leaving``.
+
+    ``routes`` are the model or service routes that it can serve, ``slots`` the
+    requests that it runs at once without queuing.
+    """
+
+    name: str
+    kind: str
+    host: str
+    port: int
+    routes: tuple[str, ...]
+    data_centre: str = ""
+    slots: int = 8
+    state: str = "live"
+
+
+class Withdrawn(NamedTuple):
+    """A withdrawn key id with the wall-clock time of the withdrawal."""
+
+    key_id: str
+    wall_time: float
+
+
+class ConfigDocument(NamedTuple):
+    """One immutable version of the configuration."""
+
+    version: int = 0
+    classes: tuple[WorkClass, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    keys: tuple[Key, ...] = ()
+    routes: tuple[Route, ...] = ()
+    servers: tuple[Server, ...] = ()
+    withdrawn: tuple[Withdrawn, ...] = ()
+
+
+_SECTIONS: dict[str, Callable[..., Any]] = {
+    "classes": WorkClass,
+    "accounts": Account,
+    "keys": Key,
+    "routes": Route,
+    "servers": Server,
+    "withdrawn": Withdrawn,
+}
+
+
+def hash_key(secret: str) -> str:
+    """Return the form in which a key is stored."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def encode_config(document: ConfigDocument) -> bytes:
+    """Encode a document as JSON."""
+    fields: dict[str, Any] = {"version": document.version}
+    for name in _SECTIONS:
+        fields[name] = [entry._asdict() for entry in getattr(document, name)]
+    return orjson.dumps(fields)
+
+
+def decode_config(data: bytes) -> ConfigDocument:
+    """Decode a document.
+
+    :raises ConfigError: when the bytes are not a document.
+    """
+    try:
+        fields = orjson.loads(data)
+        sections = {
+            name: tuple(_decode_entry(kind, entry) for entry in fields.get(name, ()))
+            for name, kind in _SECTIONS.items()
+        }
+        return ConfigDocument(version=int(fields["version"]), **sections)
+    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigError(f"configuration document cannot be decoded: {error}") from error
+
+
+def _decode_entry(kind: Callable[..., Any], entry: dict[str, Any]) -> Any:
+    return kind(**{key: _freeze(value) for key, value in entry.items()})
+
+
+def _freeze(value: Any) -> Any:
+    return tuple(value) if isinstance(value, list) else value
+
+
+def find_named(entries: Sequence[Any], name: str) -> Any:
+    """Return the entry with the given ``name`` field, or None."""
+    return next((entry for entry in entries if entry.name == name), None)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/platform_http.py
@@ -0,0 +1,176 @@
+"""Adapters for a platform whose services are reached over HTTP with JSON bodies."""
+
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote, urlencode, urlsplit
+
+import orjson
+from result import Err, Ok, Result
+
+from trefoilreach._internal.clock import SystemClock
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.objects import object_stores
+from trefoilreach._internal.state.table import (
+    OutcomeUnknown,
+    RevisionConflict,
+    Row,
+    StoreError,
+    StoreUnavailable,
+    Write,
+    tables,
+)
+from trefoilreach._internal.state.vms import Vm, vm_lists
+from trefoilreach._internal.state.weights import weight_stores
+from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
+
+_DEFAULT_TIMEOUT_SECONDS = 2.0
+
+
+class _Reply:
+    """Status and body of one answer of the platform."""
+
+    def __init__(self, status: int, data: bytes) -> None:
+        self.status = status
+        self.data = data
+
+    def decode(self) -> Any:
+        """Decode the JSON body."""
+        return orjson.loads(self.data)
+
+
+class PlatformClient:
+    """Requests to one address of the platform.
+
+    :param url: ``http://IP:PORT``.
+    :param timeout: limit in seconds on each wait for the platform.
+    """
+
+    def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
+        parts = urlsplit(url)
+        self._pool = HttpPool(parts.hostname or "", parts.port or 80, SystemClock(), timeout)
+        self._timeout = timeout
+
+    def read(self, method: str, path: str, body: Any = None) -> Result[_Reply, StoreError]:
+        """Send a request that changes nothing."""
+        outcome = self._send(method, path, b"" if body is None else orjson.dumps(body))
+        if isinstance(outcome, Err):
+            return Err(StoreUnavailable(str(outcome.err_value)))
+        return Ok(outcome.ok_value)
+
+    def write(self, method: str, path: str, data: bytes) -> Result[_Reply, StoreError]:
+        """Send a request that changes something; a lost answer leaves its outcome unknown."""
+        outcome = self._send(method, path, data)
+        if isinstance(outcome, Ok):
+            return Ok(outcome.ok_value)
+        failure = outcome.err_value
+        if failure.verdict is Verdict.NOT_RUN:
+            return Err(StoreUnavailable(str(failure)))
+        return Err(OutcomeUnknown(str(failure)))
+
+    def _send(self, method: str, path: str, data: bytes) -> Result[_Reply, HttpFailure]:
+        try:
+            exchange = self._pool.request(method, path, data, timeout=self._timeout)
+            try:
+                reply = _Reply(exchange.status, exchange.read())
+            finally:
+                exchange.close()
+        except HttpFailure as failure:
+            return Err(failure)
+        if reply.status == 503:
+            return Err(HttpFailure("the platform is not available", Verdict.NOT_RUN))
+        return Ok(reply)
+
+
+@tables.register("http")
+class HttpTable:
+    """Table service over HTTP."""
+
+    def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
+        self._client = PlatformClient(url, timeout)
+
+    def get(self, key: str) -> Result[Row | None, StoreError]:
+        """Read one row."""
+        return self._client.read("POST", "/table/get", {"key": key}).map(_decode_one)
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], StoreError]:
+        """Read rows by prefix."""
+        body = {"prefix": prefix, "after": after, "limit": limit}
+        reply = self._client.read("POST", "/table/scan", body)
+        return reply.map(lambda found: [Row(**row) for row in found.decode()["rows"]])
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        """Apply all writes or none."""
+        data = orjson.dumps({"writes": [write._asdict() for write in writes]})
+        reply = self._client.write("POST", "/table/commit", data)
+        if isinstance(reply, Err):
+            return reply
+        if reply.ok_value.status == 409:
+            return Err(RevisionConflict(reply.ok_value.decode()["conflict"]))
+        if reply.ok_value.status != 200:
+            return Err(StoreUnavailable(f"table service answered {reply.ok_value.status}"))
+        return Ok(reply.ok_value.decode()["revisions"])
+
+
+def _decode_one(reply: _Reply) -> Row | None:
+    row = reply.decode()["row"]
+    return None if row is None else Row(**row)
+
+
+@object_stores.register("http")
+class HttpObjectStore:
+    """Object store over HTTP."""
+
+    def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
+        self._client = PlatformClient(url, timeout)
+
+    def put(self, name: str, data: bytes) -> Result[None, StoreError]:
+        """Write an object."""
+        reply = self._client.write("PUT", f"/objects/{quote(name)}", data)
+        return reply.map(lambda _: None)
+
+    def get(self, name: str) -> Result[bytes | None, StoreError]:
+        """Read an object."""
+        reply = self._client.read("GET", f"/objects/{quote(name)}")
+        return reply.map(lambda found: None if found.status == 404 else found.data)
+
+    def list(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[str], StoreError]:
+        """Return names by prefix."""
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        reply = self._client.read("GET", f"/objects?{query}")
+        return reply.map(lambda found: found.decode()["names"])
+
+    def delete(self, name: str) -> Result[None, StoreError]:
+        """Remove an object."""
+        reply = self._client.write("DELETE", f"/objects/{quote(name)}", b"")
+        return reply.map(lambda _: None)
+
+
+@vm_lists.register("http")
+class HttpVmList:
+    """VM list over HTTP."""
+
+    def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
+        self._client = PlatformClient(url, timeout)
+
+    def list(self) -> Result[list[Vm], StoreError]:
+        """Read the list."""
+        reply = self._client.read("GET", "/vms")
+        return reply.map(lambda found: [Vm(**vm) for vm in found.decode()["vms"]])
+
+
+@weight_stores.register("http")
+class HttpWeightStore:
+    """Weight store over HTTP."""
+
+    def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
+        self._client = PlatformClient(url, timeout)
+
+    def request_permit(self, model: str, worker: str) -> Result[float, StoreError]:
+        """Ask to load a model; return seconds to wait."""
+        data = orjson.dumps({"model": model, "worker": worker})
+        reply = self._client.write("POST", "/weights/permit", data)
+        return reply.map(lambda found: float(found.decode()["wait_seconds"]))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and thrift connections."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -0,0 +1,152 @@
+"""HTTP connections to one backend server, reused only after complete answers."""
+
+import threading
+from collections import deque
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.protocol.verdict import Verdict
+
+# A connection idle for longer may have been forgotten by something between both ends.
+IDLE_LIMIT_SECONDS = 5.0
+
+
+class HttpFailure(Exception):
+    """A request without an answer.
+
+    :param verdict: whether the other side may have run the request.
+    :param refused: whether the connection was refused, so that no process listens there.
+    """
+
+    def __init__(self, message: str, verdict: Verdict, refused: bool = False) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+        self.refused = refused
+
+
+class _Idle(NamedTuple):
+    connection: HTTPConnection
+    since: float
+
+
+class HttpPool:
+    """Kept-alive connections to one address."""
+
+    def __init__(self, host: str, port: int, clock: Clock, connect_timeout: float = 1.0) -> None:
+        self._host = host
+        self._port = port
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._lock = threading.Lock()
+        self._idle: deque[_Idle] = deque()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout: float = 10.0,
+        fresh: bool = False,
+    ) -> "HttpExchange":
+        """Send a request and wait for the response head.
+
+        :param timeout: limit in seconds on each wait for the other side.
+        :param fresh: open a new connection even when an idle one is kept.
+        :raises HttpFailure: when there is no response head.
+        """
+        connection = None if fresh else self._take_idle()
+        if connection is None:
+            connection = self._connect()
+        try:
+            connection.sock.settimeout(timeout)
+            connection.request(method, path, body=body, headers=headers or {})
+            response = connection.getresponse()
+        except (OSError, HTTPException) as error:
+            connection.close()
+            raise HttpFailure(
+                f"no answer from {self._host}:{self._port}: {error!r}", Verdict.MAY_HAVE_RUN
+            ) from error
+        return HttpExchange(self, connection, response)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, deque()
+        for entry in idle:
+            entry.connection.close()
+
+    def _connect(self) -> HTTPConnection:
+        connection = HTTPConnection(self._host, self._port, timeout=self._connect_timeout)
+        try:
+            connection.connect()
+        except OSError as error:
+            connection.close()
+            refused = isinstance(error, ConnectionRefusedError)
+            message = f"cannot connect to {self._host}:{self._port}: {error!r}"
+            raise HttpFailure(message, Verdict.NOT_RUN, refused) from error
+        return connection
+
+    def _take_idle(self) -> HTTPConnection | None:
+        limit = self._clock.now() - IDLE_LIMIT_SECONDS
+        with self._lock:
+            while self._idle:
+                entry = self._idle.pop()
+                if entry.since >= limit:
+                    return entry.connection
+                entry.connection.close()
+        return None
+
+    def _put_idle(self, connection: HTTPConnection) -> None:
+        with self._lock:
+            self._idle.append(_Idle(connection, self._clock.now()))
+
+
+class HttpExchange:
+    """One response; :meth:`close` keeps the connection only if the body was read to its end."""
+
+    def __init__(self, pool: HttpPool, connection: HTTPConnection, response: HTTPResponse) -> None:
+        self._pool = pool
+        self._connection = connection
+        self._response = response
+        self._complete = False
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+        return self._response.status
+
+    @property
+    def response(self) -> HTTPResponse:
+        """The response, for its headers and for reading line by line."""
+        return self._response
+
+    def read(self) -> bytes:
+        """Read the whole body.
+
+        :raises HttpFailure: when the body ends early.
+        """
+        try:
+            data = self._response.read()
+        except (OSError, HTTPException) as error:
+            raise HttpFailure(f"incomplete answer: {error!r}", Verdict.MAY_HAVE_RUN) from error
+        self._complete = True
+        return data
+
+    def mark_complete(self) -> None:
+        """State that the body was read to its end by other means."""
+        self._complete = True
+
+    def set_timeout(self, seconds: float) -> None:
+        """Change the limit on each wait for the other side."""
+        if self._connection.sock is not None:
+            self._connection.sock.settimeout(seconds)
+
+    def close(self) -> None:
+        """Return the connection to the pool, or close it after an incomplete answer."""
+        if self._complete and not self._response.will_close and self._response.isclosed():
+            self._pool._put_idle(self._connection)
+        else:
+            self._response.close()
+            self._connection.close()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,23 @@
+"""Shared test settings: hypothesis runs the same examples each time unless fuzzing is asked for."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile(
+    "fuzz",
+    deadline=None,
+    max_examples=300,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("fuzz" if os.environ.get("TREFOILREACH_FUZZ") else "ci")
