--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/peers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/peers.py
@@ -41,7 +41,7 @@
 
     @property
     def self_member(self) -> Member:
-        """This daemon."""
+        """Return this daemon."""
 
     def members(self) -> list[Member]:
         """Return every known daemon but this one, whatever its state."""
