--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	$(BIN)/python -m trefoilreach_emulator demo $(if $(ONCE),--once)
 
 bench: venv
-	$(BIN)/python -m trefoilreach_emulator bench
+	$(BIN)/python -m trefoilreach_emulator bench --write
 
 capacity: venv
 	$(BIN)/python -m trefoilreach_emulator capacity
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the daemons against emulators on loopback."""
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -2,11 +2,13 @@
 
 from cleo.commands.command import Command
 
+from trefoilreach_emulator._internal.commands.bench import BenchCommand
 from trefoilreach_emulator._internal.commands.engine import EngineCommand
+from trefoilreach_emulator._internal.commands.load import LoadCommand
 from trefoilreach_emulator._internal.commands.platform import PlatformCommand
 from trefoilreach_emulator._internal.commands.service import ServiceCommand
 
 
 def command_classes() -> list[type[Command]]:
     """Return every command."""
-    return [EngineCommand, PlatformCommand, ServiceCommand]
+    return [BenchCommand, EngineCommand, LoadCommand, PlatformCommand, ServiceCommand]
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load tool."""
