--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	$(BIN)/python -m trefoilreach_emulator bench --write
 
 capacity: venv
-	$(BIN)/python -m trefoilreach_emulator capacity
+	$(BIN)/python -m trefoilreach_emulator capacity --write
 
 # Needs the thrift compiler 0.17 or newer; the generated code is committed.
 thrift:
--- /dev/null
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/configuration.py
@@ -0,0 +1,97 @@
+"""Size, decoding time and memory of the configuration."""
+
+import time
+from collections.abc import Callable
+
+from trefoilreach._internal.coordination.config_view import ConfigView, build_view
+from trefoilreach._internal.state.config import (
+    Account,
+    ConfigDocument,
+    Key,
+    Route,
+    Server,
+    decode_config,
+    encode_config,
+    hash_key,
+)
+
+from trefoilreach_emulator._internal.capacity.memory import measure_resident
+from trefoilreach_emulator._internal.capacity.slopes import Point, Slope, fit_slope, probes
+
+_ACCOUNT_SIZES = (8, 48, 120, 460)
+_WORKER_SIZES = (6, 120, 700, 3100)
+_KEYS_PER_ACCOUNT = 4
+_REPEATS = 5
+_ROLE = "configuration"
+
+
+def build_document(accounts: int, workers: int) -> ConfigDocument:
+    """Return a document with so many accounts and workers."""
+    names = [f"account-{number}" for number in range(accounts)]
+    return ConfigDocument(
+        version=1,
+        accounts=tuple(Account(name, 10.0, 20.0) for name in names),
+        keys=tuple(
+            Key(f"key-{name}-{number}", hash_key(f"{name}{number}"), "caller", name)
+            for name in names
+            for number in range(_KEYS_PER_ACCOUNT)
+        ),
+        routes=tuple(Route(f"model-{number}") for number in range(4)),
+        servers=tuple(
+            Server(f"worker-{number}", "engine", "10.0.0.1", 8000, ("model-0",), "dc-1")
+            for number in range(workers)
+        ),
+    )
+
+
+def build_views_of_accounts(accounts: int) -> ConfigView:
+    """Decode a document with so many accounts."""
+    return build_view(decode_config(encode_config(build_document(accounts, 1))))
+
+
+def build_views_of_workers(workers: int) -> ConfigView:
+    """Decode a document with so many workers."""
+    return build_view(decode_config(encode_config(build_document(1, workers))))
+
+
+@probes.register("configuration")
+def measure_configuration(seconds: float) -> list[Slope]:
+    """Measure against the number of accounts and the number of workers."""
+    slopes = []
+    for against, sizes, build in (
+        (f"accounts with {_KEYS_PER_ACCOUNT} keys each", _ACCOUNT_SIZES, build_views_of_accounts),
+        ("workers", _WORKER_SIZES, build_views_of_workers),
+    ):
+        slopes.append(_fit("document size", "KB", against, sizes, _size_of(build)))
+        slopes.append(_fit("adoption of one version", "ms", against, sizes, _time_of(build)))
+        slopes.append(_fit("memory", "KB", against, sizes, _memory_of(build)))
+    return slopes
+
+
+def _fit(
+    cost: str, unit: str, against: str, sizes: tuple[int, ...], measure: Callable[[int], float]
+) -> Slope:
+    points = [Point(size, measure(size)) for size in sizes]
+    return fit_slope(_ROLE, cost, unit, against, points)
+
+
+def _size_of(build: Callable[[int], ConfigView]) -> Callable[[int], float]:
+    return lambda size: len(encode_config(build(size).document)) / 1000
+
+
+def _time_of(build: Callable[[int], ConfigView]) -> Callable[[int], float]:
+    def measure(size: int) -> float:
+        data = encode_config(build(size).document)
+        return min(_time_adoption(data) for _ in range(_REPEATS)) * 1000
+
+    return measure
+
+
+def _time_adoption(data: bytes) -> float:
+    started = time.perf_counter()
+    build_view(decode_config(data))
+    return time.perf_counter() - started
+
+
+def _memory_of(build: Callable[[int], ConfigView]) -> Callable[[int], float]:
+    return lambda size: measure_resident(build, size) / 1000
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -3,6 +3,7 @@
 from cleo.commands.command import Command
 
 from trefoilreach_emulator._internal.commands.bench import BenchCommand
+from trefoilreach_emulator._internal.commands.capacity import CapacityCommand
 from trefoilreach_emulator._internal.commands.engine import EngineCommand
 from trefoilreach_emulator._internal.commands.load import LoadCommand
 from trefoilreach_emulator._internal.commands.platform import PlatformCommand
@@ -11,4 +12,11 @@
 
 def command_classes() -> list[type[Command]]:
     """Return every command."""
-    return [BenchCommand, EngineCommand, LoadCommand, PlatformCommand, ServiceCommand]
+    return [
+        BenchCommand,
+        CapacityCommand,
+        EngineCommand,
+        LoadCommand,
+        PlatformCommand,
+        ServiceCommand,
+    ]
