--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
@@ -250,7 +250,9 @@
         self._withdrawals.merge(Withdrawn(entry.key_id, entry.wall_time) for entry in withdrawals)
 
     def sync_with_peer(self, vm: str) -> Result[int, PeerError]:
-        """Exchange withdrawals with a peer and adopt its document if it is higher.
+        """Merge the withdrawals of a peer and adopt its document if it is higher.
+
+        The peer heard of the difference too and does the same.
 
         :returns: version in force there.
         """
@@ -262,11 +264,9 @@
         if isinstance(fetched, Err):
             return fetched
         reply = fetched.ok_value
-        theirs = [Withdrawn(entry.key_id, entry.wall_time) for entry in reply.withdrawals]
-        self._withdrawals.merge(theirs)
+        self.answer_withdraw(reply.withdrawals)
         if reply.document:
             self._adopt_encoded(reply.document)
-        self._send_missing(vm, {entry.key_id for entry in theirs})
         return Ok(reply.version)
 
     def sync_with_sources(self) -> None:
@@ -355,21 +355,6 @@
         pending = {member.vm for member in self._peers.members()} - set(in_force)
         return sorted(in_force), sorted(pending)
 
-    def _send_missing(self, vm: str, theirs: set[str]) -> None:
-        assert self._peers is not None
-        missing = [
-            Withdrawal(*entry)
-            for entry in self._withdrawals.entries()
-            if entry.key_id not in theirs
-        ]
-        if not missing:
-            return
-        outcome = self._peers.call(
-            vm, lambda client: client.withdraw(missing), _PUSH_TIMEOUT_SECONDS
-        )
-        if isinstance(outcome, Ok):
-            self._withdrawals.note_in_force(vm, [entry.key_id for entry in missing])
-
     def _adopt_encoded(self, data: bytes) -> bool:
         try:
             return self.adopt(decode_config(data))
--- /dev/null
+++ b/tests/unit/test_config_machine.py
@@ -0,0 +1,272 @@
+"""Guards against a configuration that reverts, forks or loses a change or a withdrawal.
+
+Daemons with an in-memory store and network race, lose answers, restart and lose
+contact; a list of the versions that came into force is the oracle.
+"""
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from result import Err, Ok, Result
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.config_store import HEAD_KEY
+from trefoilreach._internal.coordination.config_sync import ConfigSync
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.config import Account, ConfigDocument, Key, decode_config
+from trefoilreach._internal.state.objects import MemoryObjectStore
+from trefoilreach._internal.state.table import (
+    MemoryTable,
+    OutcomeUnknown,
+    StoreError,
+    StoreUnavailable,
+    Write,
+)
+
+NODES = ("n0", "n1", "n2", "n3")
+KEYS = tuple(f"k{number}" for number in range(6))
+NODE = st.sampled_from(NODES)
+
+
+class SteppedClock(ManualClock):
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
+    def wait(self, event: threading.Event, timeout: float) -> bool:
+        self.advance(timeout)
+        return event.is_set()
+
+
+class InlineExecutor:
+    """Runs pushes on the calling thread, so that examples repeat exactly."""
+
+    def submit(self, task: Callable[[], Any]) -> None:
+        task()
+
+    def shutdown(self, **options: Any) -> None:
+        """Nothing to stop."""
+
+
+class FaultyTable(MemoryTable):
+    """Loses answers of commits that took effect, did not, or take effect later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+        self.faults: list[str] = []
+        self.late: list[Sequence[Write]] = []
+
+    def get(self, key: str) -> Any:
+        return Err(StoreUnavailable("down")) if self.down else super().get(key)
+
+    def commit(self, writes: Sequence[Write]) -> Result[list[int], StoreError]:
+        self._land()
+        if self.down:
+            return Err(StoreUnavailable("down"))
+        fault = self.faults.pop() if self.faults else ""
+        if fault == "late":
+            self.late.append(writes)
+        elif fault != "dropped":
+            outcome = super().commit(writes)
+            if fault != "lost" or isinstance(outcome, Err):
+                return outcome
+        return Err(OutcomeUnknown(fault))
+
+    def _land(self) -> None:
+        late, self.late = self.late, []
+        for writes in late:
+            super().commit(writes)
+
+
+class Node:
+    """One daemon's configuration, and the network as it sees it."""
+
+    def __init__(self, name: str, machine: "ConfigMachine") -> None:
+        self.machine = machine
+        self.self_member = Member(name, "127.0.0.1", 1, 2, "dc", "r", 1, LIVE)
+        self.holder = ConfigHolder()
+        self.sync = ConfigSync(
+            machine.clock, machine.table, machine.objects, self.holder, 2.0, self
+        )
+        self.sync._pushes = InlineExecutor()
+
+    # The names of the thrift client.
+    def fetch_config(self, min_version: int) -> Any:
+        return self.sync.answer_fetch(min_version)
+
+    def withdraw(self, withdrawals: Any) -> None:
+        self.sync.answer_withdraw(withdrawals)
+
+    def members(self) -> list[Member]:
+        return [node.self_member for node in self.machine.nodes.values() if node is not self]
+
+    def known_count(self) -> int:
+        return len(NODES) - 1
+
+    def call(self, vm: str, action: Callable[[Any], Any], timeout: float) -> Any:
+        if {vm, self.self_member.vm} & self.machine.cut:
+            return Err(PeerError("cut"))
+        return Ok(action(self.machine.nodes[vm]))
+
+    def broadcast(self, action: Callable[[Any], Any], timeout: float) -> Any:
+        return {member.vm: self.call(member.vm, action, timeout) for member in self.members()}
+
+    def push_state(self) -> Any:
+        return self.broadcast(self.probe, 1.0)
+
+    def probe(self, other: "Node") -> Any:
+        other.sync.hear(self.self_member.vm, self.sync.state())
+        self.sync.hear(other.self_member.vm, other.sync.state())
+        return other.sync.state()
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    @initialize()
+    def start(self) -> None:
+        self.clock = SteppedClock()
+        self.table = FaultyTable()
+        self.objects = MemoryObjectStore()
+        self.cut: set[str] = set()
+        self.nodes: dict[str, Node] = {}
+        self.refused: set[str] = set()
+        self.accepted: set[str] = set()
+        self.durable: set[str] = set()
+        self.seen: dict[int, ConfigDocument] = {}
+        self.versions: dict[str, int] = dict.fromkeys(NODES, 0)
+        self.count = 0
+        for name in NODES:
+            self.nodes[name] = Node(name, self)
+            self.nodes[name].sync.poll()
+        keys = tuple(Key(key_id, f"hash-{key_id}", "caller", "a") for key_id in KEYS)
+        self.nodes["n0"].sync.change(0, lambda document: document._replace(keys=keys))
+
+    @rule(node=NODE, rival=NODE, races=st.booleans(), stale=st.booleans())
+    def change(self, node: str, rival: str, races: bool, stale: bool) -> None:
+        holder = self.nodes[node].holder
+        base = holder.view.document.version - (1 if stale else 0)
+        self._change(node, base, rival if races and rival != node else None)
+
+    @rule(node=NODE, rival=NODE)
+    def rebase(self, node: str, rival: str) -> None:
+        self._change(node, None, rival if rival != node else None)
+
+    @rule(node=NODE, key=st.sampled_from(KEYS))
+    def withdraw(self, node: str, key: str) -> None:
+        outcome = self.nodes[node].sync.withdraw(key)
+        if isinstance(outcome, Err):
+            assert outcome.err_value.status == 404
+            return
+        report = outcome.ok_value
+        for vm in report.in_force:
+            assert key in self.nodes[vm].sync.withdrawn_ids()
+        assert {*report.in_force, *report.pending} == set(NODES)
+        if report.durable:
+            self.durable.add(key)
+
+    @rule(node=NODE)
+    def poll(self, node: str) -> None:
+        self.nodes[node].sync.poll()
+
+    @rule(first=NODE, second=NODE)
+    def probe(self, first: str, second: str) -> None:
+        if first != second and not {first, second} & self.cut:
+            self.nodes[first].probe(self.nodes[second])
+            self.nodes[first].sync.sync_with_sources()
+            self.nodes[second].sync.sync_with_sources()
+            if self.nodes[first].sync.ready and self.nodes[second].sync.ready:
+                held = [self.nodes[name].sync.withdrawn_ids() for name in (first, second)]
+                assert held[0] == held[1], "a probe did not level the withdrawals"
+
+    @rule(faults=st.lists(st.sampled_from(["lost", "dropped", "late"]), max_size=6))
+    def lose_answers(self, faults: list[str]) -> None:
+        self.table.faults = faults
+
+    @rule()
+    def toggle_store(self) -> None:
+        self.table.down = not self.table.down
+
+    @rule(node=NODE)
+    def toggle_contact(self, node: str) -> None:
+        self.cut ^= {node}
+
+    @rule(node=NODE)
+    def restart(self, node: str) -> None:
+        self.nodes[node] = Node(node, self)
+        self.versions[node] = 0
+        self.nodes[node].sync.poll()
+        if not self.nodes[node].sync.ready:
+            self.start_from_peers(node)
+
+    @precondition(lambda self: self.table.down)
+    @rule(node=NODE)
+    def start_from_peers(self, node: str) -> None:
+        sync = self.nodes[node].sync
+        if sync.ready:
+            return
+        others = [peer for name, peer in self.nodes.items() if name not in self.cut | {node}]
+        ready = [peer for peer in others if peer.sync.ready] if node not in self.cut else []
+        assert sync.start_from_peers() == (2 * len(ready) > len(NODES) - 1)
+        if sync.ready:
+            highest = max(peer.holder.view.document.version for peer in ready)
+            assert self.nodes[node].holder.view.document.version >= highest
+
+    @invariant()
+    def check_versions(self) -> None:
+        for name, node in getattr(self, "nodes", {}).items():
+            document = node.holder.view.document
+            assert document.version >= self.versions[name], "a version reverted"
+            self.versions[name] = document.version
+            assert self.seen.setdefault(document.version, document) == document, "a fork"
+            names = {account.name for account in document.accounts}
+            assert not names & self.refused, "a change that was refused as not run is in force"
+            assert {entry.key_id for entry in document.withdrawn} <= node.sync.withdrawn_ids()
+
+    def teardown(self) -> None:
+        if not hasattr(self, "nodes"):
+            return
+        held = set().union(*(node.sync.withdrawn_ids() for node in self.nodes.values()))
+        self.table.down, self.table.faults, self.cut = False, [], set()
+        for _ in range(2):
+            for node in self.nodes.values():
+                node.sync.poll()
+                node.push_state()
+                node.sync.sync_with_sources()
+                assert isinstance(node.sync.make_durable(), Ok)
+        self.check_versions()
+        head = self.table.get(HEAD_KEY).unwrap().value
+        final = decode_config(self.objects.get(head["object"]).unwrap())
+        assert {node.holder.view.document for node in self.nodes.values()} == {final}
+        assert self.accepted <= {account.name for account in final.accounts}
+        withdrawn = {entry.key_id for entry in final.withdrawn}
+        assert withdrawn == held | self.durable
+        for node in self.nodes.values():
+            assert node.sync.withdrawn_ids() == withdrawn
+            node.sync._close()
+
+    def _change(self, node: str, base: int | None, rival: str | None) -> None:
+        self.count += 1
+        name = f"account{self.count}"
+        raced: list[str] = []
+
+        def edit(document: ConfigDocument) -> ConfigDocument:
+            if rival is not None and not raced:
+                raced.append(rival)
+                self._change(rival, None, None)
+            return document._replace(accounts=(*document.accounts, Account(name, 1.0, 1.0)))
+
+        outcome = self.nodes[node].sync.change(base, edit)
+        if isinstance(outcome, Ok):
+            self.accepted.add(name)
+            assert name in {account.name for account in outcome.ok_value.accounts}
+        elif outcome.err_value.verdict is Verdict.NOT_RUN:
+            self.refused.add(name)
+            if outcome.err_value.status == 409 and not self.table.down:
+                in_force = self.table.get(HEAD_KEY).unwrap().value["version"]
+                assert str(in_force) in outcome.err_value.message
+
+
+TestConfigMachine = ConfigMachine.TestCase
