Serve online requests by load estimates, with fair queuing, retries and resume

Cause: the thin path chose a random server and failed with it. Change: estimate-based routing with prefix affinity and baseline policies, an admission queue per class that is fair between accounts and refuses hopeless waits at once, retries within a budget, resume of broken streams, cancelling for callers that left, and plain services with at-most-once calls and keys removed.

--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -3,9 +3,11 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.admission import QuotaGate
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
+from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
@@ -23,3 +25,5 @@
     config: ConfigHolder
     config_sync: ConfigSync
     dispatcher: Dispatcher
+    services: ServiceDispatcher
+    quota: QuotaGate
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
@@ -0,0 +1,89 @@
+"""Handler of calls to plain services."""
+
+import uuid
+
+from trefoilreach._internal.api.auth import identify_caller, take_quota
+from trefoilreach._internal.api.parts import Parts
+from trefoilreach._internal.api.scrub import (
+    Secrets,
+    find_secrets,
+    scrub_body,
+    scrub_headers,
+    scrub_query,
+)
+from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
+from trefoilreach._internal.coordination.service_dispatch import ServiceJob
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
+from trefoilreach._internal.state.config import Account, Route
+from trefoilreach._internal.transport.service import ServiceReply
+
+# Fields of one connection, and those that the daemon writes itself.
+_NOT_FORWARDED = {
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "server",
+    "te",
+    "trailer",
+    "trailers",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+}
+
+
+@routes.register("*", "/v1/services/{route}/{rest*}")
+def call_service(parts: Parts, request: WebRequest, route: str, rest: str) -> WebResponse:
+    """Pass one call on to a server of a plain service."""
+    found = parts.config.view.routes.get(route)
+    if found is not None and found.kind != "service":
+        found = None
+    account = identify_caller(parts, request, found)
+    if found is None:
+        raise Refusal(404, "service_not_found", f"the service {route!r} does not exist")
+    job = _build_job(parts, request, account, found, rest)
+    take_quota(parts, account)
+    return respond_reply(parts.services.run(job))
+
+
+def _build_job(
+    parts: Parts, request: WebRequest, account: Account, route: Route, rest: str
+) -> ServiceJob:
+    secrets = find_secrets(request, parts.config.view.keys_by_hash)
+    body = request.read_body(parts.settings.daemon.body_limit)
+    if secrets.carries(rest):
+        raise refuse_bad_request("the path must not carry a key")
+    headers = request.headers
+    if headers.get("content-encoding", "identity").lower() != "identity":
+        # A key inside an encoded body could not be found and removed.
+        raise refuse_bad_request("an encoded body is not accepted", "Content-Encoding")
+    query = scrub_query(request.query_text, secrets)
+    return ServiceJob(
+        request_id=f"call-{uuid.uuid4().hex}",
+        account=account,
+        route=route,
+        method=request.method,
+        target=request.raw_path_after(f"/v1/services/{route.name}")
+        + (f"?{query}" if query else ""),
+        headers=_forwarded(headers, secrets),
+        body=scrub_body(body, headers.get("content-type", ""), secrets) if body else b"",
+        gone=request.caller_gone,
+    )
+
+
+def _forwarded(headers: dict[str, str], secrets: Secrets) -> dict[str, str]:
+    kept = scrub_headers(headers, secrets)
+    return {name: value for name, value in kept.items() if name not in _NOT_FORWARDED}
+
+
+def respond_reply(reply: ServiceReply) -> WebResponse:
+    """Return a service's answer to the caller."""
+    headers = [(name, value) for name, value in reply.headers if name.lower() not in _NOT_FORWARDED]
+    headers.append(("Content-Length", str(len(reply.body))))
+    return WebResponse(reply.status, headers, [reply.body])
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/web.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/web.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, quote
 
 import orjson
 
@@ -73,6 +73,16 @@
         """Return one header field, or None."""
         return self._environ.get("HTTP_" + name.upper().replace("-", "_"))
 
+    def raw_path_after(self, prefix: str) -> str:
+        """Return the path behind a prefix, percent-encoded for another request."""
+        rest = self.path[len(prefix) :].encode("latin-1")
+        return quote(rest, safe="/:@!$&'()*+,;=-._~") or "/"
+
+    def caller_gone(self) -> bool:
+        """Return whether the caller closed its connection."""
+        check = self._environ.get("waitress.client_disconnected")
+        return check is not None and bool(check())
+
     def bearer_key(self) -> str | None:
         """Return the key of the Authorization header, or None."""
         scheme, _, secret = (self.header("Authorization") or "").partition(" ")
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -1,109 +1,259 @@
-"""Runs one online request on a backend server."""
+"""Runs one online completion: admission, attempts, resume, verdict."""
 
-import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager, suppress
 from typing import Any, NamedTuple
 
-import orjson
 from result import Err
 
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.affinity import find_prefixes
+from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
 from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.logs import log_decision
-from trefoilreach._internal.protocol.openai import CHAT_PATH, Completion
-from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
+from trefoilreach._internal.coordination.fairness import CallerGone
+from trefoilreach._internal.coordination.load_poller import LoadPoller
+from trefoilreach._internal.coordination.load_view import LoadView
+from trefoilreach._internal.coordination.retry_budget import RetryBudget
+from trefoilreach._internal.coordination.running import RunningRequest, RunningRequests
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.events import join_events, read_text
+from trefoilreach._internal.protocol.openai import Completion, prompt_text
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict, refuse_unavailable
+from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.config import Account, Route, Server
 from trefoilreach._internal.transport.engine import Engine, EngineError, EngineRequest
 
+_ATTEMPTS = 4
+# A stream is silent after this many token intervals of its class, but not before the minimum.
+_SILENT_INTERVALS = 10.0
+_SILENT_MIN_SECONDS = 2.0
+# The first token may take this many times its target before the attempt is given up.
+_FIRST_TOKEN_FACTOR = 3.0
+_FIRST_TOKEN_MIN_SECONDS = 5.0
+# Each silent attempt costs its whole limit; a caller must not wait for more of them.
+_SILENT_ATTEMPTS = 2
+_RETRY_AFTER_FAILURE_SECONDS = 1.0
+# Threads of the HTTP server that must stay free for other requests than completions.
+_SPARE_THREADS = 16
+_CANCEL_THREADS = 4
+_CLIENT_ERRORS = {400, 413, 422}
+STOPPED_STATUS = 503
+
 
 class Job(NamedTuple):
-    """One admitted online request."""
+    """One admitted online request.
+
+    :param gone: whether the caller went away.
+    """
 
     request_id: str
     account: Account
     route: Route
     completion: Completion
+    gone: Callable[[], bool] = lambda: False
 
 
 class Dispatcher:
-    """Chooses a server for each request and relays its answer."""
+    """Runs completions on engines and relays their answers."""
 
-    def __init__(self, config: ConfigHolder, engine: Engine) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        settings: Settings,
+        config: ConfigHolder,
+        engine: Engine,
+        backends: Backends,
+    ) -> None:
+        self.clock = clock
+        self.engine = engine
+        self.backends = backends
+        self.budget = RetryBudget(clock, settings.routing.retry_share / 100.0)
+        self._settings = settings
         self._config = config
-        self._engine = engine
+        self._running = RunningRequests(clock, backends.health)
+        self._cancels = ThreadPoolExecutor(_CANCEL_THREADS, thread_name_prefix="cancel")
+
+    @property
+    def load_view(self) -> LoadView:
+        """Load estimates, shared with batch."""
+        return self.backends.load
+
+    def start(self, stack: ExitStack) -> None:
+        """Watch servers and requests until the exit stack closes."""
+        stack.callback(self._cancels.shutdown, wait=False, cancel_futures=True)
+        poller = LoadPoller(
+            self.clock, self.engine, self.backends, self._settings.routing.load_interval
+        )
+        poller.start(stack)
+        self._running.start(stack)
+        self._config.add_listener(lambda view: self.backends.pump())
+
+    def run_whole(self, job: Job) -> dict[str, Any]:
+        """Return the whole answer as one completion object."""
+        return join_events(job.completion.path, self.run_stream(job))
 
     def run_stream(self, job: Job) -> Iterator[bytes]:
-        """Yield the event payloads of the answer."""
-        server = self._choose(job)
-        request = EngineRequest(job.request_id, job.completion.path, job.completion.body)
-        opened = self._engine.open(server, request)
+        """Yield the event payloads of the answer.
+
+        :raises Refusal: when the answer cannot be completed.
+        """
+        request = RunningRequest(job.request_id, job.gone)
+        self.budget.note_request()
+        with self.watch(request):
+            yield from _Run(self, job, request).relay()
+
+    @contextmanager
+    def watch(self, request: RunningRequest) -> Iterator[None]:
+        """Watch a request for the time of a ``with`` block."""
+        if self._running.count >= self._settings.daemon.threads - _SPARE_THREADS:
+            raise refuse_unavailable("this VM serves as many requests as it can", 1.0)
+        self._running.add(request)
+        try:
+            yield
+        finally:
+            self._running.remove(request)
+
+    def cancel(self, server: Server, request_id: str) -> None:
+        """Tell an engine in the background that an answer was given up."""
+        if self.backends.health.is_usable(server.name):
+            with suppress(RuntimeError):  # at stop, closed connections cancel as well
+                self._cancels.submit(self.engine.cancel, server, request_id)
+
+
+class _Attempt(NamedTuple):
+    server: Server
+    request_id: str
+
+
+class _Run:
+    """The attempts of one request."""
+
+    def __init__(self, dispatcher: Dispatcher, job: Job, request: RunningRequest) -> None:
+        self._dispatcher = dispatcher
+        self._backends = dispatcher.backends
+        self._job = job
+        self._request = request
+        self._prefixes = find_prefixes(prompt_text(job.completion))
+        self._delivered: list[bytes] = []
+        self._failed: list[str] = []
+        self._silent_attempts = 0
+        self._may_have_run = False
+
+    def relay(self) -> Iterator[bytes]:
+        """Yield payloads over as many attempts as allowed."""
+        for number in range(_ATTEMPTS):
+            attempt = self._place(number)
+            try:
+                yield from self._relay_attempt(attempt)
+                return
+            except EngineError as error:
+                self._note_failure(attempt, error)
+                self._check_retry(error, number)
+
+    def _place(self, number: int) -> _Attempt:
+        job = self._job
+        # Another attempt has another id, so that a late answer to the first cannot match.
+        request_id = job.request_id if number == 0 else f"{job.request_id}-{number}"
+        place = PlaceRequest(
+            request_id=request_id,
+            account=job.account,
+            route=job.route,
+            prefixes=self._prefixes,
+            avoid=self._failed,
+            gone=lambda: bool(self._request.stop_reason),
+        )
+        try:
+            return _Attempt(self._backends.enter(place), request_id)
+        except CallerGone:
+            raise self._refuse("stopped", self._request.stop_reason) from None
+        except Refusal as refusal:
+            raise self._refuse(refusal.code, refusal.message, refusal.retry_after) from None
+
+    def _relay_attempt(self, attempt: _Attempt) -> Iterator[bytes]:
+        backends, clock = self._backends, self._dispatcher.clock
+        started = clock.now()
+        try:
+            backends.note_online(attempt.server.name)
+            yield from self._relay_events(attempt)
+            backends.note_service_time(self._job.route, clock.now() - started)
+            backends.prefixes.learn(attempt.server.name, self._prefixes)
+        finally:
+            self._request.end_attempt()
+            backends.release(attempt.server, attempt.request_id)
+
+    def _relay_events(self, attempt: _Attempt) -> Iterator[bytes]:
+        opened = self._dispatcher.engine.open(attempt.server, self._build_request(attempt))
         if isinstance(opened, Err):
-            raise _refuse(opened.err_value)
+            raise opened.err_value
         stream = opened.ok_value
+        foreign, own = attempt.request_id.encode(), self._job.request_id.encode()
+        delivered = self._delivered
+        complete = False
         try:
-            yield from stream
-        except EngineError as error:
-            raise _refuse(error) from error
+            for payload in stream:
+                event = payload if foreign == own else payload.replace(foreign, own)
+                delivered.append(event)
+                yield event
+            complete = True
         finally:
             stream.close()
+            if not complete:
+                self._dispatcher.cancel(attempt.server, attempt.request_id)
 
-    def run_whole(self, job: Job) -> dict[str, Any]:
-        """Return the whole answer as one completion object."""
-        return join_events(job.completion.path, self.run_stream(job))
+    def _build_request(self, attempt: _Attempt) -> EngineRequest:
+        completion = self._job.completion
+        target = self._backends.work_class(self._job.route)
+        silent = _SILENT_INTERVALS * target.token_interval_seconds
+        first = _FIRST_TOKEN_FACTOR * target.first_token_seconds
+        return EngineRequest(
+            request_id=attempt.request_id,
+            path=completion.path,
+            body=completion.body,
+            resume_text=read_text(self._delivered) or "",
+            token_timeout=max(_SILENT_MIN_SECONDS, silent),
+            first_token_timeout=max(_FIRST_TOKEN_MIN_SECONDS, first),
+            interrupt=self._request.begin_attempt(attempt.server.name),
+        )
+
+    def _note_failure(self, attempt: _Attempt, error: EngineError) -> None:
+        name = attempt.server.name
+        self._failed.append(name)
+        self._silent_attempts += error.silent
+        if error.verdict is Verdict.MAY_HAVE_RUN:
+            self._may_have_run = True
+        log_event(
+            "request:attempt-failed",
+            request_id=self._job.request_id,
+            server=name,
+            error=str(error),
+            verdict=error.verdict.value,
+        )
+        if error.gone:
+            self._backends.health.mark_refused(name, polled=True)
+
+    def _check_retry(self, error: EngineError, number: int) -> None:
+        """Return if there may be another attempt.
+
+        :raises Refusal: otherwise.
+        """
+        if self._request.stop_reason:
+            raise self._refuse("stopped", self._request.stop_reason) from error
+        if error.status in _CLIENT_ERRORS:
+            raise Refusal(error.status, "invalid_request", str(error)) from error
+        allowed = error.verdict is Verdict.NOT_RUN or self._job.route.idempotent
+        last = number == _ATTEMPTS - 1 or self._silent_attempts >= _SILENT_ATTEMPTS
+        if last or not allowed or not self._resumable():
+            raise self._refuse("server_failed", str(error)) from error
+        if not self._dispatcher.budget.take():
+            raise self._refuse("server_failed", f"no retry left: {error}") from error
+
+    def _resumable(self) -> bool:
+        return read_text(self._delivered) is not None
 
-    def _choose(self, job: Job) -> Server:
-        candidates = [
-            server
-            for server in self._config.view.document.servers
-            if job.route.name in server.routes and server.state == "live"
-        ]
-        if not candidates:
-            raise refuse_unavailable(f"no server carries {job.route.name!r}", 1.0)
-        chosen = random.choice(candidates)
-        names = [server.name for server in candidates]
-        log_decision("route", chosen.name, "random", request_id=job.request_id, candidates=names)
-        return chosen
-
-
-def _refuse(error: EngineError) -> Refusal:
-    return Refusal(503, "server_failed", str(error), error.verdict, retry_after=1.0)
-
-
-def join_events(path: str, payloads: Iterator[bytes]) -> dict[str, Any]:
-    """Join streamed events into one completion object."""
-    first: dict[str, Any] = {}
-    text: list[str] = []
-    finish_reason = None
-    usage = None
-    for payload in payloads:
-        event = orjson.loads(payload)
-        first = first or event
-        usage = event.get("usage") or usage
-        for choice in event.get("choices", ()):
-            text.append(choice_text(choice))
-            finish_reason = choice.get("finish_reason") or finish_reason
-    return _build_completion(path, first, "".join(text), finish_reason, usage)
-
-
-def choice_text(choice: dict[str, Any]) -> str:
-    """Return the text of one choice of a streamed event."""
-    if "delta" in choice:
-        return choice["delta"].get("content") or ""
-    return choice.get("text") or ""
-
-
-def _build_completion(
-    path: str, first: dict[str, Any], text: str, finish_reason: str | None, usage: Any
-) -> dict[str, Any]:
-    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
-    if path == CHAT_PATH:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {
-        "id": first.get("id"),
-        "object": "chat.completion" if path == CHAT_PATH else "text_completion",
-        "created": first.get("created", 0),
-        "model": first.get("model"),
-        "choices": [choice],
-        "usage": usage,
-    }
+    def _refuse(
+        self, code: str, message: str, retry_after: float | None = _RETRY_AFTER_FAILURE_SECONDS
+    ) -> Refusal:
+        # What an earlier attempt may have done stays true for the whole request.
+        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+        return Refusal(STOPPED_STATUS, code, message, verdict, retry_after)
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -6,9 +6,12 @@
 from trefoilreach._internal.api.app import Application
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
+from trefoilreach._internal.coordination.admission import AdmitAll
+from trefoilreach._internal.coordination.backends import Backends
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
+from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import Settings
@@ -17,6 +20,7 @@
 from trefoilreach._internal.state.table import tables
 from trefoilreach._internal.transport.engine import HttpEngine
 from trefoilreach._internal.transport.http_server import HttpServer
+from trefoilreach._internal.transport.service import HttpService
 
 
 class Daemon:
@@ -42,6 +46,7 @@
         open_log(settings.log, settings.daemon.name, stack)
         parts = self._build_parts(stack)
         parts.config_sync.start(stack)
+        parts.dispatcher.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -60,6 +65,9 @@
         table = tables.get(platform.kind)(platform.url, platform.timeout)
         objects = object_stores.get(platform.kind)(platform.url, platform.timeout)
         sync = ConfigSync(self._clock, table, objects, config, settings.fleet.poll_interval)
+        backends = Backends(self._clock, settings, config)
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
             clock=self._clock,
@@ -68,5 +76,7 @@
             objects=objects,
             config=config,
             config_sync=sync,
-            dispatcher=Dispatcher(config, engine),
+            dispatcher=dispatcher,
+            services=ServiceDispatcher(self._clock, service, backends, dispatcher),
+            quota=AdmitAll(),
         )
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable, Iterator
+from http.client import HTTPException
 from typing import Any, NamedTuple, Protocol
 
 import orjson
@@ -11,11 +12,18 @@
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.registry import Registry
 from trefoilreach._internal.state.config import Server
-from trefoilreach._internal.transport.http_client import HttpExchange, HttpFailure, HttpPool
+from trefoilreach._internal.transport.http_client import (
+    HttpExchange,
+    HttpFailure,
+    HttpPool,
+    Interrupt,
+)
 
 DONE = b"[DONE]"
 _CONTROL_TIMEOUT_SECONDS = 1.0
-_DATA_PREFIX = b"data: "
+_DATA_PREFIX = b"data:"
+_EVENT_END = b"\n\n"
+_READ_BYTES = 65536
 
 
 class EngineError(Exception):
@@ -24,13 +32,22 @@
     :param verdict: whether the engine may have run the request.
     :param gone: whether the engine's process seems to be gone.
     :param status: HTTP status when the engine answered with an error, else 0.
+    :param silent: whether a wait for the engine was over its limit.
     """
 
-    def __init__(self, message: str, verdict: Verdict, gone: bool = False, status: int = 0) -> None:
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        gone: bool = False,
+        status: int = 0,
+        silent: bool = False,
+    ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.gone = gone
         self.status = status
+        self.silent = silent
 
 
 class EngineRequest(NamedTuple):
@@ -38,6 +55,8 @@
 
     :param resume_text: text generated so far, after which the engine goes on.
     :param token_timeout: longest wait in seconds for the next event.
+    :param first_token_timeout: longest wait in seconds for the first event.
+    :param interrupt: lets another thread end the answer.
     """
 
     request_id: str
@@ -45,6 +64,8 @@
     body: dict[str, Any]
     resume_text: str = ""
     token_timeout: float = 30.0
+    first_token_timeout: float = 60.0
+    interrupt: Interrupt | None = None
 
 
 class LoadReport(NamedTuple):
@@ -134,37 +155,47 @@
         self._pools: dict[tuple[str, int], HttpPool] = {}
 
     def open(self, server: Server, request: EngineRequest) -> Result[EngineStream, EngineError]:
-        """Start a completion."""
+        """Start a completion.
+
+        Each completion has a connection of its own: a kept one may have gone silent
+        unnoticed, while a handshake shows that the path works now.
+        """
         body = {**request.body, "stream": True}
         if request.resume_text:
             body["resume_text"] = request.resume_text
         headers = {"Content-Type": "application/json", "X-Request-Id": request.request_id}
         try:
             exchange = self._pool(server).request(
-                "POST", request.path, orjson.dumps(body), headers, request.token_timeout
+                "POST",
+                request.path,
+                orjson.dumps(body),
+                headers,
+                request.first_token_timeout,
+                fresh=True,
+                interrupt=request.interrupt,
             )
             if exchange.status != 200:
                 return Err(_read_error(exchange))
         except HttpFailure as failure:
-            return Err(EngineError(str(failure), failure.verdict, failure.refused))
-        return Ok(_HttpEngineStream(exchange, request.request_id))
+            return Err(_translate(failure))
+        return Ok(_HttpEngineStream(exchange, request))
 
     def cancel(self, server: Server, request_id: str) -> None:
         """Stop a completion; a lost cancel is harmless because the stream is closed too."""
-        self._call(server, "POST", "/v1/cancel", {"request_id": request_id})
+        self._call(server, "POST", "/v1/cancel", {"request_id": request_id}, fresh=True)
 
     def load(self, server: Server) -> Result[LoadReport, EngineError]:
         """Read the load report."""
-        return self._call(server, "GET", "/load").map(_decode_load)
+        return self._read(server, "/load").map(_decode_load)
 
     def cache_events(self, server: Server, after: int) -> Result[list[CacheEvent], EngineError]:
         """Read cache events above a sequence number."""
-        reply = self._call(server, "GET", f"/cache/events?after={after}")
+        reply = self._read(server, f"/cache/events?after={after}")
         return reply.map(lambda found: [CacheEvent(**event) for event in found["events"]])
 
     def order(self, server: Server, order: Order) -> Result[OrderOutcome, EngineError]:
         """Give an order."""
-        reply = self._call(server, "POST", "/orders", order._asdict())
+        reply = self._call(server, "POST", "/orders", order._asdict(), fresh=True)
         return reply.map(lambda found: OrderOutcome(found["status"], found["fencing"]))
 
     def close(self) -> None:
@@ -182,13 +213,21 @@
                 self._pools[address] = pool
             return self._pools[address]
 
+    def _read(self, server: Server, path: str) -> Result[Any, EngineError]:
+        """Read on a kept connection, and once more on a new one if it gives no answer."""
+        reply = self._call(server, "GET", path)
+        if isinstance(reply, Ok) or reply.err_value.gone or reply.err_value.status:
+            return reply
+        self._pool(server).drop_idle()
+        return self._call(server, "GET", path, fresh=True)
+
     def _call(
-        self, server: Server, method: str, path: str, body: Any = None
+        self, server: Server, method: str, path: str, body: Any = None, fresh: bool = False
     ) -> Result[Any, EngineError]:
         data = b"" if body is None else orjson.dumps(body)
         try:
             exchange = self._pool(server).request(
-                method, path, data, timeout=_CONTROL_TIMEOUT_SECONDS
+                method, path, data, timeout=_CONTROL_TIMEOUT_SECONDS, fresh=fresh
             )
             try:
                 if exchange.status != 200:
@@ -197,61 +236,90 @@
             finally:
                 exchange.close()
         except HttpFailure as failure:
-            return Err(EngineError(str(failure), failure.verdict, failure.refused))
+            return Err(_translate(failure))
         except orjson.JSONDecodeError as error:
             return Err(EngineError(f"answer is not JSON: {error}", Verdict.MAY_HAVE_RUN))
 
 
+def _translate(failure: HttpFailure) -> EngineError:
+    return EngineError(str(failure), failure.verdict, gone=failure.refused, silent=failure.silent)
+
+
 class _HttpEngineStream:
     """Server-sent events of one answer."""
 
-    def __init__(self, exchange: HttpExchange, request_id: str) -> None:
+    def __init__(self, exchange: HttpExchange, request: EngineRequest) -> None:
         self._exchange = exchange
-        self._request_id = request_id
-        self._id_marker = b'"' + request_id.encode() + b'"'
+        self._request = request
+        self._id_marker = b'"' + request.request_id.encode() + b'"'
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield payloads until ``[DONE]``."""
-        response = self._exchange.response
-        while True:
-            try:
-                line = response.readline()
-            except (OSError, ValueError) as error:
-                raise EngineError(f"stream broke: {error!r}", Verdict.MAY_HAVE_RUN) from error
-            if not line:
-                raise EngineError("stream ended without [DONE]", Verdict.MAY_HAVE_RUN)
-            if not line.startswith(_DATA_PREFIX):
-                continue
-            payload = line[len(_DATA_PREFIX) :].rstrip()
+        marker = self._id_marker
+        waiting_for_first = True
+        for event in self._read_events():
+            payload = _event_payload(event)
             if payload == DONE:
-                self._finish()
                 return
-            if self._id_marker not in payload:
-                raise EngineError("answer belongs to another request", Verdict.MAY_HAVE_RUN)
+            if not payload:
+                continue
+            if marker not in payload:
+                raise _refuse_foreign(payload)
+            if waiting_for_first:
+                self._exchange.set_timeout(self._request.token_timeout)
+                waiting_for_first = False
             yield payload
+        raise EngineError("stream ended without [DONE]", Verdict.MAY_HAVE_RUN)
 
     def close(self) -> None:
-        """Close the connection unless the answer was complete."""
+        """Close the connection, which cancels an incomplete answer."""
         self._exchange.close()
 
-    def _finish(self) -> None:
-        try:
-            self._exchange.read()
-        except HttpFailure:
-            # The answer itself was complete; only the connection cannot be reused.
-            return
+    def _read_events(self) -> Iterator[bytes]:
+        # read1 returns what one chunk holds, which is usually one whole event.
+        read = self._exchange.response.read1
+        rest = b""
+        while True:
+            try:
+                data = read(_READ_BYTES)
+            except (OSError, ValueError, HTTPException) as error:
+                message = f"stream broke: {error!r}"
+                silent = isinstance(error, TimeoutError)
+                raise EngineError(message, Verdict.MAY_HAVE_RUN, silent=silent) from error
+            if not data:
+                return
+            if b"\r" in data:
+                data = data.replace(b"\r\n", b"\n")
+            *events, rest = (rest + data).split(_EVENT_END)
+            yield from events
+
+
+def _event_payload(event: bytes) -> bytes:
+    if event.startswith(_DATA_PREFIX) and b"\n" not in event:
+        return event[len(_DATA_PREFIX) :].strip()
+    lines = [line for line in event.split(b"\n") if line.startswith(_DATA_PREFIX)]
+    return b"\n".join(line[len(_DATA_PREFIX) :].strip() for line in lines)
+
+
+def _refuse_foreign(payload: bytes) -> EngineError:
+    if payload.startswith(b'{"error"'):
+        return EngineError("the engine reported an error midway", Verdict.MAY_HAVE_RUN)
+    return EngineError("answer belongs to another request", Verdict.MAY_HAVE_RUN)
 
 
 def _read_error(exchange: HttpExchange) -> EngineError:
     try:
         data = exchange.read()
+    except HttpFailure:
+        data = b""
     finally:
         exchange.close()
     try:
         message = orjson.loads(data)["error"]["message"]
     except (orjson.JSONDecodeError, KeyError, TypeError):
         message = f"engine answered {exchange.status}"
-    verdict = Verdict.MAY_HAVE_RUN if exchange.status == 500 else Verdict.NOT_RUN
+    # Only an answer that blames the request shows that the engine did not run it.
+    verdict = Verdict.MAY_HAVE_RUN if exchange.status >= 500 else Verdict.NOT_RUN
     return EngineError(message, verdict, status=exchange.status)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -1,7 +1,9 @@
 """HTTP connections to one backend server, reused only after complete answers."""
 
+import socket
 import threading
 from collections import deque
+from contextlib import suppress
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from typing import NamedTuple
 
@@ -17,12 +19,54 @@
 
     :param verdict: whether the other side may have run the request.
     :param refused: whether the connection was refused, so that no process listens there.
+    :param silent: whether the wait for the other side was over the limit.
     """
 
-    def __init__(self, message: str, verdict: Verdict, refused: bool = False) -> None:
+    def __init__(
+        self, message: str, verdict: Verdict, refused: bool = False, silent: bool = False
+    ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.refused = refused
+        self.silent = silent
+
+
+class Interrupt:
+    """Ends another thread's wait on a connection by shutting the socket down."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._socket: socket.socket | None = None
+        self._reason = ""
+
+    @property
+    def reason(self) -> str:
+        """Why the wait was ended; empty while it was not."""
+        return self._reason
+
+    def attach(self, connected: socket.socket) -> None:
+        """Take the socket to shut down, at once if the interrupt fired before."""
+        with self._lock:
+            self._socket = connected
+            if self._reason:
+                _shut_down(connected)
+
+    def detach(self) -> None:
+        """Forget the socket."""
+        with self._lock:
+            self._socket = None
+
+    def fire(self, reason: str) -> None:
+        """End the wait; the first reason is kept."""
+        with self._lock:
+            self._reason = self._reason or reason
+            if self._socket is not None:
+                _shut_down(self._socket)
+
+
+def _shut_down(connected: socket.socket) -> None:
+    with suppress(OSError):
+        connected.shutdown(socket.SHUT_RDWR)
 
 
 class _Idle(NamedTuple):
@@ -49,34 +93,46 @@
         headers: dict[str, str] | None = None,
         timeout: float = 10.0,
         fresh: bool = False,
+        interrupt: Interrupt | None = None,
     ) -> "HttpExchange":
         """Send a request and wait for the response head.
 
         :param timeout: limit in seconds on each wait for the other side.
         :param fresh: open a new connection even when an idle one is kept.
+        :param interrupt: lets another thread end the exchange.
         :raises HttpFailure: when there is no response head.
         """
         connection = None if fresh else self._take_idle()
         if connection is None:
             connection = self._connect()
+        # http.client drops its own reference when the answer says "Connection: close".
+        connected = connection.sock
+        if interrupt is not None:
+            interrupt.attach(connected)
         try:
-            connection.sock.settimeout(timeout)
+            connected.settimeout(timeout)
             connection.request(method, path, body=body, headers=headers or {})
             response = connection.getresponse()
         except (OSError, HTTPException) as error:
+            if interrupt is not None:
+                interrupt.detach()
             connection.close()
-            raise HttpFailure(
-                f"no answer from {self._host}:{self._port}: {error!r}", Verdict.MAY_HAVE_RUN
-            ) from error
-        return HttpExchange(self, connection, response)
+            message = f"no answer from {self._host}:{self._port}: {error!r}"
+            silent = isinstance(error, TimeoutError)
+            raise HttpFailure(message, Verdict.MAY_HAVE_RUN, silent=silent) from error
+        return HttpExchange(self, connection, response, connected, interrupt)
 
-    def close(self) -> None:
-        """Close the idle connections."""
+    def drop_idle(self) -> None:
+        """Close the idle connections, for example after one of them was silent."""
         with self._lock:
             idle, self._idle = self._idle, deque()
         for entry in idle:
             entry.connection.close()
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.drop_idle()
+
     def _connect(self) -> HTTPConnection:
         connection = HTTPConnection(self._host, self._port, timeout=self._connect_timeout)
         try:
@@ -85,7 +141,8 @@
             connection.close()
             refused = isinstance(error, ConnectionRefusedError)
             message = f"cannot connect to {self._host}:{self._port}: {error!r}"
-            raise HttpFailure(message, Verdict.NOT_RUN, refused) from error
+            silent = isinstance(error, TimeoutError)
+            raise HttpFailure(message, Verdict.NOT_RUN, refused, silent) from error
         return connection
 
     def _take_idle(self) -> HTTPConnection | None:
@@ -106,10 +163,19 @@
 class HttpExchange:
     """One response; :meth:`close` keeps the connection only if the body was read to its end."""
 
-    def __init__(self, pool: HttpPool, connection: HTTPConnection, response: HTTPResponse) -> None:
+    def __init__(
+        self,
+        pool: HttpPool,
+        connection: HTTPConnection,
+        response: HTTPResponse,
+        connected: socket.socket,
+        interrupt: Interrupt | None,
+    ) -> None:
         self._pool = pool
         self._connection = connection
         self._response = response
+        self._socket = connected
+        self._interrupt = interrupt
         self._complete = False
 
     @property
@@ -134,18 +200,17 @@
         self._complete = True
         return data
 
-    def mark_complete(self) -> None:
-        """State that the body was read to its end by other means."""
-        self._complete = True
-
     def set_timeout(self, seconds: float) -> None:
         """Change the limit on each wait for the other side."""
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(seconds)
+        self._socket.settimeout(seconds)
 
     def close(self) -> None:
         """Return the connection to the pool, or close it after an incomplete answer."""
-        if self._complete and not self._response.will_close and self._response.isclosed():
+        if self._interrupt is not None:
+            self._interrupt.detach()
+        interrupted = self._interrupt is not None and self._interrupt.reason
+        whole = self._complete and self._response.isclosed()
+        if whole and not self._response.will_close and not interrupted:
             self._pool._put_idle(self._connection)
         else:
             self._response.close()
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -10,6 +10,8 @@
 # Deliver every yielded chunk at once; the default gathers 18,000 bytes.
 _SEND_BYTES = 1
 _CONNECTION_LIMIT = 2000
+# Reading on during a request is how a caller that went away is noticed.
+_REQUEST_LOOKAHEAD = 1
 
 
 class HttpServer:
@@ -23,6 +25,7 @@
             threads=threads,
             send_bytes=_SEND_BYTES,
             connection_limit=_CONNECTION_LIMIT,
+            channel_request_lookahead=_REQUEST_LOOKAHEAD,
             # waitress's own limit would answer without the API's error shape.
             max_request_body_size=8 * 1024**3,
             ident="trefoilreach",
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
@@ -0,0 +1,116 @@
+"""Adapter for plain services that are called over HTTP."""
+
+import threading
+from http.client import HTTPResponse
+from typing import NamedTuple, Protocol
+
+from result import Err, Ok, Result
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.config import Server
+from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool, Interrupt
+
+_REQUEST_ID = "X-Request-Id"
+
+
+class ServiceError(Exception):
+    """A service gave no complete answer.
+
+    :param verdict: whether the service may have run the call.
+    :param gone: whether the service's process seems to be gone.
+    """
+
+    def __init__(self, message: str, verdict: Verdict, gone: bool = False) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+        self.gone = gone
+
+
+class ServiceRequest(NamedTuple):
+    """One call of a service.
+
+    :param target: path with its query.
+    :param timeout: limit in seconds on each wait for the service.
+    :param interrupt: lets another thread end the call.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    timeout: float
+    interrupt: Interrupt | None = None
+
+
+class ServiceReply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Service(Protocol):
+    """What the daemon asks of plain services."""
+
+    def call(self, server: Server, request: ServiceRequest) -> Result[ServiceReply, ServiceError]:
+        """Make one call; it is sent at most once."""
+
+
+class HttpService:
+    """Service adapter over HTTP.
+
+    Each call has a connection of its own: a kept one may have gone silent unnoticed,
+    and a call that must not be repeated would be lost on it.
+
+    :param connect_timeout: seconds.
+    """
+
+    def __init__(self, clock: Clock, connect_timeout: float) -> None:
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._lock = threading.Lock()
+        self._pools: dict[tuple[str, int], HttpPool] = {}
+
+    def call(self, server: Server, request: ServiceRequest) -> Result[ServiceReply, ServiceError]:
+        """Make one call."""
+        headers = {**request.headers, _REQUEST_ID: request.request_id, "Connection": "close"}
+        try:
+            exchange = self._pool(server).request(
+                request.method,
+                request.target,
+                request.body,
+                headers,
+                request.timeout,
+                fresh=True,
+                interrupt=request.interrupt,
+            )
+            try:
+                return _check(exchange.response, exchange.read(), request)
+            finally:
+                exchange.close()
+        except HttpFailure as failure:
+            return Err(ServiceError(str(failure), failure.verdict, failure.refused))
+
+    def _pool(self, server: Server) -> HttpPool:
+        address = (server.host, server.port)
+        with self._lock:
+            if address not in self._pools:
+                pool = HttpPool(server.host, server.port, self._clock, self._connect_timeout)
+                self._pools[address] = pool
+            return self._pools[address]
+
+
+def _check(
+    response: HTTPResponse, body: bytes, request: ServiceRequest
+) -> Result[ServiceReply, ServiceError]:
+    answered = response.headers.get(_REQUEST_ID)
+    if answered is not None and answered != request.request_id:
+        return Err(ServiceError("answer belongs to another request", Verdict.MAY_HAVE_RUN))
+    framed = response.headers.get("Content-Length") or response.headers.get("Transfer-Encoding")
+    if body and not framed:
+        # A body that ends with its connection cannot be told from one that was cut.
+        return Err(ServiceError("the answer does not state its length", Verdict.MAY_HAVE_RUN))
+    return Ok(ServiceReply(response.status, response.getheaders(), body))
