--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
@@ -0,0 +1,52 @@
+"""Rate and burst of each client account over all VMs together: interface and choice of policy."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.registry import Registry
+from trefoilreach._internal.settings import QuotaSettings
+from trefoilreach._internal.state.config import Account
+from trefoilreach._internal.state.table import TableService
+
+
+class Quota(Protocol):
+    """Admission of requests by account."""
+
+    def admit(self, account: Account) -> Result[None, float]:
+        """Spend one token; ``Err`` carries the seconds after which a request can succeed."""
+
+    def borrow(self, request: BorrowRequest) -> BorrowReply:
+        """Answer a peer that needs quota."""
+
+    def start(self, stack: ExitStack) -> None:
+        """Work in the background until the exit stack closes."""
+
+    def hand_back(self) -> None:
+        """Stop lending, wait for the loans to end and pass the slots on; for a planned stop."""
+
+
+class QuotaTools(NamedTuple):
+    """What every policy is built from."""
+
+    settings: QuotaSettings
+    clock: Clock
+    config: ConfigHolder
+    peers: Peers
+    table: TableService
+
+
+quota_policies: Registry[Callable[[QuotaTools], Quota]] = Registry("quota policy")
+
+
+def refuse_over_rate(account: Account, seconds: float) -> Refusal:
+    """Return the refusal of a request over the rate or burst of its account."""
+    message = f"account {account.name!r} is over its rate of {account.rate:g} requests a second"
+    return Refusal(429, "rate_limit_exceeded", message, retry_after=seconds)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -0,0 +1,261 @@
+"""Claims, passes on and takes over slots through the table row, and confirms their use."""
+
+import math
+import uuid
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+
+import xxhash
+from result import Err, Ok
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.quota_ledger import Ledger
+from trefoilreach._internal.coordination.quota_slots import (
+    DRIFT_MARGIN,
+    PASSED,
+    SLOTS_KEY,
+    TAKEN,
+    Slot,
+    SlotRow,
+    decode_value,
+    encode_value,
+    make_row,
+    vm_of,
+)
+from trefoilreach._internal.logs import log_decision
+from trefoilreach._internal.settings import QuotaSettings
+from trefoilreach._internal.state.table import TableService, Write
+
+# The table confirms the slots about every second at 12 VMs; see CONFIRM_BY_PEERS_SECONDS.
+TABLE_INTERVAL_SECONDS = 1.0
+
+# Without an answer of the table for this long, the other owners are asked.
+CONFIRM_BY_PEERS_SECONDS = 2.0
+
+# Time from a VM's absence from the platform's list to the take-over of its slots. The
+# slots then rest for another 8 s, so that both together take about the 10 s of the design.
+_ABSENCE_SECONDS = 2.0
+
+# Candidates for the same free slots write one after the other.
+_RANK_DELAY_SECONDS = 1.0
+
+Ask = Callable[[str], Future[None]]
+
+
+class SlotKeeper:
+    """Works on the row of the slots; :meth:`tick` is called about every second.
+
+    :param ask: starts an empty quota message to an owner, with the row attached.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        ledger: Ledger,
+        peers: Peers,
+        table: TableService,
+        settings: QuotaSettings,
+        ask: Ask,
+    ) -> None:
+        self._clock = clock
+        self._ledger = ledger
+        self._peers = peers
+        self._table = table
+        self._settings = settings
+        self._ask = ask
+        self._table_read_at = -math.inf
+        self._absent_since: dict[str, float] = {}
+        self._free_since: dict[int, float] = {}
+        self._leaving = False
+
+    def tick(self) -> None:
+        """Confirm the slots and make the changes to the row that are due."""
+        readable = self._read_row()
+        self._confirm_by_peers()
+        self._settle_pending()
+        if readable:
+            self._change_row()
+
+    def leave(self) -> None:
+        """Stop using every slot; they are passed on once their loans have ended."""
+        self._leaving = True
+        with self._ledger.lock:
+            self._ledger.release(self._ledger.slots.in_use(), self._clock.now())
+
+    def pass_on(self) -> bool:
+        """Write the release of slots whose loans have ended; return whether none is left."""
+        self._read_row()
+        with self._ledger.lock:
+            row = self._ledger.slots.row
+        if row is not None:
+            self._pass_on(row)
+        with self._ledger.lock:
+            return not self._ledger.slots.releasing
+
+    def _read_row(self) -> bool:
+        asked_at = self._clock.now()
+        found = self._table.get(SLOTS_KEY)
+        if isinstance(found, Err):
+            return False
+        now = self._clock.now()
+        row = found.ok_value
+        with self._ledger.lock:
+            if row is not None:
+                self._ledger.adopt(decode_value(row.revision, row.value), now)
+                if row.revision == self._ledger.slots.revision:
+                    self._ledger.slots.confirm_by_table(asked_at, now)
+                    self._table_read_at = asked_at
+            self._ledger.activate(now)
+        return True
+
+    def _confirm_by_peers(self) -> None:
+        with self._ledger.lock:
+            now, slots = self._clock.now(), self._ledger.slots
+            if slots.row is None or now - self._table_read_at < CONFIRM_BY_PEERS_SECONDS:
+                return
+            slots.confirm_by_majority(now)
+            owners = [name for name in slots.row.owners() if name != self._ledger.owner]
+        for owner in owners:
+            self._ask(owner)
+
+    def _settle_pending(self) -> None:
+        listed = self._peers.listed_vms()
+        with self._ledger.lock:
+            slots = self._ledger.slots
+            waiting = [entry for entry in slots.pending if math.isinf(entry.active_at)]
+            if listed is not None:
+                slots.forget_voters({vm.name for vm in listed}, self._clock.now())
+            voters = {vm for entry in waiting for vm in entry.voters - entry.acknowledged}
+        for vm in sorted(voters):
+            self._ask(f"{vm}/")
+
+    def _change_row(self) -> None:
+        names = self._listed()
+        with self._ledger.lock:
+            row = self._ledger.slots.row
+        if names is None or self._ledger_vm not in names:
+            return
+        if row is None:
+            row = make_row(self._settings.shards)
+        self._watch(row, names)
+        if self._pass_on(row) or self._leaving:
+            return
+        if not self._claim(row, names):
+            self._release_excess(row, names)
+
+    @property
+    def _ledger_vm(self) -> str:
+        return vm_of(self._ledger.owner)
+
+    def _listed(self) -> list[str] | None:
+        """Return the names of the VMs that share the slots, or None when that is unknown."""
+        listed = self._peers.listed_vms()
+        if listed is None:
+            return None
+        names = {vm.name for vm in listed if vm.state == "live"}
+        if not listed and not self._peers.members():
+            names = {self._ledger_vm}
+        return sorted(names)
+
+    def _watch(self, row: SlotRow, names: list[str]) -> None:
+        """Note since when owners are missing from the list and slots are free."""
+        now = self._clock.now()
+        listed = {vm.name for vm in self._peers.listed_vms() or ()} | set(names)
+        gone = {vm_of(owner) for owner in row.owners()} - listed
+        self._absent_since = {vm: self._absent_since.get(vm, now) for vm in gone}
+        free = [index for index, slot in enumerate(row.slots) if not slot.owner]
+        self._free_since = {index: self._free_since.get(index, now) for index in free}
+
+    def _claim(self, row: SlotRow, names: list[str]) -> bool:
+        """Claim free or abandoned slots up to a fair share; return whether any was due."""
+        now = self._clock.now()
+        mine = len(row.owned_by(self._ledger.owner))
+        earlier = [
+            index
+            for index, slot in enumerate(row.slots)
+            if slot.owner != self._ledger.owner and vm_of(slot.owner) == self._ledger_vm
+        ]
+        if earlier:
+            # An earlier process of this VM owned them; what exceeds the share is released later.
+            return self._write(row.with_slots(earlier, Slot(self._ledger.owner, TAKEN)), "claim")
+        fewest, most = _fair_share(len(row.slots), len(names))
+        candidates = self._candidates(row, now)
+        limit = most if self._may_exceed(row, names, candidates, now) else fewest
+        chosen = candidates[: max(0, limit - mine)]
+        if not chosen:
+            return False
+        changed = row
+        for index in chosen:
+            origin = TAKEN if row.slots[index].owner else row.slots[index].origin
+            changed = changed.with_slots([index], Slot(self._ledger.owner, origin))
+        return self._write(changed, "claim")
+
+    def _candidates(self, row: SlotRow, now: float) -> list[int]:
+        """Return the slots without a living owner, in an order of this VM's own."""
+        gone = {vm for vm, since in self._absent_since.items() if now - since >= _ABSENCE_SECONDS}
+        found = [
+            index
+            for index, slot in enumerate(row.slots)
+            if not slot.owner or vm_of(slot.owner) in gone
+        ]
+        found.sort(key=lambda index: xxhash.xxh32_intdigest(f"{self._ledger_vm} {index}".encode()))
+        return found
+
+    def _may_exceed(
+        self, row: SlotRow, names: list[str], candidates: list[int], now: float
+    ) -> bool:
+        """Return whether slots that nobody claimed fall to this VM beyond the smaller share."""
+        counts = Counter(vm_of(slot.owner) for slot in row.slots if slot.owner)
+        rank = sorted(names, key=lambda vm: (counts[vm], vm)).index(self._ledger_vm)
+        waited = min(
+            (now - self._waiting_since(row, index, now) for index in candidates), default=0.0
+        )
+        return waited >= (1 + rank) * _RANK_DELAY_SECONDS
+
+    def _waiting_since(self, row: SlotRow, index: int, now: float) -> float:
+        owner = row.slots[index].owner
+        if not owner:
+            return self._free_since.get(index, now)
+        return self._absent_since.get(vm_of(owner), now) + _ABSENCE_SECONDS
+
+    def _release_excess(self, row: SlotRow, names: list[str]) -> None:
+        _, most = _fair_share(len(row.slots), len(names))
+        with self._ledger.lock:
+            slots = self._ledger.slots
+            excess = len(slots.in_use()) - most
+            if excess > 0:
+                self._ledger.release(slots.in_use()[-excess:], self._clock.now())
+        if excess > 0:
+            log_decision("quota-slots", "release", "others own less", count=excess)
+
+    def _pass_on(self, row: SlotRow) -> bool:
+        now = self._clock.now()
+        rest = self._settings.loan * DRIFT_MARGIN
+        with self._ledger.lock:
+            releasing = self._ledger.slots.releasing
+            due = [index for index, at in releasing.items() if now - at > rest]
+        if not due:
+            return False
+        return self._write(row.with_slots(due, Slot("", PASSED)), "pass on")
+
+    def _write(self, row: SlotRow, reason: str) -> bool:
+        """Write a row made from the one in force; the next read tells what came of it."""
+        value = encode_value(row, uuid.uuid4().hex)
+        done = self._table.commit([Write(SLOTS_KEY, value, row.revision)])
+        log_decision("quota-slots", reason, type(done).__name__, revision=row.revision)
+        if isinstance(done, Ok):
+            with self._ledger.lock:
+                self._ledger.adopt(row._replace(revision=done.ok_value[0]), self._clock.now())
+        return True
+
+
+def _fair_share(slots: int, vms: int) -> tuple[int, int]:
+    """Return the smallest and largest number of slots of one VM when they are spread evenly."""
+    return slots // max(1, vms), -(-slots // max(1, vms))
+
+
+def ask_with(pool: Executor, send: Callable[[str], None]) -> Ask:
+    """Return a function that sends in the background."""
+    return lambda owner: pool.submit(send, owner)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -0,0 +1,320 @@
+"""Which slots of the quota this daemon may use, and until when.
+
+Rate and burst of each account are split into equal slots. A slot belongs to one process
+of one VM through the table row :data:`SLOTS_KEY`. A daemon uses its slots only for
+:data:`VALID_SECONDS` after the table, or most of the other owners, confirmed that no
+newer row is known. A process that takes over a slot whose owner may still run first tells
+the other owners of the new row and then waits until every earlier confirmation and the
+loans made under it have ended.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import orjson
+import xxhash
+
+SLOTS_KEY = "quota/slots"
+SLOTS_PER_SHARD = 12
+
+# A confirmation is refreshed every second; five seconds outlast a slow table answer.
+VALID_SECONDS = 5.0
+
+# Most that two clocks may drift apart, as a factor on intervals.
+DRIFT_MARGIN = 1.01
+
+# How the owner came by a slot: never owned before (its buckets are full), passed on by
+# an owner that had stopped using it (empty), or taken from an owner that may still run.
+NEW = "new"
+PASSED = "passed"
+TAKEN = "taken"
+
+
+class Slot(NamedTuple):
+    """Owner of one slot as ``<vm>/<process>``, empty when free, and how it came by it."""
+
+    owner: str
+    origin: str
+
+
+class SlotRow(NamedTuple):
+    """One revision of the row."""
+
+    revision: int
+    slots: tuple[Slot, ...]
+
+    @property
+    def shards(self) -> int:
+        """Number of groups of slots over which the accounts are spread."""
+        return len(self.slots) // SLOTS_PER_SHARD
+
+    def owned_by(self, owner: str) -> list[int]:
+        """Return the slots of one owner."""
+        return [index for index, slot in enumerate(self.slots) if slot.owner == owner]
+
+    def owners(self) -> list[str]:
+        """Return the distinct owners in order."""
+        return sorted({slot.owner for slot in self.slots if slot.owner})
+
+    def owners_of(self, shard: int) -> list[str]:
+        """Return the distinct owners of a shard in order."""
+        part = self.slots[shard * SLOTS_PER_SHARD : (shard + 1) * SLOTS_PER_SHARD]
+        return sorted({slot.owner for slot in part if slot.owner})
+
+    def with_slots(self, indexes: Iterable[int], slot: Slot) -> "SlotRow":
+        """Return a copy with some slots replaced."""
+        slots = list(self.slots)
+        for index in indexes:
+            slots[index] = slot
+        return self._replace(slots=tuple(slots))
+
+
+def make_row(shards: int) -> SlotRow:
+    """Return the row of a fleet that has never run."""
+    return SlotRow(0, (Slot("", NEW),) * (shards * SLOTS_PER_SHARD))
+
+
+def encode_value(row: SlotRow, writer: str) -> dict[str, Any]:
+    """Return the table value of a row."""
+    return {"writer": writer, "slots": [list(slot) for slot in row.slots]}
+
+
+def decode_value(revision: int, value: dict[str, Any]) -> SlotRow:
+    """Return the row of a table value."""
+    return SlotRow(revision, tuple(Slot(*slot) for slot in value["slots"]))
+
+
+def encode_row(row: SlotRow) -> bytes:
+    """Encode a row for a peer."""
+    return orjson.dumps([row.revision, row.slots])
+
+
+def decode_row(data: bytes) -> SlotRow:
+    """Decode a row from a peer."""
+    revision, slots = orjson.loads(data)
+    return SlotRow(int(revision), tuple(Slot(*slot) for slot in slots))
+
+
+def vm_of(owner: str) -> str:
+    """Return the VM of an owner."""
+    return owner.rpartition("/")[0]
+
+
+def shard_of(account: str, shards: int) -> int:
+    """Return the shard of an account, the same on every daemon."""
+    return xxhash.xxh32_intdigest(account.encode()) % shards
+
+
+class Pending(NamedTuple):
+    """Slots taken over, which are not used yet.
+
+    :param voters: VMs whose knowledge of the row counts.
+    :param needed: how many of them must know it.
+    """
+
+    indexes: frozenset[int]
+    voters: frozenset[str]
+    needed: int
+    acknowledged: frozenset[str]
+    active_at: float
+
+
+class Holding(NamedTuple):
+    """What this daemon may use of one shard.
+
+    :param count: slots of the shard in use.
+    :param ends: time of the clock until which they may be used.
+    :param generation: changes whenever slots were gained, dropped or had lapsed.
+    :param since: for each slot, the time from which unknown accounts fill their buckets.
+    """
+
+    count: int
+    ends: float
+    generation: int
+    since: tuple[float, ...]
+
+
+NOTHING_HELD = Holding(0, 0.0, 0, ())
+
+
+class SlotHolder:
+    """Slots of this process; the caller holds the lock of the quota.
+
+    :param owner: name of this process in the row.
+    :param loan_seconds: duration of loans, for which a taken slot must rest.
+    """
+
+    def __init__(self, owner: str, loan_seconds: float) -> None:
+        self._owner = owner
+        self._rest_seconds = (VALID_SECONDS + loan_seconds) * DRIFT_MARGIN
+        self._row: SlotRow | None = None
+        self._since: dict[int, float] = {}
+        self._pending: list[Pending] = []
+        self._releasing: dict[int, float] = {}
+        self._valid_until = -math.inf
+        self._confirmed_by: dict[str, float] = {}
+        self._generation = 1
+        self._holdings: dict[int, Holding] = {}
+
+    @property
+    def row(self) -> SlotRow | None:
+        """The newest row known, or None."""
+        return self._row
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest row known, 0 for none."""
+        return 0 if self._row is None else self._row.revision
+
+    @property
+    def valid_until(self) -> float:
+        """Time until which the slots may be used."""
+        return self._valid_until
+
+    @property
+    def pending(self) -> list[Pending]:
+        """Slots taken over and not yet in use."""
+        return self._pending
+
+    @property
+    def releasing(self) -> dict[int, float]:
+        """Slots that this daemon stopped using, with the time at which it did."""
+        return self._releasing
+
+    def adopt(self, row: SlotRow, now: float) -> bool:
+        """Follow a newer row; return whether it was newer."""
+        if row.revision <= self.revision:
+            return False
+        old, self._row = self._row, row
+        mine = set(row.owned_by(self._owner))
+        self._since = {index: since for index, since in self._since.items() if index in mine}
+        self._releasing = {index: at for index, at in self._releasing.items() if index in mine}
+        self._pending = [
+            entry._replace(indexes=entry.indexes & mine)
+            for entry in self._pending
+            if entry.indexes & mine
+        ]
+        known = set(self._since).union(*(entry.indexes for entry in self._pending))
+        gained = mine - known - set(self._releasing)
+        self._gain(gained, row, old or row, now)
+        self._confirmed_by = {}
+        self._change()
+        return True
+
+    def confirm_by_table(self, asked_at: float, now: float) -> None:
+        """Note that the table held no newer row when it was asked."""
+        self._confirm(asked_at + VALID_SECONDS, now)
+
+    def confirm_by_peer(self, vm: str, revision: int, asked_at: float, now: float) -> None:
+        """Note that another owner knew the same row when it was asked."""
+        if self._row is None or revision != self.revision:
+            return
+        self._confirmed_by[vm] = max(asked_at, self._confirmed_by.get(vm, -math.inf))
+        self.confirm_by_majority(now)
+
+    def confirm_by_majority(self, now: float) -> None:
+        """Extend the use of the slots when most owners confirmed the row."""
+        if self._row is None:
+            return
+        vms = {vm_of(owner) for owner in self._row.owners()}
+        needed = len(vms) // 2
+        times = sorted(
+            (at for vm, at in self._confirmed_by.items() if vm in vms and not self._is_self(vm)),
+            reverse=True,
+        )
+        if self._row.owned_by(self._owner) and len(times) >= needed:
+            asked_at = times[needed - 1] if needed else now
+            self._confirm(asked_at + VALID_SECONDS, now)
+
+    def acknowledge(self, vm: str, revision: int, now: float) -> None:
+        """Note that a VM knows the row under which slots were taken over."""
+        if revision < self.revision:
+            return
+        self._pending = [
+            self._count_voter(entry, vm, now) if math.isinf(entry.active_at) else entry
+            for entry in self._pending
+        ]
+
+    def activate(self, now: float) -> None:
+        """Begin to use slots whose rest is over."""
+        ready = [entry for entry in self._pending if entry.active_at <= now]
+        for entry in ready:
+            self._since.update(dict.fromkeys(entry.indexes, now))
+        if ready:
+            self._pending = [entry for entry in self._pending if entry not in ready]
+            self._change()
+
+    def release(self, indexes: Iterable[int], now: float) -> None:
+        """Stop using some slots, so that they can be passed on once their loans have ended."""
+        for index in indexes:
+            if self._since.pop(index, None) is not None:
+                self._releasing[index] = now
+        self._change()
+
+    def in_use(self) -> list[int]:
+        """Return the slots in use."""
+        return sorted(self._since)
+
+    def hold(self, shard: int) -> Holding:
+        """Return what may be used of a shard."""
+        found = self._holdings.get(shard)
+        if found is None:
+            first = shard * SLOTS_PER_SHARD
+            since = tuple(
+                self._since[index]
+                for index in range(first, first + SLOTS_PER_SHARD)
+                if index in self._since
+            )
+            found = Holding(len(since), self._valid_until, self._generation, since)
+            self._holdings[shard] = found
+        return found
+
+    def forget_voters(self, listed: set[str], now: float) -> None:
+        """Wait no longer for VMs that the platform's list does not name."""
+        self._pending = [
+            self._count_voter(entry._replace(voters=entry.voters & listed), "", now)
+            if math.isinf(entry.active_at)
+            else entry
+            for entry in self._pending
+        ]
+
+    def _is_self(self, vm: str) -> bool:
+        return vm == vm_of(self._owner)
+
+    def _change(self) -> None:
+        self._generation += 1
+        self._holdings = {}
+
+    def _confirm(self, valid_until: float, now: float) -> None:
+        if valid_until <= max(now, self._valid_until):
+            return
+        if -math.inf < self._valid_until <= now:
+            # Others may have used the slots meanwhile, so nothing filled up.
+            self._since = dict.fromkeys(self._since, now)
+            self._generation += 1
+        self._valid_until = valid_until
+        self._holdings = {}
+
+    def _gain(self, gained: set[int], row: SlotRow, old: SlotRow, now: float) -> None:
+        taken = set()
+        for index in gained:
+            origin = row.slots[index].origin
+            if origin == TAKEN:
+                taken.add(index)
+            else:
+                self._since[index] = -math.inf if origin == NEW else now
+        if not taken:
+            return
+        before = {vm_of(slot.owner) for slot in old.slots if slot.owner}
+        deposed = {vm_of(old.slots[index].owner) for index in taken}
+        voters = frozenset(before - deposed)
+        needed = (len(before) + 1) // 2
+        entry = Pending(frozenset(taken), voters, needed, frozenset(), math.inf)
+        self._pending.append(self._count_voter(entry, vm_of(self._owner), now))
+
+    def _count_voter(self, entry: Pending, vm: str, now: float) -> Pending:
+        acknowledged = entry.acknowledged | ({vm} & entry.voters)
+        enough = len(acknowledged) >= min(entry.needed, len(entry.voters))
+        active_at = now + self._rest_seconds if enough else math.inf
+        return entry._replace(acknowledged=acknowledged, active_at=active_at)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_static.py
@@ -0,0 +1,51 @@
+"""Baseline policy: each VM of the platform's list has an equal, fixed share."""
+
+import threading
+from contextlib import ExitStack
+
+from result import Err, Ok, Result
+
+from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.quota_buckets import Bucket, Terms
+from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
+from trefoilreach._internal.state.config import Account
+
+_RETRY_SECONDS = 1.0
+
+
+@quota_policies.register("static")
+class StaticQuota:
+    """Splits rate and burst by the number of VMs; lends nothing."""
+
+    def __init__(self, tools: QuotaTools) -> None:
+        self._clock = tools.clock
+        self._peers = tools.peers
+        self._lock = threading.Lock()
+        self._buckets: dict[str, Bucket] = {}
+
+    def admit(self, account: Account) -> Result[None, float]:
+        """Spend one token of this VM's share."""
+        now = self._clock.now()
+        count = max(1, len(self._peers.listed_vms() or ()))
+        with self._lock:
+            bucket = self._buckets.get(account.name)
+            new = bucket is None
+            if bucket is None:
+                bucket = self._buckets[account.name] = Bucket(now)
+            bucket.advance(now)
+            bucket.set_own(Terms(account.rate / count, account.burst / count))
+            if new:
+                bucket.add(bucket.capacity)
+            if bucket.take():
+                return Ok(None)
+            return Err(bucket.seconds_to_token() or _RETRY_SECONDS)
+
+    def borrow(self, request: BorrowRequest) -> BorrowReply:
+        """Lend nothing."""
+        return BorrowReply(loans=[])
+
+    def start(self, stack: ExitStack) -> None:
+        """Do nothing in the background."""
+
+    def hand_back(self) -> None:
+        """Have nothing to pass on."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -850,11 +850,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Withdrawal()
-                        _elem40.read(iprot)
-                        self.withdrawals.append(_elem40)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Withdrawal()
+                        _elem61.read(iprot)
+                        self.withdrawals.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -871,8 +871,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter41 in self.withdrawals:
-                iter41.write(oprot)
+            for iter62 in self.withdrawals:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1435,11 +1435,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Suspect()
-                        _elem47.read(iprot)
-                        self.suspects.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Suspect()
+                        _elem68.read(iprot)
+                        self.suspects.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1456,8 +1456,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter48 in self.suspects:
-                iter48.write(oprot)
+            for iter69 in self.suspects:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -533,14 +533,18 @@
      - account
      - rate
      - tokens
+     - room
+     - sequence
 
     """
 
 
-    def __init__(self, account=None, rate=None, tokens=None,):
+    def __init__(self, account=None, rate=None, tokens=None, room=None, sequence=None,):
         self.account = account
         self.rate = rate
         self.tokens = tokens
+        self.room = room
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -566,6 +570,16 @@
                     self.tokens = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.room = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -588,6 +602,183 @@
             oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
             oprot.writeDouble(self.tokens)
             oprot.writeFieldEnd()
+        if self.room is not None:
+            oprot.writeFieldBegin('room', TType.DOUBLE, 4)
+            oprot.writeDouble(self.room)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 5)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaReturn(object):
+    """
+    Attributes:
+     - account
+     - sequence
+     - tokens
+
+    """
+
+
+    def __init__(self, account=None, sequence=None, tokens=None,):
+        self.account = account
+        self.sequence = sequence
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReturn')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaRecall(object):
+    """
+    Attributes:
+     - account
+     - sequence
+     - rate
+     - capacity
+
+    """
+
+
+    def __init__(self, account=None, sequence=None, rate=None, capacity=None,):
+        self.account = account
+        self.sequence = sequence
+        self.rate = rate
+        self.capacity = capacity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.capacity = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRecall')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.DOUBLE, 4)
+            oprot.writeDouble(self.capacity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -609,17 +800,25 @@
 class BorrowRequest(object):
     """
     Attributes:
-     - vm
-     - incarnation
+     - sender
+     - receiver
      - demands
+     - returns
+     - recalls
+     - slots_revision
+     - slots
 
     """
 
 
-    def __init__(self, vm=None, incarnation=None, demands=None,):
-        self.vm = vm
-        self.incarnation = incarnation
+    def __init__(self, sender=None, receiver=None, demands=None, returns=None, recalls=None, slots_revision=None, slots=None,):
+        self.sender = sender
+        self.receiver = receiver
         self.demands = demands
+        self.returns = returns
+        self.recalls = recalls
+        self.slots_revision = slots_revision
+        self.slots = slots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -632,12 +831,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.receiver = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -651,6 +850,38 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.returns = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = QuotaReturn()
+                        _elem32.read(iprot)
+                        self.returns.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.recalls = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = QuotaRecall()
+                        _elem38.read(iprot)
+                        self.recalls.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.slots_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.slots = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -661,21 +892,43 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('BorrowRequest')
-        if self.vm is not None:
-            oprot.writeFieldBegin('vm', TType.STRING, 1)
-            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
+        if self.receiver is not None:
+            oprot.writeFieldBegin('receiver', TType.STRING, 2)
+            oprot.writeString(self.receiver.encode('utf-8') if sys.version_info[0] == 2 else self.receiver)
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter27 in self.demands:
-                iter27.write(oprot)
+            for iter39 in self.demands:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.returns is not None:
+            oprot.writeFieldBegin('returns', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.returns))
+            for iter40 in self.returns:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.recalls is not None:
+            oprot.writeFieldBegin('recalls', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.recalls))
+            for iter41 in self.recalls:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slots_revision is not None:
+            oprot.writeFieldBegin('slots_revision', TType.I64, 6)
+            oprot.writeI64(self.slots_revision)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.STRING, 7)
+            oprot.writeBinary(self.slots)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -702,16 +955,18 @@
      - capacity
      - tokens
      - duration
+     - sequence
 
     """
 
 
-    def __init__(self, account=None, rate=None, capacity=None, tokens=None, duration=None,):
+    def __init__(self, account=None, rate=None, capacity=None, tokens=None, duration=None, sequence=None,):
         self.account = account
         self.rate = rate
         self.capacity = capacity
         self.tokens = tokens
         self.duration = duration
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,6 +1002,11 @@
                     self.duration = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -777,6 +1037,10 @@
             oprot.writeFieldBegin('duration', TType.DOUBLE, 5)
             oprot.writeDouble(self.duration)
             oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 6)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -798,13 +1062,21 @@
 class BorrowReply(object):
     """
     Attributes:
+     - sender
      - loans
+     - returns
+     - slots_revision
+     - slots
 
     """
 
 
-    def __init__(self, loans=None,):
+    def __init__(self, sender=None, loans=None, returns=None, slots_revision=None, slots=None,):
+        self.sender = sender
         self.loans = loans
+        self.returns = returns
+        self.slots_revision = slots_revision
+        self.slots = slots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -816,16 +1088,42 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = QuotaLoan()
-                        _elem33.read(iprot)
-                        self.loans.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = QuotaLoan()
+                        _elem47.read(iprot)
+                        self.loans.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.returns = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = QuotaReturn()
+                        _elem53.read(iprot)
+                        self.returns.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.slots_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.slots = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -836,13 +1134,32 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('BorrowReply')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
         if self.loans is not None:
-            oprot.writeFieldBegin('loans', TType.LIST, 1)
+            oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter34 in self.loans:
-                iter34.write(oprot)
+            for iter54 in self.loans:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.returns is not None:
+            oprot.writeFieldBegin('returns', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.returns))
+            for iter55 in self.returns:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.slots_revision is not None:
+            oprot.writeFieldBegin('slots_revision', TType.I64, 4)
+            oprot.writeI64(self.slots_revision)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.STRING, 5)
+            oprot.writeBinary(self.slots)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -985,13 +1302,34 @@
     (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'rate', None, None, ),  # 2
     (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.DOUBLE, 'room', None, None, ),  # 4
+    (5, TType.I64, 'sequence', None, None, ),  # 5
+)
+all_structs.append(QuotaReturn)
+QuotaReturn.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+)
+all_structs.append(QuotaRecall)
+QuotaRecall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+    (4, TType.DOUBLE, 'capacity', None, None, ),  # 4
 )
 all_structs.append(BorrowRequest)
 BorrowRequest.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'receiver', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'demands', (TType.STRUCT, [QuotaDemand, None], False), None, ),  # 3
+    (4, TType.LIST, 'returns', (TType.STRUCT, [QuotaReturn, None], False), None, ),  # 4
+    (5, TType.LIST, 'recalls', (TType.STRUCT, [QuotaRecall, None], False), None, ),  # 5
+    (6, TType.I64, 'slots_revision', None, None, ),  # 6
+    (7, TType.STRING, 'slots', 'BINARY', None, ),  # 7
 )
 all_structs.append(QuotaLoan)
 QuotaLoan.thrift_spec = (
@@ -1001,11 +1339,16 @@
     (3, TType.DOUBLE, 'capacity', None, None, ),  # 3
     (4, TType.DOUBLE, 'tokens', None, None, ),  # 4
     (5, TType.DOUBLE, 'duration', None, None, ),  # 5
+    (6, TType.I64, 'sequence', None, None, ),  # 6
 )
 all_structs.append(BorrowReply)
 BorrowReply.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'loans', (TType.STRUCT, [QuotaLoan, None], False), None, ),  # 1
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'loans', (TType.STRUCT, [QuotaLoan, None], False), None, ),  # 2
+    (3, TType.LIST, 'returns', (TType.STRUCT, [QuotaReturn, None], False), None, ),  # 3
+    (4, TType.I64, 'slots_revision', None, None, ),  # 4
+    (5, TType.STRING, 'slots', 'BINARY', None, ),  # 5
 )
 all_structs.append(Suspect)
 Suspect.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -51,12 +51,35 @@
   1: string account,
   2: double rate,      // requests a second that arrive at the borrower
   3: double tokens,    // tokens that waiting requests need now
+  4: double room,      // tokens that the borrower's bucket can take with the terms it has
+  5: i64 sequence,     // terms of this lender that the borrower uses, 0 for none
 }
 
+// Terms that a borrower stopped using, with the tokens that it gives back.
+struct QuotaReturn {
+  1: string account,
+  2: i64 sequence,
+  3: double tokens,
+}
+
+// Asks a borrower to shrink its terms to the given ones.
+struct QuotaRecall {
+  1: string account,
+  2: i64 sequence,
+  3: double rate,
+  4: double capacity,
+}
+
+// Daemons name themselves in quota messages by VM and process, since a VM that
+// restarted has none of the loans and slots of its earlier process.
 struct BorrowRequest {
-  1: string vm,
-  2: i64 incarnation,
+  1: string sender,
+  2: string receiver,  // process that the sender expects; sequences mean nothing to another
   3: list<QuotaDemand> demands,
+  4: list<QuotaReturn> returns,
+  5: list<QuotaRecall> recalls,
+  6: i64 slots_revision,
+  7: optional binary slots,  // row of the slots when the receiver may not have it
 }
 
 // Terms that replace those of the borrower's earlier loan from the same lender.
@@ -66,10 +89,15 @@
   3: double capacity,  // bucket capacity lent, requests
   4: double tokens,    // tokens handed over with this message
   5: double duration,  // seconds, counted by the borrower from before its request
+  6: i64 sequence,
 }
 
 struct BorrowReply {
-  1: list<QuotaLoan> loans,
+  1: string sender,
+  2: list<QuotaLoan> loans,
+  3: list<QuotaReturn> returns,  // answers to recalls
+  4: i64 slots_revision,
+  5: optional binary slots,      // row of the slots when it is newer than the asker's
 }
 
 struct Suspect {
--- /dev/null
+++ b/tests/unit/quota_world.py
@@ -0,0 +1,191 @@
+"""Daemons' quota objects on clocks of one simulated time, with a faulty network and table."""
+
+import copy
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor, Future
+from typing import Any
+
+from result import Err, Ok, Result
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.coordination.quota import QuotaTools
+from trefoilreach._internal.coordination.quota_loans import LoanQuota
+from trefoilreach._internal.settings import QuotaSettings
+from trefoilreach._internal.state.config import Account, ConfigDocument
+from trefoilreach._internal.state.table import MemoryTable, OutcomeUnknown, StoreUnavailable, Write
+from trefoilreach._internal.state.vms import Vm
+
+
+class InlineExecutor(Executor):
+    """Runs each task at once in the calling thread."""
+
+    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Future[Any]:
+        future: Future[Any] = Future()
+        future.set_result(fn(*args, **kwargs))
+        return future
+
+
+class WorldClock(ManualClock):
+    """Clock of one daemon; a sleep lets time pass for everyone."""
+
+    def __init__(self, world: "World", speed: float, offset: float) -> None:
+        super().__init__()
+        self._world, self._speed, self._offset = world, speed, offset
+
+    def now(self) -> float:
+        return self._world.time * self._speed + self._offset
+
+    def sleep(self, seconds: float) -> None:
+        self._world.time += seconds
+
+
+class FaultyTable(MemoryTable):
+    """Table of one daemon's view: shared rows, own faults."""
+
+    def __init__(self, world: "World", vm: str) -> None:
+        self.world, self.vm = world, vm
+
+    def get(self, key: str) -> Any:
+        if self.world.table_down or self.vm in self.world.cut_from_table:
+            return Err(StoreUnavailable("down"))
+        return self.world.rows.get(key)
+
+    def commit(self, writes: Sequence[Write]) -> Any:
+        if self.world.table_down or self.vm in self.world.cut_from_table:
+            return Err(StoreUnavailable("down"))
+        done = self.world.rows.commit(writes)
+        if self.world.lose_writes > 0:
+            self.world.lose_writes -= 1
+            return Err(OutcomeUnknown("answer lost"))
+        return done
+
+
+class Client:
+    """What an action of ``Peers.call`` gets."""
+
+    def __init__(self, node: "Node", message: list[Any]) -> None:
+        self.node, self.message = node, message
+
+    def borrow(self, request: Any) -> Any:
+        self.message.append(copy.deepcopy(request))
+        return copy.deepcopy(self.node.quota.borrow(copy.deepcopy(request)))
+
+
+class WorldPeers:
+    def __init__(self, world: "World", vm: str) -> None:
+        self.world, self.vm = world, vm
+
+    @property
+    def self_member(self) -> Member:
+        return self.world.member(self.vm)
+
+    def members(self) -> list[Member]:
+        return [self.world.member(name) for name in self.world.nodes if name != self.vm]
+
+    def live(self) -> list[Member]:
+        return [self.world.member(name) for name in self.world.nodes]
+
+    def listed_vms(self) -> tuple[Vm, ...] | None:
+        return tuple(Vm(name, "h", "dc", "r") for name in sorted(self.world.listed))
+
+    def call(self, vm: str, action: Callable[[Any], Any], timeout: float) -> Result[Any, PeerError]:
+        return self.world.carry(self.vm, vm, action)
+
+
+class Node:
+    """One daemon process."""
+
+    def __init__(self, world: "World", vm: str, speed: float, offset: float) -> None:
+        self.clock = WorldClock(world, speed, offset)
+        self.config = ConfigHolder()
+        self.config.adopt(world.document)
+        self.vm = vm
+        self.paused = False
+        tools = QuotaTools(
+            QuotaSettings(),
+            self.clock,
+            self.config,
+            WorldPeers(world, vm),  # type: ignore[arg-type]
+            FaultyTable(world, vm),
+        )
+        self.quota = LoanQuota(tools, InlineExecutor())
+
+    def tick(self) -> None:
+        self.quota.keeper.tick()
+        self.quota.borrower.renew()
+
+    def admit(self, account: str) -> bool:
+        found = self.config.view.accounts.get(account)
+        return found is not None and isinstance(self.quota.admit(found), Ok)
+
+
+class World:
+    """Simulated time, network, table and list of VMs."""
+
+    def __init__(self, accounts: Sequence[Account]) -> None:
+        self.time = 0.0
+        self.document = ConfigDocument(version=1, accounts=tuple(accounts))
+        self.rows = MemoryTable()
+        self.nodes: dict[str, Node] = {}
+        self.zombies: list[Node] = []
+        self.listed: set[str] = set()
+        self.table_down = False
+        self.cut_from_table: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
+        self.lose_writes = 0
+        self.lose_requests = 0
+        self.lose_replies = 0
+        self.delay_seconds = 0.001
+        self.late: list[tuple[str, Any]] = []
+        self.calls = 0
+
+    def start(self, vm: str, speed: float = 1.0) -> Node:
+        node = Node(self, vm, speed, 50.0 * len(self.nodes))
+        self.nodes[vm] = node
+        self.listed.add(vm)
+        return node
+
+    def member(self, vm: str) -> Member:
+        return Member(vm, "h", 1, 2, "dc", "r", 1, LIVE)
+
+    def carry(self, source: str, target: str, action: Callable[[Any], Any]) -> Any:
+        self.calls += 1
+        self.time += self.delay_seconds
+        node = self.nodes.get(target)
+        if node is None or node.paused or (source, target) in self.cut_links:
+            return Err(PeerError("no answer"))
+        if self.lose_requests > 0:
+            self.lose_requests -= 1
+            # The message is late rather than lost: it may still arrive after the timeout.
+            recorder = Recorder()
+            action(recorder)
+            self.late.append((target, recorder.request))
+            return Err(PeerError("timeout"))
+        answer = action(Client(node, []))
+        self.time += self.delay_seconds
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return Err(PeerError("timeout"))
+        return Ok(answer)
+
+    def deliver_late(self) -> None:
+        for target, request in self.late:
+            node = self.nodes.get(target)
+            if node is not None and not node.paused:
+                node.quota.borrow(copy.deepcopy(request))
+        self.late = []
+
+    def run(self, seconds: float, step: float = 1.0) -> None:
+        end = self.time + seconds
+        while self.time < end:
+            self.time += step
+            for node in list(self.nodes.values()):
+                if not node.paused:
+                    node.tick()
+
+
+class Recorder:
+    def borrow(self, request: Any) -> Any:
+        self.request = copy.deepcopy(request)
+        return request
