Enforce rate and burst on completions

Cause: every request was admitted. Change: the daemon builds the quota policy of its settings, answers borrow messages and hands slots back in a planned stop; completions take one token.

--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -2,8 +2,11 @@
 
 import hmac
 
+from result import Err
+
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
+from trefoilreach._internal.coordination.quota import refuse_over_rate
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import Account, Key, Route, hash_key
 
@@ -57,3 +60,13 @@
     if route.accounts and account.name not in route.accounts:
         message = f"account {account.name!r} may not use {route.name!r}"
         raise Refusal(403, "route_not_allowed", message)
+
+
+def take_quota(parts: Parts, account: Account) -> None:
+    """Spend one token of the account's rate.
+
+    :raises Refusal: 429 when the account is over its rate or burst.
+    """
+    admitted = parts.quota.admit(account)
+    if isinstance(admitted, Err):
+        raise refuse_over_rate(account, admitted.err_value)
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from trefoilreach._internal.api.auth import check_route, require_account
+from trefoilreach._internal.api.auth import check_route, require_account, take_quota
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
 from trefoilreach._internal.coordination.dispatch import Job
@@ -40,6 +40,7 @@
         message = f"the model {completion.model!r} does not exist"
         raise Refusal(404, "model_not_found", message, param="model")
     check_route(route, account)
+    take_quota(parts, account)
     job = Job(f"cmpl-{uuid.uuid4().hex}", account, route, completion)
     if completion.stream:
         return WebResponse(200, _EVENT_STREAM_HEADERS, _encode_events(parts, key, job))
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.quota import Quota
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
@@ -29,6 +30,7 @@
     config_sync: ConfigSync
     dispatcher: Dispatcher
     membership: Membership
+    quota: Quota
     entrypoints: EntryPoints
     streams: Streams
     isolation: Isolation
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_ledger.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_ledger.py
@@ -141,7 +141,7 @@
 
 
 def _own_terms(account: Account, held: Holding) -> Terms:
-    share = held.count / SLOTS_PER_SHARD
+    share = held.owned / SLOTS_PER_SHARD
     return Terms(account.rate * share, account.burst * share, held.ends)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -123,13 +123,13 @@
 class Holding(NamedTuple):
     """What this daemon may use of one shard.
 
-    :param count: slots of the shard in use.
+    :param owned: slots of the shard in use.
     :param ends: time of the clock until which they may be used.
     :param generation: changes whenever slots were gained, dropped or had lapsed.
     :param since: for each slot, the time from which unknown accounts fill their buckets.
     """
 
-    count: int
+    owned: int
     ends: float
     generation: int
     since: tuple[float, ...]
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -6,6 +6,7 @@
 from trefoilreach._internal.api.app import Application
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
+from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -14,9 +15,9 @@
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
-from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state import platform_http  # noqa: F401 - registers the adapters
 from trefoilreach._internal.state.objects import object_stores
@@ -75,7 +76,7 @@
             probe_via=membership.answer_probe_via,
             withdraw=sync.answer_withdraw,
             fetch_config=sync.answer_fetch,
-            borrow=lambda request: BorrowReply(loans=[]),
+            borrow=parts.quota.borrow,
             online_started=lambda worker, count: None,
             cancel_job=lambda job_id: None,
             suspects=lambda suspects: None,
@@ -85,6 +86,8 @@
         peer_server.start()
         membership.start(stack)
         sync.start(stack)
+        parts.quota.start(stack)
+        parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.isolation.start(stack)
 
     def _build_parts(self, stack: ExitStack) -> Parts:
@@ -98,6 +101,7 @@
         vm_list = vm_lists.get(platform.kind)(platform.url, platform.timeout)
         membership = Membership(self._clock, settings.daemon, fleet, vm_list)
         sync = ConfigSync(self._clock, table, objects, config, fleet.poll_interval, membership)
+        tools = QuotaTools(settings.quota, self._clock, config, membership, table)
         streams = Streams()
         return Parts(
             settings=settings,
@@ -109,6 +113,7 @@
             config_sync=sync,
             dispatcher=Dispatcher(config, engine),
             membership=membership,
+            quota=quota_policies.get(settings.quota.policy)(tools),
             entrypoints=EntryPoints(membership),
             streams=streams,
             isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
