--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -1,10 +1,17 @@
 """Who sent a request, from its key."""
 
+import hmac
+
+from result import Err
+
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
+from trefoilreach._internal.coordination.quota import refuse_over_rate
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import Account, Key, Route, hash_key
 
+BOOTSTRAP_KEY_ID = "bootstrap"
+
 
 def require_key(parts: Parts, request: WebRequest) -> Key:
     """Return the granted key of a request.
@@ -14,13 +21,23 @@
     secret = request.bearer_key()
     if secret is None:
         raise Refusal(401, "missing_key", "the Authorization header has no bearer key")
-    key = parts.config.view.keys_by_hash.get(hash_key(secret))
-    withdrawn = {entry.key_id for entry in parts.config.view.document.withdrawn}
-    if key is None or key.id in withdrawn:
+    hashed = hash_key(secret)
+    key = parts.config.view.keys_by_hash.get(hashed) or _find_bootstrap_key(parts, hashed)
+    if key is None or key.id in parts.config_sync.withdrawn_ids():
         raise Refusal(401, "invalid_key", "the key is unknown or withdrawn")
     return key
 
 
+def _find_bootstrap_key(parts: Parts, hashed: str) -> Key | None:
+    """Return the operator key of the settings while the configuration names none."""
+    expected = parts.settings.platform.bootstrap_operator_key_hash
+    if not expected or not hmac.compare_digest(expected, hashed):
+        return None
+    if any(key.role == "operator" for key in parts.config.view.document.keys):
+        return None
+    return Key(BOOTSTRAP_KEY_ID, hashed, "operator")
+
+
 def require_role(parts: Parts, request: WebRequest, *roles: str) -> Key:
     """Return the key of a request whose role is one of ``roles``."""
     key = require_key(parts, request)
@@ -43,3 +60,13 @@
     if route.accounts and account.name not in route.accounts:
         message = f"account {account.name!r} may not use {route.name!r}"
         raise Refusal(403, "route_not_allowed", message)
+
+
+def take_quota(parts: Parts, account: Account) -> None:
+    """Spend one token of the account's rate.
+
+    :raises Refusal: 429 when the account is over its rate or burst.
+    """
+    admitted = parts.quota.admit(account)
+    if isinstance(admitted, Err):
+        raise refuse_over_rate(account, admitted.err_value)
