Accept batch jobs and run their items in leased chunks

Cause: only single completions could be served. Change: files and batches API, input checked line by line before anything is accepted, chunks claimed under a fencing number and finished by one conditional write, items streamed to the workers of the daemon and resumed after a yield. Result: a 50-item job with one impossible item gives 49 output lines and one error line through the openai client (tests/functional/test_batch.py); the test failed before the routes existed.

--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/multipart.py
@@ -0,0 +1,44 @@
+"""Reads multipart forms with the standard library's MIME parser."""
+
+from email import policy
+from email.message import EmailMessage, Message
+from email.parser import BytesParser
+from typing import NamedTuple
+
+from trefoilreach._internal.api.web import WebRequest
+from trefoilreach._internal.protocol.verdict import refuse_bad_request
+
+
+class FormPart(NamedTuple):
+    """One field of a form; ``filename`` is empty for a plain field."""
+
+    filename: str
+    data: bytes
+
+
+def read_form(request: WebRequest, limit: int) -> dict[str, FormPart]:
+    """Read the fields of a ``multipart/form-data`` body.
+
+    :param limit: bytes.
+    :raises Refusal: when the body is anything else.
+    """
+    content_type = request.headers.get("content-type", "")
+    if not content_type.lower().startswith("multipart/form-data"):
+        raise refuse_bad_request("the Content-Type must be multipart/form-data")
+    head = f"Content-Type: {content_type}\r\n\r\n".encode("latin-1", "replace")
+    message = BytesParser(_class=EmailMessage, policy=policy.HTTP).parsebytes(
+        head + request.read_body(limit)
+    )
+    if not message.is_multipart() or message.defects:
+        raise refuse_bad_request("the body is not a complete multipart form")
+    return dict(_read_part(part) for part in message.iter_parts())
+
+
+def _read_part(part: Message) -> tuple[str, FormPart]:
+    name = part.get_param("name", header="content-disposition")
+    if not isinstance(name, str) or not name or part.is_multipart():
+        raise refuse_bad_request("a part of the form has no field name")
+    data = part.get_payload(decode=True)
+    if not isinstance(data, bytes):
+        raise refuse_bad_request(f"the field {name!r} cannot be read", name)
+    return name, FormPart(part.get_filename() or "", data)
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.batch import Batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -23,3 +24,4 @@
     config: ConfigHolder
     config_sync: ConfigSync
     dispatcher: Dispatcher
+    batches: Batches
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_cancel.py
@@ -0,0 +1,74 @@
+"""Cancels a job: changes its row, then tells every daemon."""
+
+import threading
+from collections.abc import Callable
+
+from result import Err
+
+from trefoilreach._internal.coordination.batch_accept import refuse_store
+from trefoilreach._internal.coordination.batch_chunks import ChunkStore
+from trefoilreach._internal.coordination.batch_reader import BatchReader
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
+from trefoilreach._internal.state.jobs import IN_PROGRESS, JobRecord, decode_job, job_key
+from trefoilreach._internal.state.table import RevisionConflict
+
+_PUSH_TIMEOUT_SECONDS = 1.0
+
+
+class BatchCancel:
+    """Cancels jobs of client accounts.
+
+    :param stop_here: stops the items of a job on this daemon.
+    """
+
+    def __init__(
+        self,
+        store: ChunkStore,
+        reader: BatchReader,
+        peers: Peers,
+        stop_here: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._reader = reader
+        self._peers = peers
+        self._stop_here = stop_here
+
+    def cancel(self, account: str, job_id: str) -> JobRecord:
+        """Cancel a job that is not final; return it as it is afterwards.
+
+        :raises Refusal: 404 for an unknown job, 503 when the store does not answer.
+        """
+        job = self._change_row(account, job_id)
+        if job.status != IN_PROGRESS:
+            self._tell(job_id)
+        return job
+
+    def _change_row(self, account: str, job_id: str) -> JobRecord:
+        found = self._store.table.get(job_key(account, job_id))
+        if isinstance(found, Err):
+            raise refuse_store(found.err_value)
+        if found.ok_value is None:
+            raise Refusal(404, "batch_not_found", f"the batch {job_id!r} does not exist")
+        job = decode_job(found.ok_value)
+        if job.status != IN_PROGRESS:
+            return job
+        done = self._store.begin_cancel(job, found.ok_value.revision)
+        if not isinstance(done, Err):
+            return done.ok_value
+        if not isinstance(done.err_value, RevisionConflict):
+            raise refuse_store(done.err_value)
+        # The row leaves the state in_progress only once, so it is cancelling or final now.
+        job = self._reader.find_job(account, job_id)
+        if job.status == IN_PROGRESS:
+            raise refuse_unavailable("the job's row is being changed", 1.0)
+        return job
+
+    def _tell(self, job_id: str) -> None:
+        self._stop_here(job_id)
+        push = threading.Thread(target=self._push, args=(job_id,), name="cancel-job", daemon=True)
+        push.start()
+
+    def _push(self, job_id: str) -> None:
+        """Tell the peers; one that misses this sees the open row at its next read."""
+        self._peers.broadcast(lambda client: client.cancel_job(job_id), _PUSH_TIMEOUT_SECONDS)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
@@ -0,0 +1,184 @@
+"""Runs one batch item on a worker, from its text so far."""
+
+import threading
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, NamedTuple
+
+import orjson
+from result import Err
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.batch_held import ItemTask
+from trefoilreach._internal.coordination.dispatch import choice_text, join_events
+from trefoilreach._internal.protocol.openai import CHAT_PATH
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.config import Server
+from trefoilreach._internal.transport.engine import Engine, EngineError, EngineRequest
+
+# Statuses by which an engine says that the request itself is at fault.
+CLIENT_ERROR_STATUSES = frozenset({400, 413, 422})
+# Statuses that say nothing of the item: the worker is full or leaving.
+BUSY_STATUSES = frozenset({429, 503})
+_DEATH_CHECKS = 3
+_DEATH_CHECK_SECONDS = 0.5
+
+
+class Ending(Enum):
+    """How an attempt ended."""
+
+    COMPLETED = "completed"
+    REFUSED = "refused"  # the item is at fault
+    YIELDED = "yielded"  # cancelled by this daemon
+    BUSY = "busy"
+    UNREACHABLE = "unreachable"  # not run, or the worker gives no answer
+    FAILED = "failed"  # the worker lives; the item may be at fault
+    CRASHED = "crashed"  # the worker died with the item in flight
+
+
+class Attempt(NamedTuple):
+    """Outcome of one attempt; ``text`` is what the engine has generated so far."""
+
+    ending: Ending
+    text: str = ""
+    body: dict[str, Any] | None = None
+    status: int = 0
+    message: str = ""
+
+
+class StreamHandle:
+    """One running attempt, which other threads can cancel."""
+
+    def __init__(self, task: ItemTask, request_id: str, server: Server) -> None:
+        self.task = task
+        self.request_id = request_id
+        self.server = server
+        self._cancelled = threading.Event()
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the attempt is to end."""
+        return self._cancelled.is_set()
+
+    def cancel(self) -> None:
+        """Ask the reading thread to end the attempt at the next token."""
+        self._cancelled.set()
+
+
+class Pace(NamedTuple):
+    """Called with the seconds to the first token, and with those between tokens."""
+
+    first_token: Callable[[float], None]
+    token_interval: Callable[[float], None]
+
+
+class ItemRunner:
+    """Runs attempts; stateless but for its engine and clock."""
+
+    def __init__(self, clock: Clock, engine: Engine) -> None:
+        self._clock = clock
+        self._engine = engine
+
+    def run(
+        self,
+        handle: StreamHandle,
+        endpoint: str,
+        instance: str,
+        token_timeout: float,
+        pace: Pace,
+    ) -> Attempt:
+        """Run one attempt.
+
+        :param instance: the worker's instance when the attempt began; another one
+            afterwards means that the worker died.
+        """
+        task = handle.task
+        request = EngineRequest(
+            handle.request_id, endpoint, task.item.body, task.text, token_timeout
+        )
+        opened = self._engine.open(handle.server, request)
+        if isinstance(opened, Err):
+            return self._judge(handle, opened.err_value, task.text, instance)
+        payloads: list[bytes] = []
+        try:
+            self._read(handle, opened.ok_value, payloads, pace)
+        except EngineError as error:
+            return self._judge(handle, error, task.text + _join_text(payloads), instance)
+        finally:
+            opened.ok_value.close()
+        if handle.cancelled and not _is_whole(payloads):
+            return Attempt(Ending.YIELDED, task.text + _join_text(payloads))
+        body = join_events(endpoint, iter(payloads))
+        return Attempt(Ending.COMPLETED, body=_prepend(endpoint, body, task.text))
+
+    def _read(self, handle: StreamHandle, stream: Any, payloads: list[bytes], pace: Pace) -> None:
+        last = self._clock.now()
+        for payload in stream:
+            now = self._clock.now()
+            if payloads:
+                pace.token_interval(now - last)
+            else:
+                pace.first_token(now - last)
+            last = now
+            payloads.append(payload)
+            if handle.cancelled:
+                return
+
+    def _judge(self, handle: StreamHandle, error: EngineError, text: str, instance: str) -> Attempt:
+        if error.status in CLIENT_ERROR_STATUSES:
+            return Attempt(Ending.REFUSED, text, status=error.status, message=str(error))
+        if error.status in BUSY_STATUSES:
+            return Attempt(Ending.BUSY, text)
+        if error.status:
+            return Attempt(Ending.FAILED, text, status=error.status, message=str(error))
+        if error.verdict is Verdict.NOT_RUN:
+            return Attempt(Ending.UNREACHABLE, text)
+        return self._judge_break(handle, error, text, instance)
+
+    def _judge_break(
+        self, handle: StreamHandle, error: EngineError, text: str, instance: str
+    ) -> Attempt:
+        died = self._has_died(handle.server, instance)
+        if died:
+            return Attempt(Ending.CRASHED, text, message=str(error))
+        if handle.cancelled:
+            return Attempt(Ending.YIELDED, text)
+        if died is None:
+            return Attempt(Ending.UNREACHABLE, text)
+        return Attempt(Ending.FAILED, text, message=str(error))
+
+    def _has_died(self, server: Server, instance: str) -> bool | None:
+        """Return whether the worker died, or None when it gives no answer."""
+        for _ in range(_DEATH_CHECKS):
+            report = self._engine.load(server)
+            if not isinstance(report, Err):
+                return report.ok_value.instance != instance
+            if report.err_value.gone:
+                return True
+            self._clock.sleep(_DEATH_CHECK_SECONDS)
+        return None
+
+
+def _is_whole(payloads: list[bytes]) -> bool:
+    """Return whether the last event ended the answer, although ``[DONE]`` was not read."""
+    if not payloads:
+        return False
+    choices = orjson.loads(payloads[-1]).get("choices", ())
+    return not choices or any(choice.get("finish_reason") for choice in choices)
+
+
+def _join_text(payloads: list[bytes]) -> str:
+    return "".join(
+        choice_text(choice)
+        for payload in payloads
+        for choice in orjson.loads(payload).get("choices", ())
+    )
+
+
+def _prepend(endpoint: str, body: dict[str, Any], text: str) -> dict[str, Any]:
+    choice = body["choices"][0]
+    if endpoint == CHAT_PATH:
+        choice["message"]["content"] = text + choice["message"]["content"]
+    else:
+        choice["text"] = text + choice["text"]
+    return body
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -6,6 +6,7 @@
 from trefoilreach._internal.api.app import Application
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
+from trefoilreach._internal.coordination.batch import SoloPeers, build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -42,6 +43,7 @@
         open_log(settings.log, settings.daemon.name, stack)
         parts = self._build_parts(stack)
         parts.config_sync.start(stack)
+        parts.batches.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -69,4 +71,13 @@
             config=config,
             config_sync=sync,
             dispatcher=Dispatcher(config, engine),
+            batches=build_batches(
+                settings,
+                self._clock,
+                table,
+                objects,
+                config,
+                engine,
+                SoloPeers(settings.daemon),
+            ),
         )
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/jobs.py
@@ -0,0 +1,222 @@
+"""Rows of files, jobs and chunks, and the names of their objects."""
+
+from typing import Any, NamedTuple
+
+from trefoilreach._internal.state.table import Row
+
+IN_PROGRESS = "in_progress"
+CANCELLING = "cancelling"
+COMPLETED = "completed"
+CANCELLED = "cancelled"
+FINAL_STATUSES = frozenset({COMPLETED, CANCELLED})
+
+FREE = "free"
+RUNNING = "running"
+DONE = "done"
+
+# One row for each job that is not final; scans for work read no other job.
+OPEN_PREFIX = "open/"
+
+
+class FileRecord(NamedTuple):
+    """An uploaded file; ``created`` is wall-clock seconds, ``size`` bytes."""
+
+    id: str
+    account: str
+    filename: str
+    purpose: str
+    size: int
+    created: float
+    object: str
+
+
+class ModelRange(NamedTuple):
+    """Chunks ``first`` to ``first + size - 1`` of a job, whose items all name ``model``."""
+
+    model: str
+    first: int
+    size: int
+
+
+class JobRecord(NamedTuple):
+    """A job. Times are wall-clock seconds; counts are of items and set when it is final.
+
+    :param fingerprint: hash of the request that created the job.
+    :param input_prefix: start of the names of the chunks' input objects.
+    """
+
+    id: str
+    account: str
+    fingerprint: str
+    input_file: str
+    endpoint: str
+    window: str
+    metadata: dict[str, str]
+    created: float
+    deadline: float
+    total: int
+    ranges: tuple[ModelRange, ...]
+    input_prefix: str
+    status: str = IN_PROGRESS
+    cancelling_at: float | None = None
+    final_at: float | None = None
+    completed: int = 0
+    failed: int = 0
+    output_bytes: int = 0
+    error_bytes: int = 0
+
+    @property
+    def chunks(self) -> int:
+        """Number of chunks."""
+        return sum(entry.size for entry in self.ranges)
+
+
+class ChunkRecord(NamedTuple):
+    """One chunk of a job; a missing row is a free chunk that nobody has claimed yet.
+
+    :param fencing: grows with each claim.
+    :param result: object with the output lines, then the error lines; final with ``done``,
+        progress of an earlier owner otherwise.
+    :param output_bytes: length of the output lines in the result.
+    :param suspects: crashes of workers by item number, for items in flight at a crash.
+    :param progress: items completed and failed in the owner's memory, for display only.
+    """
+
+    state: str
+    owner: str = ""
+    fencing: int = 0
+    result: str = ""
+    completed: int = 0
+    failed: int = 0
+    output_bytes: int = 0
+    error_bytes: int = 0
+    suspects: dict[str, int] = {}  # noqa: RUF012 - never changed in place
+    progress: tuple[int, int] = (0, 0)
+
+    @property
+    def shown_completed(self) -> int:
+        """Items completed so far."""
+        return max(self.completed, self.progress[0]) if self.state == RUNNING else self.completed
+
+    @property
+    def shown_failed(self) -> int:
+        """Items failed so far."""
+        return max(self.failed, self.progress[1]) if self.state == RUNNING else self.failed
+
+
+class OpenJob(NamedTuple):
+    """What runners know of a job that is not final; ``deadline`` is wall-clock seconds."""
+
+    id: str
+    account: str
+    created: float
+    deadline: float
+    ranges: tuple[ModelRange, ...]
+    input_prefix: str
+    endpoint: str
+    total: int
+    cancelling: bool = False
+
+    @property
+    def chunks(self) -> int:
+        """Number of chunks."""
+        return sum(entry.size for entry in self.ranges)
+
+
+def file_key(account: str, file_id: str) -> str:
+    """Return the key of a file's row."""
+    return f"file/{account}/{file_id}"
+
+
+def job_key(account: str, job_id: str) -> str:
+    """Return the key of a job's row."""
+    return f"job/{account}/{job_id}"
+
+
+def open_key(job_id: str) -> str:
+    """Return the key of the row that a job has until it is final."""
+    return f"{OPEN_PREFIX}{job_id}"
+
+
+def chunk_prefix(job_id: str) -> str:
+    """Return the prefix of the rows of a job's chunks."""
+    return f"chunk/{job_id}/"
+
+
+def chunk_key(job_id: str, index: int) -> str:
+    """Return the key of a chunk's row; keys sort by index."""
+    return f"{chunk_prefix(job_id)}{index:06d}"
+
+
+def chunk_index(key: str) -> int:
+    """Return the index of a chunk from the key of its row."""
+    return int(key.rpartition("/")[2])
+
+
+def file_object(account: str, file_id: str) -> str:
+    """Return the name of an uploaded file's object."""
+    return f"files/{account}/{file_id}"
+
+
+def input_object(prefix: str, index: int) -> str:
+    """Return the name of a chunk's input object."""
+    return f"{prefix}{index:06d}"
+
+
+def result_object(job_id: str, index: int, fencing: int, writer: str) -> str:
+    """Return the name of a chunk's result object under one claim."""
+    return f"results/{job_id}/{index:06d}-{fencing}-{writer}"
+
+
+def encode_record(record: Any, writer: str = "") -> dict[str, Any]:
+    """Return the row value of a record.
+
+    :param writer: unique value by which a writer recognises its own write.
+    """
+    fields = record._asdict()
+    if "ranges" in fields:
+        fields["ranges"] = [[*entry] for entry in fields["ranges"]]
+    return {**fields, "writer": writer}
+
+
+def decode_file(row: Row) -> FileRecord:
+    """Decode a file's row."""
+    return FileRecord(**_select(FileRecord, row))
+
+
+def decode_job(row: Row) -> JobRecord:
+    """Decode a job's row."""
+    return JobRecord(**_with_ranges(_select(JobRecord, row)))
+
+
+def decode_open(row: Row) -> OpenJob:
+    """Decode the row of a job that is not final."""
+    return OpenJob(**_with_ranges(_select(OpenJob, row)))
+
+
+def decode_chunk(row: Row) -> ChunkRecord:
+    """Decode a chunk's row."""
+    return ChunkRecord(**_select(ChunkRecord, row))
+
+
+def open_job(job: JobRecord) -> OpenJob:
+    """Return what runners need of a job."""
+    return OpenJob(
+        id=job.id,
+        account=job.account,
+        created=job.created,
+        deadline=job.deadline,
+        ranges=job.ranges,
+        input_prefix=job.input_prefix,
+        endpoint=job.endpoint,
+        total=job.total,
+        cancelling=job.status == CANCELLING,
+    )
+
+
+def _select(kind: Any, row: Row) -> dict[str, Any]:
+    return {name: row.value[name] for name in kind._fields if name in row.value}
+
+
+def _with_ranges(fields: dict[str, Any]) -> dict[str, Any]:
+    return {**fields, "ranges": tuple(ModelRange(*entry) for entry in fields["ranges"])}
--- /dev/null
+++ b/tests/functional/test_batch.py
@@ -0,0 +1,118 @@
+"""Guards against batch jobs that do not complete, leak to other accounts or half accept input."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+import pytest
+from harness import Address, Fleet, call, hash_secret, publish, wait_until
+from openai import OpenAI
+from trefoilreach._internal.state.config import (
+    Account,
+    ConfigDocument,
+    Key,
+    Route,
+    Server,
+    WorkClass,
+)
+
+CHAT = "/v1/chat/completions"
+
+
+def make_document(engines: list[Address]) -> ConfigDocument:
+    return ConfigDocument(
+        version=1,
+        classes=(WorkClass("chat", "online", 2.0, 0.2),),
+        accounts=(Account("a", 1000.0, 1000.0), Account("b", 1000.0, 1000.0)),
+        keys=(
+            Key("k1", hash_secret("s1"), "caller", "a"),
+            Key("k2", hash_secret("s2"), "caller", "b"),
+            Key("k3", hash_secret("s3"), "monitor"),
+        ),
+        routes=(Route("m", work_class="chat"), Route("private", accounts=("b",))),
+        servers=tuple(
+            Server(f"engine{number}", "engine", engine.host, engine.port, ("m",))
+            for number, engine in enumerate(engines, start=1)
+        ),
+    )
+
+
+def make_lines(count: int, first: int = 0, tokens: int = 4, **changes: str) -> bytes:
+    lines = []
+    for number in range(first, first + count):
+        text = changes.get(f"i{number}", f"say {number}")
+        body = {"model": "m", "messages": [{"role": "user", "content": text}], "max_tokens": tokens}
+        line = {"custom_id": f"i{number}", "method": "POST", "url": CHAT, "body": body}
+        lines.append(orjson.dumps(line))
+    return b"\n".join(lines)
+
+
+def open_client(daemon: Address, key: str = "s1") -> OpenAI:
+    return OpenAI(
+        api_key=key, base_url=f"http://{daemon.host}:{daemon.port}/v1", max_retries=0, timeout=30
+    )
+
+
+def submit(client: OpenAI, data: bytes, key: str = "") -> Any:
+    file = client.files.create(file=("in.jsonl", data), purpose="batch")
+    headers = {"Idempotency-Key": key} if key else {}
+    return client.batches.create(
+        input_file_id=file.id,
+        endpoint="/v1/chat/completions",
+        completion_window="24h",
+        extra_headers=headers,
+    )
+
+
+def wait_final(client: OpenAI, job_id: str, timeout: float = 40.0) -> Any:
+    def check() -> Any:
+        found = client.batches.retrieve(job_id)
+        return found if found.status in ("completed", "cancelled") else None
+
+    return wait_until(check, timeout, f"end of {job_id}")
+
+
+def read_lines(client: OpenAI, file_id: str | None) -> list[dict[str, Any]]:
+    if file_id is None:
+        return []
+    return [orjson.loads(line) for line in client.files.content(file_id).read().splitlines()]
+
+
+def start_fleet(
+    fleet: Fleet, daemons: int = 1, engines: int = 1, extra: Any = None, *engine_options: str
+) -> list[Address]:
+    fleet.start_emulator("platform", "platform")
+    options = engine_options or ("--token-interval", "0.005", "--first-token", "0.01")
+    places = [
+        fleet.start_emulator("engine", f"engine{number}", "--models", "m", *options)
+        for number in range(1, engines + 1)
+    ]
+    publish(fleet, make_document(places))
+    found = [
+        fleet.start_daemon(f"vm{number}", number, extra=extra) for number in range(1, daemons + 1)
+    ]
+    for daemon in found:
+        wait_until(lambda place=daemon: call(place, "GET", "/healthz").json()["config_version"])
+    return found
+
+
+@pytest.fixture(scope="module")
+def daemon(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Address]:
+    with Fleet(tmp_path_factory.mktemp("batch")) as fleet:
+        extra = {"batch": {"chunk_items": "20", "scan_interval": "500ms"}}
+        yield start_fleet(fleet, 1, 1, extra)[0]
+
+
+def test_job_completes_with_one_line_per_item(daemon: Address) -> None:
+    client = open_client(daemon)
+    job = submit(client, make_lines(50, i7="impossible-item"))
+    done = wait_final(client, job.id)
+    assert done.status == "completed"
+    assert (done.request_counts.completed, done.request_counts.failed) == (49, 1)
+    output = read_lines(client, done.output_file_id)
+    assert sorted(line["custom_id"] for line in output) == sorted(
+        f"i{number}" for number in range(50) if number != 7
+    )
+    assert all(line["response"]["body"]["choices"][0]["message"]["content"] for line in output)
+    (error,) = read_lines(client, done.error_file_id)
+    assert (error["custom_id"], error["response"]["status_code"]) == ("i7", 400)
