--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trefoilreach._internal.api import callers, entry  # noqa: F401 - register their routes
+from trefoilreach._internal.api import (  # noqa: F401 - register their routes
+    batches,
+    callers,
+    entry,
+)
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import (
     JSON_TYPE,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.batch import Batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -35,3 +36,4 @@
     streams: Streams
     isolation: Isolation
     drain: Drain
+    batches: Batches
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -7,6 +7,7 @@
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
+from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -77,8 +78,8 @@
             withdraw=sync.answer_withdraw,
             fetch_config=sync.answer_fetch,
             borrow=parts.quota.borrow,
-            online_started=lambda worker, count: None,
-            cancel_job=lambda job_id: None,
+            online_started=parts.batches.feed.note_online,
+            cancel_job=parts.batches.runner.cancel_job,
             suspects=lambda suspects: None,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port)
@@ -87,6 +88,7 @@
         membership.start(stack)
         sync.start(stack)
         parts.quota.start(stack)
+        parts.batches.start(stack)
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.isolation.start(stack)
 
@@ -118,4 +120,13 @@
             streams=streams,
             isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
             drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
+            batches=build_batches(
+                settings,
+                self._clock,
+                table,
+                objects,
+                config,
+                engine,
+                membership,
+            ),
         )
