Measure membership against the number of peers

A process of stand-ins answers a real daemon's peer messages and probes it. Counted transports give the bytes of peer messages, shown at /healthz.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/usage.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/usage.py
@@ -13,6 +13,7 @@
     moment: float
     processor_seconds: float
     largest_resident_bytes: int
+    control_bytes: int
     table_reads: int
     table_writes: int
 
@@ -23,6 +24,7 @@
     seconds: float
     processor_seconds: float
     largest_resident_bytes: int
+    control_bytes_per_second: float
     reads_per_second: float
     writes_per_second: float
 
@@ -31,11 +33,13 @@
     """Read the totals of a running site."""
     names = [f"vm{number}" for number in range(len(site.daemons))]
     usages = [site.fleet.program(name).usage() for name in names]
+    health = [call(address, "GET", "/healthz").json() for address in site.daemons]
     counts = call(site.fleet.addresses["platform"], "GET", "/counts").json()
     return Reading(
         time.monotonic(),
         sum(usage.processor_seconds for usage in usages),
         max(usage.resident_bytes for usage in usages),
+        sum(entry["peer_bytes"] for entry in health),
         counts["reads"],
         counts["writes"],
     )
@@ -48,6 +52,7 @@
         seconds,
         after.processor_seconds - before.processor_seconds,
         after.largest_resident_bytes,
+        (after.control_bytes - before.control_bytes) / seconds,
         (after.table_reads - before.table_reads) / seconds,
         (after.table_writes - before.table_writes) / seconds,
     )
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
@@ -1,5 +1,5 @@
 """Probes, one module for each role; importing this package registers them."""
 
-from trefoilreach_emulator._internal.capacity.probes import configuration, entry
+from trefoilreach_emulator._internal.capacity.probes import configuration, entry, membership
 
-__all__ = ["configuration", "entry"]
+__all__ = ["configuration", "entry", "membership"]
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
@@ -123,6 +123,10 @@
         """Return a started program."""
         return self._programs[name]
 
+    def peer_address(self, name: str) -> Address:
+        """Return where a daemon talks to its peers."""
+        return Address(self.addresses[name].host, self._peer_ports[name])
+
     def start_emulator(self, kind: str, name: str, *options: str) -> Address:
         """Start an emulator on a free port, or again where it was before."""
         address = self.addresses.get(name) or Address("127.0.0.1", free_port())
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import orjson
-
 from trefoilreach._internal.api.auth import check_route, require_account, take_quota
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
@@ -84,6 +82,11 @@
 
 @routes.register("GET", "/healthz")
 def report_health(parts: Parts, request: WebRequest) -> WebResponse:
-    """Say that the process runs, with its configuration version."""
-    version = parts.config.view.document.version
-    return WebResponse(200, [], [orjson.dumps({"config_version": version})])
+    """Say that the process runs, with its configuration version and peer traffic."""
+    traffic = parts.membership.traffic
+    return respond_json(
+        {
+            "config_version": parts.config.view.document.version,
+            "peer_bytes": traffic.sent + traffic.received,
+        }
+    )
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
@@ -35,6 +35,7 @@
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings
 from trefoilreach._internal.state.vms import Vm, VmList
 from trefoilreach._internal.transport.peer_client import PeerClient
+from trefoilreach._internal.transport.peer_traffic import PeerTraffic
 
 T = TypeVar("T")
 
@@ -103,9 +104,15 @@
     """Implements :class:`trefoilreach._internal.coordination.peers.Peers`."""
 
     def __init__(
-        self, clock: Clock, daemon: DaemonSettings, fleet: FleetSettings, vm_list: VmList
+        self,
+        clock: Clock,
+        daemon: DaemonSettings,
+        fleet: FleetSettings,
+        vm_list: VmList,
+        traffic: PeerTraffic | None = None,
     ) -> None:
         self._clock = clock
+        self._traffic = traffic or PeerTraffic()
         self._fleet = fleet
         self._vm_list = vm_list
         self._default_ports = (daemon.http_port, daemon.peer_port)
@@ -140,6 +147,11 @@
         self._probes = ThreadPoolExecutor(_PROBE_THREADS, "probe")
         self._broadcasts = ThreadPoolExecutor(_BROADCAST_THREADS, "broadcast")
 
+    @property
+    def traffic(self) -> PeerTraffic:
+        """Bytes exchanged with peers."""
+        return self._traffic
+
     @property
     def self_member(self) -> Member:
         """Member that this daemon is."""
@@ -315,7 +327,7 @@
         with self._lock:
             client = self._clients.get(address)
             if client is None:
-                client = PeerClient(address[0], address[1], self._clock)
+                client = PeerClient(address[0], address[1], self._clock, self._traffic)
                 self._clients[address] = client
             return client
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -82,7 +82,7 @@
             cancel_job=parts.batches.runner.cancel_job,
             suspects=lambda suspects: None,
         )
-        peer_server = PeerServer(handlers, daemon.host, daemon.peer_port)
+        peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
         peer_server.start()
         membership.start(stack)
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_client.py
@@ -9,10 +9,10 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TSocket import TSocket
-from thrift.transport.TTransport import TFramedTransport
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.protocol.gen.peer import Peer
+from trefoilreach._internal.transport.peer_traffic import CountedTransport, PeerTraffic
 
 T = TypeVar("T")
 
@@ -29,10 +29,10 @@
 class _Connection:
     """One thrift connection."""
 
-    def __init__(self, host: str, port: int, timeout: float) -> None:
+    def __init__(self, host: str, port: int, timeout: float, traffic: PeerTraffic) -> None:
         self._socket = TSocket(host, port)
         self.set_timeout(timeout)
-        self._transport = TFramedTransport(self._socket)
+        self._transport = CountedTransport(self._socket, traffic)
         self._transport.open()
         protocol = TCompactProtocolAcceleratedFactory().getProtocol(self._transport)
         self.client = Peer.Client(protocol)
@@ -54,7 +54,10 @@
 class PeerClient:
     """Calls to one address; a connection carries one call at a time."""
 
-    def __init__(self, host: str, port: int, clock: Clock) -> None:
+    def __init__(
+        self, host: str, port: int, clock: Clock, traffic: PeerTraffic | None = None
+    ) -> None:
+        self._traffic = traffic or PeerTraffic()
         self._host = host
         self._port = port
         self._clock = clock
@@ -97,7 +100,7 @@
 
     def _call_fresh(self, action: Callable[[Any], T], timeout: float) -> Result[T, PeerCallError]:
         try:
-            connection = _Connection(self._host, self._port, timeout)
+            connection = _Connection(self._host, self._port, timeout, self._traffic)
         except (TException, OSError) as error:
             message = f"cannot connect to {self._host}:{self._port}: {error!r}"
             return Err(PeerCallError(message))
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_server.py
@@ -7,10 +7,10 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
-from thrift.transport.TTransport import TFramedTransport
 
 from trefoilreach._internal.protocol.gen.peer import Peer
 from trefoilreach._internal.transport.peer_handler import PeerHandlers
+from trefoilreach._internal.transport.peer_traffic import CountedTransport, PeerTraffic
 
 # Clients drop idle connections earlier, so that a call never meets a closing connection.
 SERVER_IDLE_SECONDS = 60.0
@@ -20,7 +20,14 @@
 class PeerServer:
     """Serves the thrift framed compact protocol; the handlers run on connection threads."""
 
-    def __init__(self, handlers: PeerHandlers, host: str, port: int) -> None:
+    def __init__(
+        self,
+        handlers: PeerHandlers,
+        host: str,
+        port: int,
+        traffic: PeerTraffic | None = None,
+    ) -> None:
+        self._traffic = traffic or PeerTraffic()
         self._processor = Peer.Processor(handlers)
         self._listener = socket.create_server((host, port), backlog=_BACKLOG)
         self._lock = threading.Lock()
@@ -71,7 +78,7 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         handle = TSocket()
         handle.setHandle(connection)
-        transport = TFramedTransport(handle)
+        transport = CountedTransport(handle, self._traffic)
         protocol = TCompactProtocolAcceleratedFactory().getProtocol(transport)
         try:
             while not self._closed:
