Let operators change the configuration over HTTP and by trefoilctl

Operators had no interface: tests published documents straight into the table. /v1/admin now takes checked changes of classes, accounts, keys, routes and backend servers against a stated version, and trefoilctl drives it.

--- /dev/null
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/__init__.py
@@ -0,0 +1,23 @@
+"""Commands, one module each; a module registers its command with each of its verbs."""
+
+from importlib import import_module
+
+MODULES = (
+    "account",
+    "audit",
+    "batch",
+    "batch_submit",
+    "config",
+    "entrypoints",
+    "key",
+    "route",
+    "server",
+    "vm",
+    "work_class",
+)
+
+
+def load_commands() -> None:
+    """Import the modules, which registers their commands."""
+    for name in MODULES:
+        import_module(f"{__name__}.{name}")
--- /dev/null
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/key.py
@@ -0,0 +1,70 @@
+"""Command ``key``: keys of callers, operators and the monitor."""
+
+from urllib.parse import quote
+
+from cleo.helpers import argument, option
+
+from trefoilctl._internal.client import Client
+from trefoilctl._internal.command import ApiCommand, api_options, change_options, register
+from trefoilctl._internal.entries import Section, read_if_version
+
+_SECTION = "keys"
+# A withdrawal holds whatever version is in force, so it loses no race.
+_ANY_VERSION = "*"
+
+
+@register
+class KeyGrantCommand(ApiCommand):
+    """Grants a key and shows it once."""
+
+    name = "key grant"
+    description = "Grant a key and show it, this once."
+    arguments = [  # noqa: RUF012
+        argument("account", "Client account; needed for role caller.", optional=True)
+    ]
+    options = change_options(
+        option("role", None, "caller, operator or monitor.", flag=False, default="caller")
+    )
+
+    def run_command(self, client: Client) -> None:
+        """Send the change."""
+        section = Section(client, _SECTION)
+        body = {"role": self.option("role"), "account": self.argument("account") or ""}
+        granted = section.change("POST", "", section.base(read_if_version(self)), body)
+        entry = granted["entry"]
+        text = f"id  {entry['id']}\nkey {entry['key']}"
+        self.print_result(granted, text)
+
+
+@register
+class KeyListCommand(ApiCommand):
+    """Lists the keys without their secrets."""
+
+    name = "key list"
+    description = "List the keys, without the secrets."
+    options = api_options()
+
+    def run_command(self, client: Client) -> None:
+        """Print the list."""
+        listed = Section(client, _SECTION).list()
+        self.print_rows(listed, listed["data"], ("id", "role", "account", "state"))
+
+
+@register
+class KeyWithdrawCommand(ApiCommand):
+    """Withdraws a key."""
+
+    name = "key withdraw"
+    description = "Withdraw a key; open streams that use it end."
+    arguments = [argument("id", "Id of the key.")]  # noqa: RUF012
+    options = change_options()
+
+    def run_command(self, client: Client) -> None:
+        """Send the withdrawal."""
+        key_id, version = self.argument("id"), read_if_version(self)
+        section, path = Section(client, _SECTION), f"/{quote(self.argument('id'), safe='')}"
+        base = _ANY_VERSION if version is None else version
+        report = section.change("DELETE", path, base)
+        daemons = len(report["daemons"])
+        durable = "recorded" if report["durable"] else "not yet recorded in the table"
+        self.print_result(report, f"{key_id} withdrawn on {daemons} daemons, {durable}")
--- a/packages/trefoilctl/src/trefoilctl/_internal/main.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/main.py
@@ -1,13 +1,31 @@
 """Command line of trefoilctl."""
 
+import sys
+
 from cleo.application import Application
 from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.io import IO
 
 from trefoilctl import __version__
+from trefoilctl._internal.command import commands
+from trefoilctl._internal.commands import load_commands
+
+
+class CtlApplication(Application):
+    """Application whose own errors are one line."""
+
+    def render_error(self, error: Exception, io: IO) -> None:
+        """Print an error on one line."""
+        print(f"trefoilctl: {' '.join(str(error).split())}", file=sys.stderr)
 
 
 def run(arguments: list[str]) -> int:
     """Run one command."""
-    application = Application("trefoilctl", __version__)
+    load_commands()
+    if arguments in (["--help"], ["-h"]):
+        arguments = ["list"]
+    application = CtlApplication("trefoilctl", __version__)
     application.auto_exits(False)
+    for command in commands:
+        application.add(command())
     return application.run(ArgvInput(["trefoilctl", *arguments]))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_change.py
@@ -0,0 +1,89 @@
+"""What every operator handler shares: the operator's key, the stated version, the change."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+from result import Err
+
+from trefoilreach._internal.api.auth import require_role
+from trefoilreach._internal.api.parts import Parts
+from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json
+from trefoilreach._internal.protocol.openai import parse_json_object
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
+from trefoilreach._internal.state.config import ConfigDocument, Key
+from trefoilreach._internal.state.config_check import FieldError, check_document
+
+Edit = Callable[[ConfigDocument], ConfigDocument]
+
+ANY_VERSION = "*"
+# Operators' bodies are single entries; the longest is a route that lists every account.
+_BODY_LIMIT_BYTES = 1024**2
+
+
+def require_operator(parts: Parts, request: WebRequest) -> Key:
+    """Return the operator key of a request."""
+    return require_role(parts, request, "operator")
+
+
+def read_fields(request: WebRequest) -> dict[str, Any]:
+    """Return the JSON object of a request's body."""
+    return parse_json_object(request.read_body(_BODY_LIMIT_BYTES))
+
+
+def read_if_match(request: WebRequest) -> int | None:
+    """Return the version that a change was made against; None stands for ``*``.
+
+    :raises Refusal: 428 when the header is missing, 400 when it is no version.
+    """
+    text = request.header("If-Match")
+    if text is None:
+        message = "If-Match must state the configuration version that the change was made against"
+        raise Refusal(428, "version_required", message, param="If-Match")
+    if text.strip() == ANY_VERSION:
+        return None
+    match = re.fullmatch(r'"?([0-9]{1,18})"?', text.strip())
+    if match is None:
+        raise refuse_bad_request("If-Match must be a configuration version", "If-Match")
+    return int(match.group(1))
+
+
+def read_base_version(request: WebRequest) -> int:
+    """Return the version that a change was made against; ``*`` is refused."""
+    version = read_if_match(request)
+    if version is None:
+        message = "If-Match must name a version; '*' is for withdrawals only"
+        raise refuse_bad_request(message, "If-Match")
+    return version
+
+
+def refuse_field(error: FieldError) -> Refusal:
+    """Return the refusal of a wrong field."""
+    return refuse_bad_request(str(error), error.param)
+
+
+def put_into_force(parts: Parts, base: int, edit: Edit) -> ConfigDocument:
+    """Make one checked change.
+
+    :raises Refusal: nothing of the change is in force then.
+    """
+
+    def edit_checked(document: ConfigDocument) -> ConfigDocument:
+        edited = edit(document)
+        try:
+            check_document(edited)
+        except FieldError as error:
+            raise refuse_field(error) from error
+        return edited
+
+    outcome = parts.config_sync.change(base, edit_checked)
+    if isinstance(outcome, Err):
+        raise outcome.err_value
+    return outcome.ok_value
+
+
+def respond_version(version: int, fields: dict[str, Any], status: int = 200) -> WebResponse:
+    """Return a JSON response that names a configuration version, in the ETag as well."""
+    response = respond_json({"version": version, **fields}, status)
+    response.headers.append(("ETag", f'"{version}"'))
+    return response
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_config.py
@@ -0,0 +1,116 @@
+"""Operators' handlers for whole versions of the configuration, and for the VMs."""
+
+from typing import Any
+
+import orjson
+from result import Err
+
+from trefoilreach._internal.api.admin_change import require_operator, respond_version
+from trefoilreach._internal.api.parts import Parts
+from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
+from trefoilreach._internal.coordination.config_sync import HISTORY_PREFIX, format_history_key
+from trefoilreach._internal.protocol.verdict import (
+    Refusal,
+    refuse_bad_request,
+    refuse_unavailable,
+)
+from trefoilreach._internal.state.config import ConfigDocument, decode_config, encode_config
+from trefoilreach._internal.state.table import StoreError
+
+_HISTORY_LIMIT = 1000
+_HISTORY_DEFAULT = 50
+_STORE_RETRY_SECONDS = 2.0
+
+
+@routes.register("GET", "/v1/admin/config")
+def show_config(parts: Parts, request: WebRequest) -> WebResponse:
+    """Show the configuration in force here, or the version that the query names."""
+    require_operator(parts, request)
+    document = parts.config.view.document
+    wanted = _read_number(request, "version", document.version)
+    if wanted != document.version:
+        document = _read_version(parts, wanted)
+    return respond_version(document.version, {"config": describe_document(document)})
+
+
+@routes.register("GET", "/v1/admin/config/status")
+def show_status(parts: Parts, request: WebRequest) -> WebResponse:
+    """Say which version is in force on each daemon."""
+    require_operator(parts, request)
+    version = parts.config.view.document.version
+    versions = parts.config_sync.versions_in_force()
+    daemons = [{"vm": vm, "version": found} for vm, found in sorted(versions.items())]
+    everywhere = all(found == version for found in versions.values())
+    return respond_version(version, {"everywhere": everywhere, "daemons": daemons})
+
+
+@routes.register("GET", "/v1/admin/config/history")
+def show_history(parts: Parts, request: WebRequest) -> WebResponse:
+    """List the last versions, the newest first."""
+    require_operator(parts, request)
+    limit = _read_number(request, "limit", _HISTORY_DEFAULT)
+    if not 1 <= limit <= _HISTORY_LIMIT:
+        raise refuse_bad_request(f"'limit' must be from 1 to {_HISTORY_LIMIT}", "limit")
+    version = parts.config.view.document.version
+    after = format_history_key(max(0, version - limit))
+    rows = parts.table.scan(HISTORY_PREFIX, after, limit)
+    if isinstance(rows, Err):
+        raise _refuse_store(rows.err_value)
+    entries = [
+        {"version": row.value["version"], "wall_time": row.value["wall_time"]}
+        for row in reversed(rows.ok_value)
+    ]
+    return respond_version(version, {"data": entries})
+
+
+def _read_version(parts: Parts, version: int) -> ConfigDocument:
+    row = parts.table.get(format_history_key(version))
+    if isinstance(row, Err):
+        raise _refuse_store(row.err_value)
+    if row.ok_value is None:
+        raise Refusal(404, "not_found", f"there is no configuration version {version}")
+    stored = parts.objects.get(row.ok_value.value["object"])
+    if isinstance(stored, Err):
+        raise _refuse_store(stored.err_value)
+    if stored.ok_value is None:
+        message = f"the document of configuration version {version} is not in the object store"
+        raise refuse_unavailable(message, _STORE_RETRY_SECONDS)
+    return decode_config(stored.ok_value)
+
+
+def _refuse_store(error: StoreError) -> Refusal:
+    return refuse_unavailable(f"the platform's store: {error}", _STORE_RETRY_SECONDS)
+
+
+def _read_number(request: WebRequest, name: str, default: int) -> int:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    if not text.isdecimal():
+        raise refuse_bad_request(f"{name!r} must be a whole number", name)
+    return int(text)
+
+
+def describe_document(document: ConfigDocument) -> dict[str, Any]:
+    """Return a document as JSON, without the hashes of the keys."""
+    fields: dict[str, Any] = orjson.loads(encode_config(document))
+    for key in fields["keys"]:
+        del key["hash"]
+    return fields
+
+
+@routes.register("GET", "/v1/admin/vms")
+def list_vms(parts: Parts, request: WebRequest) -> WebResponse:
+    """List the VMs as this daemon sees them, itself first."""
+    require_operator(parts, request)
+    settings = parts.settings.daemon
+    own = {
+        "vm": settings.name,
+        "host": settings.host,
+        "http_port": settings.http_port,
+        "peer_port": settings.peer_port,
+        "data_centre": settings.data_centre,
+        "region": settings.region,
+        "state": "live",
+    }
+    return respond_json({"data": [own]})
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trefoilreach._internal.api import callers  # noqa: F401 - registers its routes
+from trefoilreach._internal.api import admin, callers  # noqa: F401 - register their routes
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import (
     JSON_TYPE,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -3,7 +3,13 @@
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
 from trefoilreach._internal.protocol.verdict import Refusal
-from trefoilreach._internal.state.config import Account, Key, Route, hash_key
+from trefoilreach._internal.state.config import (
+    BOOTSTRAP_KEY_ID,
+    Account,
+    Key,
+    Route,
+    hash_key,
+)
 
 
 def require_key(parts: Parts, request: WebRequest) -> Key:
@@ -14,13 +20,20 @@
     secret = request.bearer_key()
     if secret is None:
         raise Refusal(401, "missing_key", "the Authorization header has no bearer key")
-    key = parts.config.view.keys_by_hash.get(hash_key(secret))
+    key = _find_key(parts, hash_key(secret))
     withdrawn = {entry.key_id for entry in parts.config.view.document.withdrawn}
     if key is None or key.id in withdrawn:
         raise Refusal(401, "invalid_key", "the key is unknown or withdrawn")
     return key
 
 
+def _find_key(parts: Parts, digest: str) -> Key | None:
+    granted = parts.config.view.keys_by_hash.get(digest)
+    if granted is not None or digest != parts.settings.platform.bootstrap_operator_key_hash:
+        return granted
+    return Key(BOOTSTRAP_KEY_ID, digest, "operator")
+
+
 def require_role(parts: Parts, request: WebRequest, *roles: str) -> Key:
     """Return the key of a request whose role is one of ``roles``."""
     key = require_key(parts, request)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Callable
 from contextlib import ExitStack
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
@@ -15,6 +16,7 @@
 from trefoilreach._internal.state.config import (
     ConfigDocument,
     ConfigError,
+    Withdrawn,
     decode_config,
     encode_config,
 )
@@ -23,11 +25,32 @@
 
 # Row that names the version and the document object in force.
 HEAD_KEY = "config/head"
+# One row for each version that was ever in force, written together with the head.
+HISTORY_PREFIX = "config/history/"
+_VERSION_DIGITS = 12
 
 
 _STORE_RETRY_SECONDS = 2.0
 
 
+def format_history_key(version: int) -> str:
+    """Return the key of a version's history row; the rows sort by version."""
+    return f"{HISTORY_PREFIX}{version:0{_VERSION_DIGITS}}"
+
+
+class WithdrawReport(NamedTuple):
+    """Where a withdrawal is in force.
+
+    :param version: configuration version that names it, or None.
+    :param durable: whether the platform's service keeps it.
+    :param daemons: names of the daemons on which it is in force.
+    """
+
+    version: int | None
+    durable: bool
+    daemons: list[str]
+
+
 def refuse_stale(base: int, in_force: int) -> Refusal:
     """Return the refusal of a change that was made against an old version."""
     message = f"the change was made against version {base}, but version {in_force} is in force"
@@ -105,6 +128,25 @@
         self._holder.adopt(document)
         return Ok(document)
 
+    def withdraw(self, key_id: str) -> Result[WithdrawReport, Refusal]:
+        """Withdraw a key, whichever version is in force."""
+        entry = Withdrawn(key_id, self._clock.wall_time())
+
+        def edit(document: ConfigDocument) -> ConfigDocument:
+            known = {each.key_id for each in document.withdrawn}
+            if key_id in known:
+                return document
+            return document._replace(withdrawn=(*document.withdrawn, entry))
+
+        outcome = self.change(None, edit)
+        if isinstance(outcome, Err):
+            return outcome
+        return Ok(WithdrawReport(outcome.ok_value.version, True, []))
+
+    def versions_in_force(self) -> dict[str, int]:
+        """Return the configuration version of each daemon."""
+        return {}
+
     def _write(self, document: ConfigDocument, revision: int) -> Result[None, Refusal]:
         writer = uuid.uuid4().hex
         name = f"config/{document.version}-{writer}"
@@ -113,7 +155,12 @@
             message = f"object store: {stored.err_value}"
             return Err(refuse_unavailable(message, _STORE_RETRY_SECONDS))
         value = {"version": document.version, "object": name, "writer": writer}
-        done = self._table.commit([Write(HEAD_KEY, value, revision)])
+        history = {**value, "wall_time": self._clock.wall_time()}
+        writes = [
+            Write(HEAD_KEY, value, revision),
+            Write(format_history_key(document.version), history, None),
+        ]
+        done = self._table.commit(writes)
         if isinstance(done, Ok):
             return Ok(None)
         if isinstance(done.err_value, RevisionConflict):
--- a/packages/trefoilreach/src/trefoilreach/_internal/main.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/main.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.io import IO
 
 from trefoilreach import __version__
 from trefoilreach._internal.daemon import Daemon
@@ -57,13 +58,20 @@
     daemon.run()
 
 
+class DaemonApplication(Application):
+    """Application whose own errors are one line."""
+
+    def render_error(self, error: Exception, io: IO) -> None:
+        """Print an error on one line."""
+        print(f"trefoilreachd: {' '.join(str(error).split())}", file=sys.stderr)
+
+
 def run(arguments: list[str]) -> int:
     """Run the command line; options without a command mean ``run``."""
-    application = Application("trefoilreachd", __version__)
+    application = DaemonApplication("trefoilreachd", __version__)
     application.auto_exits(False)
     application.add(RunCommand())
-    if not arguments or arguments[0] not in {"run", "help", "list", "completion"}:
-        plain = {"-V", "--version", "-h", "--help"}
-        if not plain.intersection(arguments):
-            arguments = ["run", *arguments]
+    named = bool(arguments) and arguments[0] in {"run", "help", "list", "completions"}
+    if not named and not {"-V", "--version"}.intersection(arguments):
+        arguments = ["run", *arguments]
     return application.run(ArgvInput(["trefoilreachd", *arguments]))
--- a/packages/trefoilreach/src/trefoilreach/_internal/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/settings.py
@@ -89,6 +89,12 @@
     return text
 
 
+def _parse_key_hash(text: str) -> str:
+    if re.fullmatch(r"([0-9a-f]{64})?", text) is None:
+        raise ValueError(text)
+    return text
+
+
 def _parse_endpoint(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return _parse_host(host.strip("[]")), int(_check_range(int(port), 1, 65535))
@@ -101,6 +107,7 @@
 NAME = Option(_parse_name, "a name of letters, digits, '.', '_' and '-'")
 HOST = Option(_parse_host, "an IP address")
 TEXT = Option(_parse_text, "any text")
+KEY_HASH = Option(_parse_key_hash, "the SHA-256 of a key as 64 lower-case hexadecimal digits")
 PORT = integer(1, 65535)
 ENDPOINTS = Option(_parse_endpoints, "a comma-separated list of IP:PORT")
 
@@ -125,7 +132,7 @@
     kind: Annotated[str, choice("memory", "http")] = "memory"
     url: Annotated[str, TEXT] = ""
     timeout: Annotated[float, duration(0.05, 60)] = 2.0
-    bootstrap_operator_key_hash: Annotated[str, TEXT] = ""
+    bootstrap_operator_key_hash: Annotated[str, KEY_HASH] = ""
 
 
 class FleetSettings(NamedTuple):
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
@@ -11,6 +11,10 @@
     """A configuration document that breaks a rule."""
 
 
+# Id of the first operator's key, whose hash is in the settings.
+BOOTSTRAP_KEY_ID = "bootstrap"
+
+
 class WorkClass(NamedTuple):
     """Targets of one class of work; ``kind`` is ``online`` or ``batch``.
 
--- /dev/null
+++ b/tests/unit/test_config_check.py
@@ -0,0 +1,96 @@
+"""Guards against configuration entries that are accepted although they break a rule."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from trefoilreach._internal.state.config import (
+    Account,
+    ConfigDocument,
+    Key,
+    Route,
+    Server,
+    WorkClass,
+)
+from trefoilreach._internal.state.config_check import (
+    RULES,
+    FieldError,
+    check_document,
+    find_references,
+    parse_entry,
+)
+
+DOCUMENT = ConfigDocument(
+    version=1,
+    classes=(WorkClass("chat"),),
+    accounts=(Account("shop", 1.0, 1.0),),
+    keys=(Key("k", "0" * 64, "caller", "shop"),),
+    routes=(Route("m", "model", "chat", accounts=("shop",)), Route("s", "service")),
+    servers=(Server("e", "engine", "127.0.0.1", 1, ("m",)),),
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=5,
+)
+
+
+@given(st.sampled_from(list(RULES)), st.data())
+def test_any_json_is_parsed_or_refused_by_field_fuzz(kind: type, data: st.DataObject) -> None:
+    names = st.sampled_from([*RULES[kind], "unknown"])
+    fields = data.draw(st.dictionaries(names, JSON, max_size=9))
+    try:
+        parse_entry(kind, fields)
+    except FieldError as error:
+        assert error.param in {*RULES[kind], "unknown"}
+    except TypeError:
+        # Only a key is granted from other values than its fields.
+        assert kind is Key
+
+
+@pytest.mark.parametrize(
+    ("kind", "fields", "param"),
+    [
+        (Account, {"name": "a", "rate": 0, "burst": 1}, "rate"),
+        (Account, {"name": "a", "rate": True, "burst": 1}, "rate"),
+        (Account, {"name": "a", "rate": float("inf"), "burst": 1}, "rate"),
+        (Account, {"name": "a", "rate": 1}, "burst"),
+        (Account, {"name": "a/b", "rate": 1, "burst": 1}, "name"),
+        (Account, {"name": "a", "rate": 1, "burst": 1, "weight": 2}, "weight"),
+        (Server, {"name": "a", "kind": "engine", "host": "h", "port": 1, "routes": []}, "host"),
+        (Route, {"name": "a", "accounts": ["x", "x"]}, "accounts"),
+        (WorkClass, {"name": "a", "percentile": 100}, "percentile"),
+    ],
+)
+def test_wrong_field_is_named(kind: type, fields: dict, param: str) -> None:
+    with pytest.raises(FieldError) as caught:
+        parse_entry(kind, fields)
+    assert caught.value.param == param
+    assert "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("change", "param"),
+    [
+        ({"classes": ()}, "work_class"),
+        ({"accounts": ()}, "accounts[0]"),
+        ({"routes": DOCUMENT.routes[1:]}, "routes[0]"),
+        ({"servers": (*DOCUMENT.servers, *DOCUMENT.servers)}, "name"),
+        ({"servers": (*DOCUMENT.servers, DOCUMENT.servers[0]._replace(name="f"))}, "port"),
+        ({"servers": (DOCUMENT.servers[0]._replace(routes=("s",)),)}, "routes[0]"),
+        ({"keys": (Key("k", "0" * 64, "caller", "nobody"),)}, "account"),
+        ({"keys": (Key("k", "0" * 64, "operator", "shop"),)}, "account"),
+        ({"routes": (DOCUMENT.routes[0]._replace(open_to_all=True),)}, "accounts"),
+    ],
+)
+def test_dangling_reference_is_named(change: dict, param: str) -> None:
+    check_document(DOCUMENT)
+    with pytest.raises(FieldError) as caught:
+        check_document(DOCUMENT._replace(**change))
+    assert caught.value.param == param
+
+
+def test_references_name_what_uses_an_entry() -> None:
+    assert find_references(DOCUMENT, "classes", "chat") == ["route 'm'"]
+    assert find_references(DOCUMENT, "accounts", "shop") == ["key 'k'", "route 'm'"]
+    assert find_references(DOCUMENT, "routes", "m") == ["backend server 'e'"]
+    assert find_references(DOCUMENT, "servers", "e") == []
