Run a small fleet and a sample of everything with make demo

There was no way to try the system. The demo starts platform, engines, service and daemons on loopback, configures them through trefoilctl and checks the outcome of eight steps.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -2,6 +2,7 @@
 
 from cleo.commands.command import Command
 
+from trefoilreach_emulator._internal.commands.demo import DemoCommand
 from trefoilreach_emulator._internal.commands.engine import EngineCommand
 from trefoilreach_emulator._internal.commands.platform import PlatformCommand
 from trefoilreach_emulator._internal.commands.service import ServiceCommand
@@ -9,4 +10,4 @@
 
 def command_classes() -> list[type[Command]]:
     """Return every command."""
-    return [EngineCommand, PlatformCommand, ServiceCommand]
+    return [DemoCommand, EngineCommand, PlatformCommand, ServiceCommand]
