--- a/Makefile
+++ b/Makefile
@@ -49,10 +49,10 @@
 	$(BIN)/python -m trefoilreach_emulator demo $(if $(ONCE),--once)
 
 bench: venv
-	$(BIN)/python -m trefoilreach_emulator bench
+	$(BIN)/python -m trefoilreach_emulator bench --write
 
 capacity: venv
-	$(BIN)/python -m trefoilreach_emulator capacity
+	$(BIN)/python -m trefoilreach_emulator capacity --write
 
 # Needs the thrift compiler 0.17 or newer; the generated code is committed.
 thrift:
