--- a/tests/unit/test_load_tool.py
+++ b/tests/unit/test_load_tool.py
@@ -48,7 +48,7 @@
 def test_broken_plan_is_named(tmp_path: Path) -> None:
     path = tmp_path / "plan.json"
     path.write_text("{}")
-    with pytest.raises(ValueError, match="plan.json is not a load plan"):
+    with pytest.raises(ValueError, match=r"plan\.json is not a load plan"):
         read_plan(path)
 
 
