--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/key.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/key.py
@@ -65,6 +65,9 @@
         section, path = Section(client, _SECTION), f"/{quote(self.argument('id'), safe='')}"
         base = _ANY_VERSION if version is None else version
         report = section.change("DELETE", path, base)
-        daemons = len(report["daemons"])
-        durable = "recorded" if report["durable"] else "not yet recorded in the table"
-        self.print_result(report, f"{key_id} withdrawn on {daemons} daemons, {durable}")
+        text = f"{key_id} withdrawn, in force on {', '.join(report['in_force'])}"
+        if report["pending"]:
+            text += f"; no answer yet from {', '.join(report['pending'])}"
+        if not report["durable"]:
+            text += "; the stores do not name it yet"
+        self.print_result(report, text)
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/admin_config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_config.py
@@ -8,7 +8,7 @@
 from trefoilreach._internal.api.admin_change import require_operator, respond_version
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.config_sync import HISTORY_PREFIX, format_history_key
+from trefoilreach._internal.coordination.config_store import HISTORY_PREFIX, format_history_key
 from trefoilreach._internal.protocol.verdict import (
     Refusal,
     refuse_bad_request,
@@ -103,14 +103,5 @@
 def list_vms(parts: Parts, request: WebRequest) -> WebResponse:
     """List the VMs as this daemon sees them, itself first."""
     require_operator(parts, request)
-    settings = parts.settings.daemon
-    own = {
-        "vm": settings.name,
-        "host": settings.host,
-        "http_port": settings.http_port,
-        "peer_port": settings.peer_port,
-        "data_centre": settings.data_centre,
-        "region": settings.region,
-        "state": "live",
-    }
-    return respond_json({"data": [own]})
+    members = [parts.membership.self_member, *parts.membership.members()]
+    return respond_json({"data": [member._asdict() for member in members]})
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/admin_keys.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_keys.py
@@ -16,9 +16,8 @@
 )
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.config_sync import refuse_stale
-from trefoilreach._internal.protocol.verdict import Refusal
-from trefoilreach._internal.state.config import BOOTSTRAP_KEY_ID, ConfigDocument, Key, hash_key
+from trefoilreach._internal.coordination.config_store import refuse_stale
+from trefoilreach._internal.state.config import ConfigDocument, Key, hash_key
 from trefoilreach._internal.state.config_check import FieldError, parse_fields
 
 _SECRET_BYTES = 32
@@ -31,7 +30,7 @@
     """List the keys that were granted, without their hashes."""
     require_operator(parts, request)
     document = parts.config.view.document
-    withdrawn = {entry.key_id: entry.wall_time for entry in document.withdrawn}
+    withdrawn = {entry.key_id: entry.wall_time for entry in parts.config_sync.withdrawals.entries()}
     entries = [_describe(key, withdrawn.get(key.id)) for key in document.keys]
     return respond_version(document.version, {"data": entries})
 
@@ -64,12 +63,10 @@
     document = parts.config.view.document
     if base is not None and base != document.version:
         raise refuse_stale(base, document.version)
-    if key_id != BOOTSTRAP_KEY_ID and not any(key.id == key_id for key in document.keys):
-        raise Refusal(404, "not_found", f"there is no key {key_id!r}")
     outcome = parts.config_sync.withdraw(key_id)
     if isinstance(outcome, Err):
         raise outcome.err_value
-    return respond_json({"withdrawn": key_id, **outcome.ok_value._asdict()})
+    return respond_json(outcome.ok_value._asdict())
 
 
 def _describe(key: Key, withdrawn_at: float | None) -> dict[str, Any]:
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -1,5 +1,7 @@
 """Who sent a request, from its key."""
 
+import hmac
+
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
 from trefoilreach._internal.protocol.verdict import Refusal
@@ -20,18 +22,23 @@
     secret = request.bearer_key()
     if secret is None:
         raise Refusal(401, "missing_key", "the Authorization header has no bearer key")
-    key = _find_key(parts, hash_key(secret))
-    withdrawn = {entry.key_id for entry in parts.config.view.document.withdrawn}
-    if key is None or key.id in withdrawn:
+    hashed = hash_key(secret)
+    key = parts.config.view.keys_by_hash.get(hashed) or _find_bootstrap_key(parts, hashed)
+    if key is None or key.id in parts.config_sync.withdrawn_ids():
         raise Refusal(401, "invalid_key", "the key is unknown or withdrawn")
     return key
 
 
-def _find_key(parts: Parts, digest: str) -> Key | None:
-    granted = parts.config.view.keys_by_hash.get(digest)
-    if granted is not None or digest != parts.settings.platform.bootstrap_operator_key_hash:
-        return granted
-    return Key(BOOTSTRAP_KEY_ID, digest, "operator")
+def _find_bootstrap_key(parts: Parts, hashed: str) -> Key | None:
+    """Return the first operator's key, which works until it is withdrawn.
+
+    Were it to end with the first key granted, a grant whose answer was lost would
+    lock the operators out.
+    """
+    expected = parts.settings.platform.bootstrap_operator_key_hash
+    if not expected or not hmac.compare_digest(expected, hashed):
+        return None
+    return Key(BOOTSTRAP_KEY_ID, hashed, "operator")
 
 
 def require_role(parts: Parts, request: WebRequest, *roles: str) -> Key:
