--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/batch_submit.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/batch_submit.py
@@ -51,14 +51,16 @@
             data = path.read_bytes()
         except OSError as error:
             raise CtlError(f"{path}: cannot be read: {error}") from error
+        token = self.option("idempotency-key") or secrets.token_hex(16)
         content_type, form = encode_upload(path.name, data)
-        uploaded = client.call("POST", "/v1/files", form, {"Content-Type": content_type}).json
+        # A resend must name the same file, or it would be another request under one key.
+        headers = {"Content-Type": content_type, "Idempotency-Key": f"{token}-file"}
+        uploaded = client.call("POST", "/v1/files", form, headers).json
         body = {
             "input_file_id": uploaded["id"],
             "endpoint": self.option("endpoint"),
             "completion_window": self.option("window"),
         }
-        token = self.option("idempotency-key") or secrets.token_hex(16)
         created: dict[str, Any] = client.call(
             "POST", "/v1/batches", body, {"Idempotency-Key": token}
         ).json
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.batch import Batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
@@ -11,6 +12,7 @@
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.quota import Quota
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
@@ -29,7 +31,9 @@
     config_sync: ConfigSync
     dispatcher: Dispatcher
     membership: Membership
+    quota: Quota
     entrypoints: EntryPoints
     streams: Streams
     isolation: Isolation
     drain: Drain
+    batches: Batches
--- a/tests/functional/test_stories.py
+++ b/tests/functional/test_stories.py
@@ -1,8 +1,11 @@
 """Guards against stories of operators and callers that stop half-way."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import Any
 
+import orjson
 import pytest
 from harness import OPERATOR_KEY, Answer, call, wait_until
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -177,3 +180,116 @@
 def refused(story: dict[str, Any], status: int) -> None:
     assert story["answer"].status == status
     assert story["answer"].headers["trefoilreach-verdict"] == "not-run"
+
+
+def write_items(folder: Path, count: int, tokens: int = 2) -> str:
+    lines = [
+        {
+            "custom_id": f"i{number}",
+            "method": "POST",
+            "url": CHAT,
+            "body": {
+                "model": "m",
+                "max_tokens": tokens,
+                "messages": [{"role": "user", "content": f"item {number}"}],
+            },
+        }
+        for number in range(count)
+    ]
+    path = folder / "items.jsonl"
+    path.write_bytes(b"".join(orjson.dumps(line) + b"\n" for line in lines))
+    return str(path)
+
+
+@when(parsers.parse('the caller of "{account}" submits a batch of {count:d} items and waits'))
+def submit_and_wait(
+    site: Site, story: dict[str, Any], tmp_path: Path, account: str, count: int
+) -> None:
+    path = write_items(tmp_path, count)
+    story["done"] = site.ctl(site.keys[account], "batch", "submit", path, "--wait", "--json")
+
+
+@then(parsers.parse("the command succeeds and reports {count:d} completed items"))
+def reports_completed(story: dict[str, Any], count: int) -> None:
+    assert story["done"].returncode == 0, story["done"].stderr
+    story["batch"] = orjson.loads(story["done"].stdout)
+    assert story["batch"]["request_counts"] == {"total": count, "completed": count, "failed": 0}
+
+
+@then(parsers.parse("the result has one line for each of the {count:d} items"))
+def one_line_each(site: Site, story: dict[str, Any], count: int) -> None:
+    done = site.ctl(site.keys["shop"], "batch", "result", story["batch"]["id"])
+    names = [orjson.loads(line)["custom_id"] for line in done.stdout.splitlines()]
+    assert sorted(names) == sorted(f"i{number}" for number in range(count))
+
+
+@when(parsers.parse('the caller of "{account}" submits a batch of {count:d} items'))
+def submit(site: Site, story: dict[str, Any], tmp_path: Path, account: str, count: int) -> None:
+    path = write_items(tmp_path, count, 64)
+    done = site.ctl(site.keys[account], "batch", "submit", path, "--json")
+    assert done.returncode == 0, done.stderr
+    story["batch"] = orjson.loads(done.stdout)
+
+
+@when("the caller cancels the job")
+def cancel(site: Site, story: dict[str, Any]) -> None:
+    time.sleep(1)
+    done = site.ctl(site.keys["shop"], "batch", "cancel", story["batch"]["id"])
+    assert done.returncode == 0, done.stderr
+
+
+@then("the job ends as cancelled and no more items complete")
+def stays_cancelled(site: Site, story: dict[str, Any]) -> None:
+    path = f"/v1/batches/{story['batch']['id']}"
+
+    def read() -> dict[str, Any]:
+        found: dict[str, Any] = call(site.daemons[1], "GET", path, key=site.keys["shop"]).json()
+        return found
+
+    wait_until(lambda: read()["status"] == "cancelled", 30, "the cancellation")
+    before = read()["request_counts"]
+    time.sleep(1.5)
+    assert read()["request_counts"] == before
+    assert before["completed"] < before["total"]
+
+
+@when(parsers.parse('the caller of "{account}" sends {count:d} requests at once over all daemons'))
+def send_many(site: Site, story: dict[str, Any], account: str, count: int) -> None:
+    with ThreadPoolExecutor(10) as pool:
+        story["answers"] = list(
+            pool.map(lambda n: complete(site, site.keys[account], n % 2, tokens=1), range(count))
+        )
+
+
+@then("at least one is refused with 429, was not run and names the time to come back")
+def names_time(story: dict[str, Any]) -> None:
+    assert {answer.status for answer in story["answers"]} == {200, 429}
+    refused = [answer for answer in story["answers"] if answer.status == 429]
+    assert all(answer.headers["trefoilreach-verdict"] == "not-run" for answer in refused)
+    story["wait"] = max(float(answer.headers["retry-after"]) for answer in refused)
+
+
+@then("after that time a request is served")
+def served_later(site: Site, story: dict[str, Any]) -> None:
+    time.sleep(story["wait"])
+    wait_until(lambda: complete(site, site.keys["kiosk"]).status == 200, 5, "the retry")
+
+
+@when(
+    parsers.parse(
+        'the caller of "{account}" submits {count:d} items twice under one idempotency key'
+    )
+)
+def submit_twice(
+    site: Site, story: dict[str, Any], tmp_path: Path, account: str, count: int
+) -> None:
+    path = write_items(tmp_path, count)
+    arguments = ("batch", "submit", path, "--idempotency-key", "resend-1", "--json")
+    story["jobs"] = [site.ctl(site.keys[account], *arguments) for _ in range(2)]
+
+
+@then("both answers name the same job")
+def same_job(story: dict[str, Any]) -> None:
+    assert [done.returncode for done in story["jobs"]] == [0, 0], story["jobs"]
+    first, second = (orjson.loads(done.stdout)["id"] for done in story["jobs"])
+    assert first == second
