--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from trefoilreach._internal.api import (  # noqa: F401 - register their routes
+    admin,
     batches,
     callers,
     entry,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -8,9 +8,13 @@
 from trefoilreach._internal.api.web import WebRequest
 from trefoilreach._internal.coordination.quota import refuse_over_rate
 from trefoilreach._internal.protocol.verdict import Refusal
-from trefoilreach._internal.state.config import Account, Key, Route, hash_key
-
-BOOTSTRAP_KEY_ID = "bootstrap"
+from trefoilreach._internal.state.config import (
+    BOOTSTRAP_KEY_ID,
+    Account,
+    Key,
+    Route,
+    hash_key,
+)
 
 
 def require_key(parts: Parts, request: WebRequest) -> Key:
@@ -29,12 +33,14 @@
 
 
 def _find_bootstrap_key(parts: Parts, hashed: str) -> Key | None:
-    """Return the operator key of the settings while the configuration names none."""
+    """Return the first operator's key, which works until it is withdrawn.
+
+    Were it to end with the first key granted, a grant whose answer was lost would
+    lock the operators out.
+    """
     expected = parts.settings.platform.bootstrap_operator_key_hash
     if not expected or not hmac.compare_digest(expected, hashed):
         return None
-    if any(key.role == "operator" for key in parts.config.view.document.keys):
-        return None
     return Key(BOOTSTRAP_KEY_ID, hashed, "operator")
 
 
