Test batch jobs against killed, frozen and crashing processes

Cause: no test showed that an accepted item survives the loss of a process. Change: functional tests for SIGKILL after the acknowledgement, SIGSTOP past the lease, an outage of the store, a killed worker and a crashing item.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -319,6 +319,10 @@
             self._settle_crash(share, task, now)
         elif attempt.ending is Ending.FAILED:
             self._settle_failure(task, attempt, now)
+        elif attempt.ending is Ending.LOST:
+            share.note_down(now)
+            task.alone = True
+            self._settle_failure(task, attempt, now)
         else:
             if attempt.ending is Ending.UNREACHABLE:
                 share.note_down(now)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_held.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_held.py
@@ -26,6 +26,7 @@
 
     :ivar text: text generated so far, after which the next attempt goes on.
     :ivar attempts: failed attempts that the item itself may have caused.
+    :ivar alone: whether it runs alone, as it may have crashed a worker.
     """
 
     def __init__(self, held: "HeldChunk", index: int, item: Item) -> None:
@@ -35,6 +36,7 @@
         self.text = ""
         self.attempts = 0
         self.crashes = 0
+        self.alone = False
         self.not_before = 0.0
 
 
@@ -90,6 +92,7 @@
     def note_crash(self, task: ItemTask) -> None:
         """Count a crash; the item waits until the count is in the row."""
         task.crashes += 1
+        task.alone = True
         task.text = ""
         self.crash_counts[task.index] = task.crashes
         self.unsaved.append(task)
@@ -104,7 +107,7 @@
 
     def put_back(self, task: ItemTask) -> None:
         """Queue an unfinished item again, ahead of those that have not started."""
-        (self.suspects if task.crashes else self.todo).appendleft(task)
+        (self.suspects if task.alone else self.todo).appendleft(task)
 
     def running_record(self) -> ChunkRecord:
         """Return the record that a renewal writes."""
@@ -144,6 +147,7 @@
             if task.crashes >= CRASH_LIMIT:
                 self.finish(task, crash_line(item))
             elif task.crashes:
+                task.alone = True
                 self.suspects.append(task)
             else:
                 self.todo.append(task)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
@@ -20,8 +20,9 @@
 CLIENT_ERROR_STATUSES = frozenset({400, 413, 422})
 # Statuses that say nothing of the item: the worker is full or leaving.
 BUSY_STATUSES = frozenset({429, 503})
-_DEATH_CHECKS = 3
-_DEATH_CHECK_SECONDS = 0.5
+# A dead worker can leave many kept connections, each of which fails one check at once.
+_DEATH_CHECK_SECONDS = 0.05
+_DEATH_CHECK_LIMIT_SECONDS = 3.0
 
 
 class Ending(Enum):
@@ -31,7 +32,8 @@
     REFUSED = "refused"  # the item is at fault
     YIELDED = "yielded"  # cancelled by this daemon
     BUSY = "busy"
-    UNREACHABLE = "unreachable"  # not run, or the worker gives no answer
+    UNREACHABLE = "unreachable"  # not run
+    LOST = "lost"  # may have run, and the worker gives no answer
     FAILED = "failed"  # the worker lives; the item may be at fault
     CRASHED = "crashed"  # the worker died with the item in flight
 
@@ -144,12 +146,13 @@
         if handle.cancelled:
             return Attempt(Ending.YIELDED, text)
         if died is None:
-            return Attempt(Ending.UNREACHABLE, text)
+            return Attempt(Ending.LOST, text, message=str(error))
         return Attempt(Ending.FAILED, text, message=str(error))
 
     def _has_died(self, server: Server, instance: str) -> bool | None:
         """Return whether the worker died, or None when it gives no answer."""
-        for _ in range(_DEATH_CHECKS):
+        end = self._clock.now() + _DEATH_CHECK_LIMIT_SECONDS
+        while self._clock.now() < end:
             report = self._engine.load(server)
             if not isinstance(report, Err):
                 return report.ok_value.instance != instance
--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -5,7 +5,7 @@
 
 import orjson
 import pytest
-from harness import Address, Fleet, call, hash_secret, publish, wait_until
+from harness import Address, Answer, Fleet, call, hash_secret, publish, wait_until
 from openai import OpenAI
 from trefoilreach._internal.state.config import (
     Account,
@@ -116,3 +116,94 @@
     assert all(line["response"]["body"]["choices"][0]["message"]["content"] for line in output)
     (error,) = read_lines(client, done.error_file_id)
     assert (error["custom_id"], error["response"]["status_code"]) == ("i7", 400)
+
+
+@pytest.mark.parametrize(
+    ("line", "status", "names"),
+    [
+        (b"{not json", 400, "line 2"),
+        (b'"text"', 400, "line 2"),
+        (make_lines(1), 400, "line 2: 'custom_id' 'i0' was used in line 1"),
+        (make_lines(1, 5).replace(b'"m"', b'"none"'), 404, "line 2: the model 'none'"),
+        (make_lines(1, 5).replace(b'"m"', b'"private"'), 403, "line 2: account 'a'"),
+        (make_lines(1, 5).replace(b"/v1/chat", b"/v2/chat"), 400, "line 2: 'url'"),
+        (make_lines(1, 5).replace(b'"messages"', b'"notes"'), 400, "line 2: 'messages'"),
+    ],
+)
+def test_bad_line_is_named_and_nothing_is_accepted(
+    daemon: Address, line: bytes, status: int, names: str
+) -> None:
+    client = open_client(daemon)
+    before = call(daemon, "GET", "/v1/batches?limit=100", key="s1").json()["data"]
+    file = client.files.create(file=("in.jsonl", make_lines(1) + b"\n" + line), purpose="batch")
+    body = {"input_file_id": file.id, "endpoint": CHAT, "completion_window": "24h"}
+    answer = call(daemon, "POST", "/v1/batches", body, key="s1")
+    assert (answer.status, answer.headers["trefoilreach-verdict"]) == (status, "not-run")
+    assert names in answer.json()["error"]["message"]
+    assert call(daemon, "GET", "/v1/batches?limit=100", key="s1").json()["data"] == before
+
+
+def test_other_accounts_see_no_file_and_no_job(daemon: Address) -> None:
+    owner, other = open_client(daemon, "s1"), open_client(daemon, "s2")
+    job = wait_final(owner, submit(owner, make_lines(2)).id)
+    paths = [
+        ("GET", f"/v1/files/{job.input_file_id}"),
+        ("GET", f"/v1/files/{job.input_file_id}/content"),
+        ("GET", f"/v1/files/{job.output_file_id}"),
+        ("GET", f"/v1/files/{job.output_file_id}/content"),
+        ("GET", f"/v1/batches/{job.id}"),
+        ("POST", f"/v1/batches/{job.id}/cancel"),
+    ]
+    for method, path in paths:
+        assert call(daemon, method, path, key="s1").status == 200, path
+        assert call(daemon, method, path, key="s2").status == 404, path
+    assert job.id in [entry.id for entry in owner.batches.list(limit=100)]
+    assert job.id not in [entry.id for entry in other.batches.list(limit=100)]
+    body = {"input_file_id": job.input_file_id, "endpoint": CHAT}
+    assert call(daemon, "POST", "/v1/batches", body, key="s2").status == 404
+
+
+def test_resent_job_is_the_same_job(daemon: Address) -> None:
+    client = open_client(daemon)
+    file = client.files.create(file=("in.jsonl", make_lines(2)), purpose="batch")
+    body = {"input_file_id": file.id, "endpoint": CHAT, "completion_window": "24h"}
+
+    def create(changes: dict[str, Any], key: str = "") -> Answer:
+        headers = {"Idempotency-Key": key} if key else {}
+        return call(daemon, "POST", "/v1/batches", {**body, **changes}, "s1", headers)
+
+    first = create({}).json()["id"]
+    assert create({}).json()["id"] == first
+    keyed = create({}, "key-1").json()["id"]
+    assert keyed != first
+    assert create({}, "key-1").json()["id"] == keyed
+    assert create({"metadata": {"run": "2"}}, "key-1").status == 409
+
+
+def test_upload_keeps_every_byte(daemon: Address) -> None:
+    client = open_client(daemon)
+    data = bytes(range(256)) + b"\r\n--x\r\n\n\r\xc3\xa9" + bytes(range(255, -1, -1))
+    file = client.files.create(file=("raw.bin", data), purpose="batch")
+    assert (file.bytes, file.filename) == (len(data), "raw.bin")
+    assert client.files.content(file.id).read() == data
+    cut = call(
+        daemon, "POST", "/v1/files", b"--b\r\n", "s1", {"Content-Type": "multipart/form-data"}
+    )
+    assert cut.status == 400
+
+
+def test_cancelled_job_stops_and_keeps_finished_items(daemon: Address) -> None:
+    client = open_client(daemon)
+    job = submit(client, make_lines(3000, tokens=10))
+
+    def has_progress() -> Any:
+        return client.batches.retrieve(job.id).request_counts.completed > 20
+
+    wait_until(has_progress)
+    assert client.batches.cancel(job.id).status == "cancelling"
+    done = wait_final(client, job.id, 5.0)
+    counts = done.request_counts
+    assert done.status == "cancelled"
+    assert 0 < counts.completed < 3000
+    lines = read_lines(client, done.output_file_id)
+    assert len({line["custom_id"] for line in lines}) == len(lines) == counts.completed
--- /dev/null
+++ b/tests/functional/test_batch_faults.py
@@ -0,0 +1,106 @@
+"""Guards against accepted items that are lost, run twice or spread crashes when parts fail."""
+
+import signal
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from harness import Fleet, call, wait_until
+from openai import OpenAI
+from test_batch import make_lines, open_client, read_lines, start_fleet, submit, wait_final
+
+FAST = ("--token-interval", "0.01", "--first-token", "0.01")
+SETTINGS = {
+    "batch": {"chunk_items": "20", "scan_interval": "300ms", "chunk_lease": "2s"},
+    "routing": {"load_interval": "300ms"},
+    "platform": {"timeout": "1s"},
+}
+
+
+def check_each_item_once(client: OpenAI, job: Any, count: int, failed: Counter[str]) -> None:
+    output, errors = read_lines(client, job.output_file_id), read_lines(client, job.error_file_id)
+    found = Counter(line["custom_id"] for line in output + errors)
+    assert found == Counter(f"i{number}" for number in range(count))
+    assert Counter(line["custom_id"] for line in errors) == failed, errors[:3]
+    assert (job.request_counts.completed, job.request_counts.failed) == (
+        count - failed.total(),
+        failed.total(),
+    )
+
+
+def test_daemon_killed_right_after_the_acknowledgement(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        first, second = start_fleet(fleet, 2, 1, SETTINGS, *FAST)
+        job = submit(open_client(first), make_lines(60), "resend")
+        fleet.kill("vm1")
+        client = open_client(second)
+        assert submit_again(client, job).id == job.id
+        done = wait_final(client, job.id)
+        check_each_item_once(client, done, 60, Counter())
+
+
+def submit_again(client: OpenAI, job: Any) -> Any:
+    return client.batches.create(
+        input_file_id=job.input_file_id,
+        endpoint=job.endpoint,
+        completion_window="24h",
+        extra_headers={"Idempotency-Key": "resend"},
+    )
+
+
+def test_late_results_of_a_frozen_owner_never_show(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        first, second = start_fleet(fleet, 2, 1, SETTINGS, *FAST)
+        client = open_client(second)
+        job = submit(open_client(first), make_lines(200, tokens=20))
+        wait_until(lambda: client.batches.retrieve(job.id).request_counts.completed > 20)
+        fleet.process("vm1").signal(signal.SIGSTOP)
+        done = wait_final(client, job.id)
+        check_each_item_once(client, done, 200, Counter())
+        output = client.files.content(done.output_file_id).read()
+        fleet.process("vm1").signal(signal.SIGCONT)
+        wait_until(lambda: "batch:claim-lost" in fleet.log("vm1"), what="refused late result")
+        time.sleep(1.0)
+        assert client.files.content(done.output_file_id).read() == output
+        assert client.batches.retrieve(job.id) == done
+
+
+def test_results_are_held_while_the_store_is_down(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        (daemon,) = start_fleet(fleet, 1, 1, SETTINGS, *FAST)
+        client = open_client(daemon)
+        job = submit(client, make_lines(100))
+        wait_until(lambda: client.batches.retrieve(job.id).request_counts.completed > 0)
+        fleet.set_faults(down=True)
+        refused = call(daemon, "POST", "/v1/batches", {"input_file_id": "f", "endpoint": "x"}, "s1")
+        assert refused.status in (400, 503)
+        time.sleep(5.0)
+        ran = len(call(fleet.addresses["engine1"], "GET", "/seen").json()["requests"])
+        fleet.set_faults(lose_answers=3)
+        done = wait_final(client, job.id)
+        check_each_item_once(client, done, 100, Counter())
+        total = len(call(fleet.addresses["engine1"], "GET", "/seen").json()["requests"])
+        assert ran < total == 100, "items that finished in the outage must not run again"
+
+
+def test_worker_killed_with_items_in_flight(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        (daemon,) = start_fleet(fleet, 1, 2, SETTINGS, *FAST)
+        client = open_client(daemon)
+        job = submit(client, make_lines(150, tokens=20))
+        wait_until(lambda: client.batches.retrieve(job.id).request_counts.completed > 20)
+        fleet.kill("engine1")
+        done = wait_final(client, job.id)
+        check_each_item_once(client, done, 150, Counter())
+
+
+def test_crashing_item_costs_two_workers(tmp_path: Path) -> None:
+    with Fleet(tmp_path) as fleet:
+        (daemon,) = start_fleet(fleet, 1, 4, SETTINGS, *FAST)
+        client = open_client(daemon)
+        job = submit(client, make_lines(60, i30="crash-the-engine"))
+        done = wait_final(client, job.id)
+        check_each_item_once(client, done, 60, Counter(["i30"]))
+        alive = [fleet.process(f"engine{number}").alive for number in range(1, 5)]
+        assert alive.count(False) == 2
