--- a/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
@@ -3,6 +3,7 @@
 import uuid
 
 from trefoilreach._internal.api.auth import identify_caller, take_quota
+from trefoilreach._internal.api.callers import KeyWatch
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.scrub import (
     Secrets,
@@ -44,12 +45,18 @@
     found = parts.config.view.routes.get(route)
     if found is not None and found.kind != "service":
         found = None
-    account = identify_caller(parts, request, found)
+    key, account = identify_caller(parts, request, found)
     if found is None:
         raise Refusal(404, "service_not_found", f"the service {route!r} does not exist")
-    job = _build_job(parts, request, account, found, rest)
+    watch = KeyWatch(parts, request, "" if key is None else key.id)
+    job = _build_job(parts, request, account, found, rest)._replace(gone=watch.stopped)
     take_quota(parts, account)
-    return respond_reply(parts.services.run(job))
+    with watch.open():
+        try:
+            reply = parts.services.run(job)
+        finally:
+            watch.check()
+    return respond_reply(reply)
 
 
 def _build_job(
@@ -73,7 +80,6 @@
         + (f"?{query}" if query else ""),
         headers=_forwarded(headers, secrets),
         body=scrub_body(body, headers.get("content-type", ""), secrets) if body else b"",
-        gone=request.caller_gone,
     )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/events.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/events.py
@@ -21,10 +21,16 @@
             delta = choice.get("delta") or {}
             if delta.get("tool_calls") or delta.get("function_call"):
                 return None
-            text.append(delta.get("content") or choice.get("text") or "")
+            text.append(choice_text(choice))
     return "".join(text)
 
 
+def choice_text(choice: dict[str, Any]) -> str:
+    """Return the text of one choice of a streamed event."""
+    delta = choice.get("delta") or {}
+    return delta.get("content") or choice.get("text") or ""
+
+
 def join_events(path: str, payloads: Iterable[bytes]) -> dict[str, Any]:
     """Join streamed events into one completion object."""
     chat = path == CHAT_PATH
