--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -4,6 +4,7 @@
 
 from trefoilreach_emulator._internal.commands.bench import BenchCommand
 from trefoilreach_emulator._internal.commands.capacity import CapacityCommand
+from trefoilreach_emulator._internal.commands.demo import DemoCommand
 from trefoilreach_emulator._internal.commands.engine import EngineCommand
 from trefoilreach_emulator._internal.commands.load import LoadCommand
 from trefoilreach_emulator._internal.commands.platform import PlatformCommand
@@ -15,6 +16,7 @@
     return [
         BenchCommand,
         CapacityCommand,
+        DemoCommand,
         EngineCommand,
         LoadCommand,
         PlatformCommand,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from trefoilreach._internal.api import callers, entry  # noqa: F401 - register their routes
+from trefoilreach._internal.api import (  # noqa: F401 - register their routes
+    admin,
+    batches,
+    callers,
+    entry,
+    services,
+)
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import (
     JSON_TYPE,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -2,12 +2,22 @@
 
 import hmac
 
+from result import Err
+
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
+from trefoilreach._internal.coordination.quota import refuse_over_rate
 from trefoilreach._internal.protocol.verdict import Refusal
-from trefoilreach._internal.state.config import Account, Key, Route, hash_key
+from trefoilreach._internal.state.config import (
+    BOOTSTRAP_KEY_ID,
+    Account,
+    Key,
+    Route,
+    hash_key,
+)
 
-BOOTSTRAP_KEY_ID = "bootstrap"
+# Callers without a key on routes that are open to all share one place in the queue.
+ANONYMOUS = Account("", 1.0, 1.0)
 
 
 def require_key(parts: Parts, request: WebRequest) -> Key:
@@ -26,12 +36,14 @@
 
 
 def _find_bootstrap_key(parts: Parts, hashed: str) -> Key | None:
-    """Return the operator key of the settings while the configuration names none."""
+    """Return the first operator's key, which works until it is withdrawn.
+
+    Were it to end with the first key granted, a grant whose answer was lost would
+    lock the operators out.
+    """
     expected = parts.settings.platform.bootstrap_operator_key_hash
     if not expected or not hmac.compare_digest(expected, hashed):
         return None
-    if any(key.role == "operator" for key in parts.config.view.document.keys):
-        return None
     return Key(BOOTSTRAP_KEY_ID, hashed, "operator")
 
 
@@ -52,8 +64,40 @@
     return key, account
 
 
-def check_route(route: Route, account: Account) -> None:
-    """Refuse a route that the account may not use."""
-    if route.accounts and account.name not in route.accounts:
+def may_use(route: Route, account: Account) -> bool:
+    """Return whether an account may use a route."""
+    return route.open_to_all or not route.accounts or account.name in route.accounts
+
+
+def identify_caller(
+    parts: Parts, request: WebRequest, route: Route | None
+) -> tuple[Key | None, Account]:
+    """Return the key and account that a request for a route runs for.
+
+    A route that is open to all needs no key; without a valid one the request runs for
+    :data:`ANONYMOUS`.
+
+    :raises Refusal: 401 or 403.
+    """
+    if route is not None and route.open_to_all:
+        try:
+            return require_account(parts, request)
+        except Refusal:
+            return None, ANONYMOUS
+    key, account = require_account(parts, request)
+    if route is not None and not may_use(route, account):
         message = f"account {account.name!r} may not use {route.name!r}"
         raise Refusal(403, "route_not_allowed", message)
+    return key, account
+
+
+def take_quota(parts: Parts, account: Account) -> None:
+    """Spend one token of the account's rate.
+
+    :raises Refusal: 429 when the account is over its rate or burst.
+    """
+    if account is ANONYMOUS:
+        return
+    admitted = parts.quota.admit(account)
+    if isinstance(admitted, Err):
+        raise refuse_over_rate(account, admitted.err_value)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
@@ -1,7 +1,7 @@
 """Reads and writes the configuration in the platform's table and object stores."""
 
 import uuid
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -26,6 +26,9 @@
 
 # Row that names the version and the document object in force.
 HEAD_KEY = "config/head"
+# One row for each version that was ever in force, written together with the head.
+HISTORY_PREFIX = "config/history/"
+_VERSION_DIGITS = 12
 STORE_RETRY_SECONDS = 2.0
 # Earlier documents named by the head row, so that a writer whose answer was lost
 # finds its write even after others have written.
@@ -43,6 +46,11 @@
     recent: tuple[str, ...]
 
 
+def format_history_key(version: int) -> str:
+    """Return the key of a version's history row; the rows sort by version."""
+    return f"{HISTORY_PREFIX}{version:0{_VERSION_DIGITS}}"
+
+
 def refuse_stale(base: int, in_force: int) -> Refusal:
     """Return the refusal of a change that was made against an old version."""
     message = f"the change was made against version {base}, but version {in_force} is in force"
@@ -98,7 +106,13 @@
             "writer": writer,
             "recent": [*head.recent, name][-_RECENT:],
         }
-        return self._commit(Write(HEAD_KEY, value, head.revision), name, document.version)
+        history: dict[str, Any] = {"version": document.version, "object": name}
+        history["wall_time"] = self._clock.wall_time()
+        writes = [
+            Write(HEAD_KEY, value, head.revision),
+            Write(format_history_key(document.version), history, None),
+        ]
+        return self._commit(writes, name, document.version)
 
     def _put(self, name: str, data: bytes) -> Result[None, StoreError]:
         outcome = self._objects.put(name, data)
@@ -112,8 +126,8 @@
             outcome = self._objects.put(name, data)
         return outcome
 
-    def _commit(self, write: Write, name: str, version: int) -> Result[None, Refusal]:
-        outcome = self._table.commit([write])
+    def _commit(self, writes: list[Write], name: str, version: int) -> Result[None, Refusal]:
+        outcome = self._table.commit(writes)
         for _ in range(_RESOLVE_TRIES):
             if isinstance(outcome, Ok):
                 return Ok(None)
@@ -123,12 +137,12 @@
             if not isinstance(failure, OutcomeUnknown):
                 message = f"table service: {failure}"
                 return Err(refuse_unavailable(message, STORE_RETRY_SECONDS))
-            resolved = self._read_back(write, name, version)
+            resolved = self._read_back(writes[0], name, version)
             if resolved is not None:
                 return resolved
             self._clock.sleep(_RESOLVE_PAUSE_SECONDS)
             # The condition on the revision keeps a repeat from taking effect twice.
-            repeated = self._table.commit([write])
+            repeated = self._table.commit(writes)
             if isinstance(repeated, Ok) or isinstance(repeated.err_value, RevisionConflict):
                 outcome = repeated
         return Err(_refuse_unresolved())
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
@@ -23,6 +23,7 @@
 from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 from trefoilreach._internal.state.config import (
+    BOOTSTRAP_KEY_ID,
     ConfigDocument,
     ConfigError,
     Withdrawn,
@@ -190,7 +191,7 @@
 
     def withdraw(self, key_id: str) -> Result[WithdrawReport, Refusal]:
         """Withdraw a key here, on all peers that answer, and in the stores."""
-        known = {key.id for key in self._holder.view.document.keys}
+        known = {key.id for key in self._holder.view.document.keys} | {BOOTSTRAP_KEY_ID}
         if key_id not in known and key_id not in self._withdrawals.ids:
             return Err(Refusal(404, "key_not_found", f"there is no key {key_id!r}"))
         self._withdrawals.merge([Withdrawn(key_id, self._clock.wall_time())])
