--- /dev/null
+++ b/tests/unit/test_drain.py
@@ -0,0 +1,50 @@
+"""Guards against a planned stop that stops listening while callers still keep its address."""
+
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.drain import Drain
+
+
+class SteppedClock(ManualClock):
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
+
+class Recorder:
+    """Stands for the membership and the HTTP server and notes when it is called."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._start = clock.now()
+        self.calls: list[tuple[str, float]] = []
+
+    def note(self, name: str) -> None:
+        self.calls.append((name, self._clock.now() - self._start))
+
+    def leave(self) -> None:
+        self.note("leave")
+
+    def begin_drain(self) -> None:
+        self.note("begin_drain")
+
+    def stop_listening(self) -> None:
+        self.note("stop_listening")
+
+    def wait_idle(self, limit: float) -> bool:
+        self.note(f"wait_idle {limit:g}")
+        return True
+
+
+def test_callers_have_the_time_to_ask_again() -> None:
+    clock = SteppedClock()
+    recorder = Recorder(clock)
+    drain = Drain(clock, recorder, entry_keep=10.0, stream_grace=120.0)
+    drain.add_hook("quota", lambda: recorder.note("hook"))
+    drain.add_hook("failing", lambda: 1 // 0)
+    assert drain.run(recorder)
+    assert recorder.calls == [
+        ("leave", 0.0),
+        ("begin_drain", 0.0),
+        ("hook", 12.0),
+        ("stop_listening", 12.0),
+        ("wait_idle 120", 12.0),
+    ]
