--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -7,6 +7,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Test processes; each functional test starts a fleet of some ten processes of its own.
+WORKERS = 4
 
 
 def read_known_red() -> set[str]:
@@ -19,7 +21,7 @@
 def main() -> int:
     """Run pytest and compare its failures with the known ones."""
     known = read_known_red()
-    command = [sys.executable, "-m", "pytest", "-rfE", *sys.argv[1:]]
+    command = [sys.executable, "-m", "pytest", "-rfE", f"-n{WORKERS}", *sys.argv[1:]]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     print(done.stdout, end="")
     print(done.stderr, end="", file=sys.stderr)
