Check batch jobs against an oracle under store faults

Cause: only single faults were tested. Change: a stateful machine with three runners, paused holders, lapsed leases, lost and late writes, outages and resent jobs.

--- /dev/null
+++ b/tests/unit/test_batch_machine.py
@@ -0,0 +1,208 @@
+"""Guards against batch items that are lost, doubled or run on after a cancel.
+
+Several runners share faulty stores; an oracle knows which jobs were acknowledged.
+"""
+
+import random
+from typing import Any
+
+import orjson
+from batch_fakes import (
+    DOCUMENT,
+    ENDPOINT,
+    Fault,
+    Faults,
+    FaultyObjects,
+    FaultyTable,
+    Runner,
+    make_input,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.state.jobs import CANCELLED, COMPLETED, DONE, FINAL_STATUSES
+
+FAULTS = st.builds(
+    Fault, st.sampled_from(["", "down", "lost", "late"]), st.integers(0, 8), st.booleans()
+)
+NO_FAULT = Fault()
+RUNNERS = st.integers(0, 2)
+ACCOUNTS = {entry.name: entry for entry in DOCUMENT.accounts}
+
+
+class BatchMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        random.seed(seed)
+        self.clock = ManualClock()
+        self.faults = Faults()
+        self.table = FaultyTable(self.faults)
+        self.objects = FaultyObjects(self.faults)
+        self.starts = 0
+        self.runners = [self.make_runner() for _ in range(3)]
+        # What callers sent, by account and key: the item count, and the id once acknowledged.
+        self.sent: dict[tuple[str, str], tuple[JobRequest, int]] = {}
+        self.acknowledged: dict[tuple[str, str], str] = {}
+        self.cancelled: set[str] = set()
+        self.results: dict[str, str] = {}
+        self.outputs: dict[str, bytes] = {}
+        self.submit(0, "a", "x", 5)
+        self.submit(1, "b", "y", 3)
+
+    def make_runner(self) -> Runner:
+        self.starts += 1
+        return Runner(f"vm{self.starts}", self.clock, self.table, self.objects)
+
+    @rule(
+        at=RUNNERS, account=st.sampled_from("ab"), key=st.sampled_from("xyz"), n=st.integers(1, 5)
+    )
+    def submit(self, at: int, account: str, key: str, n: int) -> None:
+        accept = self.runners[at].parts.accept
+        try:
+            if (account, key) not in self.sent:
+                file = accept.accept_file(ACCOUNTS[account], Upload("f", "batch", make_input(n)))
+                request = JobRequest(file.id, ENDPOINT, "24h", {})
+                self.sent[account, key] = (request, n)
+            request, _ = self.sent[account, key]
+            job = accept.accept_job(ACCOUNTS[account], request, key)
+        except Refusal as refusal:
+            assert refusal.status == 503
+            return
+        finally:
+            self.faults.set(NO_FAULT)
+        assert self.acknowledged.setdefault((account, key), job.id) == job.id
+
+    @rule(at=RUNNERS, limit=st.integers(0, 6), fault=FAULTS)
+    def work(self, at: int, limit: int, fault: Fault = NO_FAULT) -> None:
+        """Tick a runner, run items and tick again, with a fault of the stores."""
+        runner = self.runners[at]
+        if runner.paused:
+            return
+        self.faults.set(fault)
+        runner.tick()
+        runner.run_items(limit, self.rng)
+        self.clock.advance(1.1)
+        runner.tick()
+        self.faults.set(NO_FAULT)
+
+    @rule(at=RUNNERS)
+    def resume(self, at: int) -> None:
+        self.runners[at].paused = False
+
+    @rule(at=RUNNERS, limit=st.integers(0, 6))
+    def freeze_past_the_lease(self, at: int, limit: int) -> None:
+        """Run items but do not store them until the others had time to take over."""
+        runner = self.runners[at]
+        if not runner.paused:
+            runner.tick()
+            runner.run_items(limit, self.rng)
+            runner.paused = True
+        for _ in range(5):
+            self.clock.advance(6.0)
+            for other in range(len(self.runners)):
+                self.work(other, 1)
+
+    @rule(at=RUNNERS)
+    def kill(self, at: int) -> None:
+        self.runners[at] = self.make_runner()
+
+    @rule(at=RUNNERS)
+    def give_back(self, at: int) -> None:
+        self.runners[at].give_back()
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 2.0, 7.0]))
+    def advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @rule(seconds=st.sampled_from([10.0, 40.0, 90.0]))
+    def outage(self, seconds: float) -> None:
+        for _ in range(3):
+            self.clock.advance(seconds / 3)
+            for at in range(len(self.runners)):
+                self.work(at, 2, Fault("down"))
+
+    @rule()
+    def apply_late(self) -> None:
+        self.table.apply_late()
+
+    @rule(at=RUNNERS, key=st.sampled_from([("a", "x"), ("b", "y")]), fault=FAULTS)
+    def cancel(self, at: int, key: tuple[str, str], fault: Fault) -> None:
+        self.faults.set(fault)
+        try:
+            job = self.runners[at].parts.cancel.cancel(key[0], self.acknowledged[key])
+        except Refusal as refusal:
+            assert refusal.status == 503
+            return
+        finally:
+            self.faults.set(NO_FAULT)
+        if job.status != COMPLETED:
+            self.cancelled.add(job.id)
+
+    def read(self, prefix: str) -> list[Any]:
+        return self.table.scan(prefix).unwrap()
+
+    @invariant()
+    def ended_chunks_never_change(self) -> None:
+        for row in self.read("chunk/"):
+            if row.value["state"] == DONE:
+                result = row.value["result"]
+                assert self.results.setdefault(row.key, result) == result
+            elif row.key in self.results:
+                raise AssertionError(f"{row.key} was ended and runs again")
+
+    @invariant()
+    def jobs_are_those_that_were_sent(self) -> None:
+        rows = self.read("job/")
+        assert len(rows) <= len(self.sent)
+        assert set(self.acknowledged.values()) <= {row.value["id"] for row in rows}
+        for row in rows:
+            if row.value["status"] in FINAL_STATUSES:
+                self.check_output(row)
+
+    def check_output(self, row: Any) -> None:
+        reader = self.runners[0].parts.reader
+        job = reader.find_job(row.value["account"], row.value["id"])
+        view = reader.view(job)
+        data = b""
+        if view.output_file:
+            found = reader.find_result(job.account, view.output_file)
+            assert found is not None
+            data = b"".join(reader.read_result(found))
+        assert self.outputs.setdefault(job.id, data) == data
+        assert len(data) == job.output_bytes
+        ids = [orjson.loads(line)["custom_id"] for line in data.splitlines()]
+        assert len(ids) == len(set(ids)) == job.completed
+        if job.status == COMPLETED:
+            assert len(ids) == job.total
+            assert job.id not in self.cancelled
+
+    def teardown(self) -> None:
+        if not hasattr(self, "faults"):
+            return
+        self.table.apply_late()
+        for runner in self.runners:
+            runner.paused = False
+        for step in range(400):
+            if not self.read("open/"):
+                break
+            for runner in self.runners:
+                runner.tick()
+                ran = runner.run_items(4, self.rng)
+                # After one read of the open jobs, nothing of a cancelled job runs.
+                assert step < 4 or not self.cancelled.intersection(job for job, _ in ran)
+            self.clock.advance(1.0)
+        assert not self.read("open/"), "an accepted job does not end"
+        self.jobs_are_those_that_were_sent()
+        self.ended_chunks_never_change()
+        statuses = {row.value["id"]: row.value["status"] for row in self.read("job/")}
+        assert all(statuses[job] == CANCELLED for job in self.cancelled)
+
+
+BatchMachine.TestCase.settings = settings(
+    stateful_step_count=30, max_examples=3 * settings().max_examples
+)
+TestBatchMachineFuzz = BatchMachine.TestCase
