--- a/tests/unit/test_batch_machine.py
+++ b/tests/unit/test_batch_machine.py
@@ -58,10 +58,15 @@
         return Runner(f"vm{self.starts}", self.clock, self.table, self.objects)
 
     @rule(
-        at=RUNNERS, account=st.sampled_from("ab"), key=st.sampled_from("xyz"), n=st.integers(1, 5)
+        at=RUNNERS,
+        account=st.sampled_from("ab"),
+        key=st.sampled_from("xyz"),
+        n=st.integers(1, 5),
+        fault=FAULTS,
     )
-    def submit(self, at: int, account: str, key: str, n: int) -> None:
+    def submit(self, at: int, account: str, key: str, n: int, fault: Fault = NO_FAULT) -> None:
         accept = self.runners[at].parts.accept
+        self.faults.set(fault)
         try:
             if (account, key) not in self.sent:
                 file = accept.accept_file(ACCOUNTS[account], Upload("f", "batch", make_input(n)))
@@ -71,6 +76,8 @@
             job = accept.accept_job(ACCOUNTS[account], request, key)
         except Refusal as refusal:
             assert refusal.status == 503
+            # An answer that was lost is read back while the store can be read.
+            assert fault.kind == "down" or fault.then_down
             return
         finally:
             self.faults.set(NO_FAULT)
@@ -85,7 +92,7 @@
         self.faults.set(fault)
         runner.tick()
         runner.run_items(limit, self.rng)
-        self.clock.advance(1.1)
+        self.clock.advance(0.4)
         runner.tick()
         self.faults.set(NO_FAULT)
 
@@ -141,6 +148,8 @@
             self.faults.set(NO_FAULT)
         if job.status != COMPLETED:
             self.cancelled.add(job.id)
+            here = [held for held in self.runners[at].held if held.job.id == job.id]
+            assert all(held.ending for held in here), "items start after the cancel"
 
     def read(self, prefix: str) -> list[Any]:
         return self.table.scan(prefix).unwrap()
