--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -6,18 +6,31 @@
 from trefoilreach._internal.api.app import Application
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
-from trefoilreach._internal.coordination.batch import SoloPeers, build_batches
+from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
+from trefoilreach._internal.coordination.backends import Backends
+from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.dispatch import Dispatcher
+from trefoilreach._internal.coordination.drain import Drain
+from trefoilreach._internal.coordination.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.isolation import Isolation
+from trefoilreach._internal.coordination.keys import Streams
+from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state import platform_http  # noqa: F401 - registers the adapters
 from trefoilreach._internal.state.objects import object_stores
 from trefoilreach._internal.state.table import tables
+from trefoilreach._internal.state.vms import vm_lists
 from trefoilreach._internal.transport.engine import HttpEngine
 from trefoilreach._internal.transport.http_server import HttpServer
+from trefoilreach._internal.transport.peer_handler import PeerHandlers
+from trefoilreach._internal.transport.peer_server import PeerServer
+from trefoilreach._internal.transport.service import HttpService
 
 
 class Daemon:
@@ -31,28 +44,57 @@
     def run(self) -> None:
         """Serve until :meth:`stop` is called."""
         with ExitStack() as stack:
-            self._open(stack)
+            drain, server = self._open(stack)
             self._stop.wait()
+            drain.run(server)
 
     def stop(self) -> None:
         """Begin a planned stop."""
         self._stop.set()
 
-    def _open(self, stack: ExitStack) -> None:
+    def _open(self, stack: ExitStack) -> tuple[Drain, HttpServer]:
         settings = self._settings
         open_log(settings.log, settings.daemon.name, stack)
         parts = self._build_parts(stack)
-        parts.config_sync.start(stack)
-        parts.batches.start(stack)
+        self._start_fleet(parts, stack)
+        parts.dispatcher.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
             settings.daemon.http_port,
             settings.daemon.threads,
+            self._clock,
         )
         stack.callback(server.close)
         server.start()
         log_event("daemon:started", http_port=server.port)
+        return parts.drain, server
+
+    def _start_fleet(self, parts: Parts, stack: ExitStack) -> None:
+        """Begin to talk to the other daemons."""
+        daemon, sync, membership = self._settings.daemon, parts.config_sync, parts.membership
+        membership.set_exchange(sync.state, sync.hear)
+        membership.set_store_silent(sync.store_silent)
+        sync.withdrawals.add_listener(parts.streams.close_keys)
+        handlers = PeerHandlers(
+            probe=membership.answer_probe,
+            probe_via=membership.answer_probe_via,
+            withdraw=sync.answer_withdraw,
+            fetch_config=sync.answer_fetch,
+            borrow=parts.quota.borrow,
+            online_started=parts.batches.feed.note_online,
+            cancel_job=parts.batches.runner.cancel_job,
+            suspects=lambda suspects: None,
+        )
+        peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
+        stack.callback(peer_server.close)
+        peer_server.start()
+        membership.start(stack)
+        sync.start(stack)
+        parts.quota.start(stack)
+        parts.batches.start(stack)
+        parts.drain.add_hook("quota", parts.quota.hand_back)
+        parts.isolation.start(stack)
 
     def _build_parts(self, stack: ExitStack) -> Parts:
         settings, platform = self._settings, self._settings.platform
@@ -61,7 +103,17 @@
         config = ConfigHolder()
         table = tables.get(platform.kind)(platform.url, platform.timeout)
         objects = object_stores.get(platform.kind)(platform.url, platform.timeout)
-        sync = ConfigSync(self._clock, table, objects, config, settings.fleet.poll_interval)
+        fleet = settings.fleet
+        vm_list = vm_lists.get(platform.kind)(platform.url, platform.timeout)
+        membership = Membership(self._clock, settings.daemon, fleet, vm_list)
+        sync = ConfigSync(self._clock, table, objects, config, fleet.poll_interval, membership)
+        tools = QuotaTools(settings.quota, self._clock, config, membership, table)
+        streams = Streams()
+        batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
+        backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
+        backends.note_online = batches.notices.note_online
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
             clock=self._clock,
@@ -70,14 +122,13 @@
             objects=objects,
             config=config,
             config_sync=sync,
-            dispatcher=Dispatcher(config, engine),
-            batches=build_batches(
-                settings,
-                self._clock,
-                table,
-                objects,
-                config,
-                engine,
-                SoloPeers(settings.daemon),
-            ),
+            dispatcher=dispatcher,
+            services=ServiceDispatcher(self._clock, service, backends, dispatcher),
+            membership=membership,
+            quota=quota_policies.get(settings.quota.policy)(tools),
+            entrypoints=EntryPoints(membership),
+            streams=streams,
+            isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
+            drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
+            batches=batches,
         )
