--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -9,4 +9,6 @@
 @pytest.fixture(scope="session")
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
     with open_site(tmp_path_factory.mktemp("site")) as opened:
+        # test_inside_rate.py shows what a new fleet refuses until then.
+        opened.settle_quota()
         yield opened
--- a/tests/functional/site_fixture.py
+++ b/tests/functional/site_fixture.py
@@ -28,6 +28,22 @@
         self.wait_for(answer.json()["version"])
         return answer.json()["entry"]["id"], answer.json()["entry"]["key"]
 
+    def settle_quota(self) -> None:
+        """Wait until both daemons own slots of the quota and serve."""
+        wait_until(self._owners_settled, what="slots of both daemons")
+        for daemon in self.daemons:
+            wait_until(lambda at=daemon: self._serves(at), what="a served request")
+
+    def _owners_settled(self) -> bool:
+        platform = self.fleet.addresses["platform"]
+        found = call(platform, "POST", "/table/get", {"key": "quota/slots"}).data
+        return b'"vm1/' in found and b'"vm2/' in found
+
+    def _serves(self, daemon: Address) -> bool:
+        body = {"model": "m", "max_tokens": 1, "messages": [{"role": "user", "content": "hi"}]}
+        path = "/v1/chat/completions"
+        return call(daemon, "POST", path, body, self.keys["shop"]).status == 200
+
     def wait_for(self, version: int) -> None:
         """Wait until a version is in force on every daemon."""
         for daemon in self.daemons:
