--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -38,7 +38,10 @@
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
         request = WebRequest(environ)
+        begin = self._parts.clock.now()
         response = self._answer(request)
+        self._parts.metrics.count(f"requests.status.{response.status}")
+        self._parts.metrics.time("requests.answer", self._parts.clock.now() - begin)
         start_response(response.status_line, response.headers)
         return response.body
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -17,6 +17,7 @@
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.reporter import Reporter
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import Settings
@@ -91,6 +92,8 @@
         parts.batches.start(stack)
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.isolation.start(stack)
+        reporter = Reporter(self._clock, parts.metrics, parts.config, membership, parts.streams)
+        reporter.start(stack)
 
     def _build_parts(self, stack: ExitStack) -> Parts:
         settings, platform = self._settings, self._settings.platform
