--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -10,6 +10,7 @@
     batches,
     callers,
     entry,
+    services,
 )
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import (
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -13,6 +13,7 @@
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import Quota
+from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
@@ -30,6 +31,7 @@
     config: ConfigHolder
     config_sync: ConfigSync
     dispatcher: Dispatcher
+    services: ServiceDispatcher
     membership: Membership
     quota: Quota
     entrypoints: EntryPoints
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
@@ -10,7 +10,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.batch_held import ItemTask
-from trefoilreach._internal.coordination.dispatch import choice_text, join_events
+from trefoilreach._internal.protocol.events import choice_text, join_events
 from trefoilreach._internal.protocol.openai import CHAT_PATH
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.config import Server
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -7,6 +7,7 @@
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
+from trefoilreach._internal.coordination.backends import Backends
 from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
@@ -18,6 +19,7 @@
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
 from trefoilreach._internal.coordination.reporter import Reporter
+from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import Settings
@@ -29,6 +31,7 @@
 from trefoilreach._internal.transport.http_server import HttpServer
 from trefoilreach._internal.transport.peer_handler import PeerHandlers
 from trefoilreach._internal.transport.peer_server import PeerServer
+from trefoilreach._internal.transport.service import HttpService
 
 
 class Daemon:
@@ -55,6 +58,7 @@
         open_log(settings.log, settings.daemon.name, stack)
         parts = self._build_parts(stack)
         self._start_fleet(parts, stack)
+        parts.dispatcher.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -108,6 +112,11 @@
         sync = ConfigSync(self._clock, table, objects, config, fleet.poll_interval, membership)
         tools = QuotaTools(settings.quota, self._clock, config, membership, table)
         streams = Streams()
+        batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
+        backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
+        backends.note_online = batches.notices.note_online
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
             clock=self._clock,
@@ -116,20 +125,13 @@
             objects=objects,
             config=config,
             config_sync=sync,
-            dispatcher=Dispatcher(config, engine),
+            dispatcher=dispatcher,
+            services=ServiceDispatcher(self._clock, service, backends, dispatcher),
             membership=membership,
             quota=quota_policies.get(settings.quota.policy)(tools),
             entrypoints=EntryPoints(membership),
             streams=streams,
             isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
             drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
-            batches=build_batches(
-                settings,
-                self._clock,
-                table,
-                objects,
-                config,
-                engine,
-                membership,
-            ),
+            batches=batches,
         )
--- a/tests/functional/test_openai_client.py
+++ b/tests/functional/test_openai_client.py
@@ -12,6 +12,8 @@
 from openai.types.chat import ChatCompletionMessageParam
 from site_fixture import Site
 
+# One test process starts the shared site.
+pytestmark = pytest.mark.xdist_group("site")
 MESSAGES: list[ChatCompletionMessageParam] = [{"role": "user", "content": "hello"}]
 
 
--- a/tests/functional/test_stories.py
+++ b/tests/functional/test_stories.py
@@ -14,6 +14,8 @@
 CHAT = "/v1/chat/completions"
 WITHDRAW_SECONDS = 5.0
 
+# One test process starts the shared site.
+pytestmark = pytest.mark.xdist_group("site")
 scenarios("features/operators.feature", "features/callers.feature")
 
 
