--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -21,7 +21,8 @@
 def main() -> int:
     """Run pytest and compare its failures with the known ones."""
     known = read_known_red()
-    command = [sys.executable, "-m", "pytest", "-rfE", f"-n{WORKERS}", *sys.argv[1:]]
+    command = [sys.executable, "-m", "pytest", "-rfE", f"-n{WORKERS}", "--dist=loadgroup"]
+    command += sys.argv[1:]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     print(done.stdout, end="")
     print(done.stderr, end="", file=sys.stderr)
