--- /dev/null
+++ b/tests/unit/test_fairness.py
@@ -0,0 +1,184 @@
+"""Guards the admission queue: unfair turns, late refusals, lost places."""
+
+import threading
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from trefoilreach._internal.clock import ManualClock, SystemClock
+from trefoilreach._internal.coordination.fairness import CallerGone, Claim, FairQueue
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+
+
+class Slots:
+    """Places of one group."""
+
+    def __init__(self, free: int) -> None:
+        self.free = free
+
+    def take(self) -> str | None:
+        if self.free == 0:
+            return None
+        self.free -= 1
+        return "server"
+
+
+def make_claim(
+    slots: Slots,
+    account: str = "a",
+    weight: float = 1.0,
+    target: float = 100.0,
+    interval: float = 0.0,
+    group: str = "m",
+) -> Claim[str]:
+    return Claim(account, weight, group, slots.take, target, lambda: interval, lambda: False)
+
+
+class Waiting:
+    """Requests that wait in threads; the order in which they got places."""
+
+    def __init__(self, queue: FairQueue[str]) -> None:
+        self._queue = queue
+        self._threads: list[threading.Thread] = []
+        self.served: list[str] = []
+        self.refused: list[Refusal] = []
+
+    def send(self, claim: Claim[str]) -> None:
+        before = (self._queue.waiting, len(self.refused))
+        thread = threading.Thread(target=self._run, args=(claim,), daemon=True)
+        thread.start()
+        self._threads.append(thread)
+        while thread.is_alive() and (self._queue.waiting, len(self.refused)) == before:
+            thread.join(0.0005)
+
+    def _run(self, claim: Claim[str]) -> None:
+        try:
+            self._queue.enter(claim)
+            self.served.append(claim.account)
+        except Refusal as refusal:
+            self.refused.append(refusal)
+
+    def join(self) -> None:
+        for thread in self._threads:
+            thread.join(5.0)
+            assert not thread.is_alive()
+
+
+@given(
+    weights=st.lists(st.integers(1, 10), min_size=2, max_size=4),
+    places=st.integers(10, 60),
+)
+def test_fuzz_backlogged_accounts_get_places_by_rate(weights: list[int], places: int) -> None:
+    """Guards against an account that gets less than its part while all accounts wait.
+
+    The oracle is weighted sharing; fair queuing may be off by one request each way.
+    """
+    queue: FairQueue[str] = FairQueue(ManualClock(), 10_000)
+    order: list[str] = []
+
+    def waiter(account: str, weight: int) -> None:
+        def take() -> str | None:
+            if not slots.take():
+                return None
+            order.append(account)
+            return "server"
+
+        claim = make_claim(slots, account, weight)._replace(try_place=take)
+        with queue._lock:
+            queue._add(claim)
+
+    slots = Slots(0)
+    for account, weight in enumerate(weights):
+        for _ in range(places):
+            waiter(f"a{account}", weight)
+    for _ in range(places):
+        slots.free = 1
+        queue.pump()
+    counts = Counter(order)
+    for account, weight in enumerate(weights):
+        share = places * weight / sum(weights)
+        assert abs(counts[f"a{account}"] - share) <= 1 + len(weights)
+
+
+def test_a_flood_of_one_account_does_not_delay_another() -> None:
+    """Guards against a place behind everything that a large tenant sent first."""
+    queue: FairQueue[str] = FairQueue(SystemClock(), 1000)
+    slots = Slots(0)
+    waiting = Waiting(queue)
+    for _ in range(30):
+        waiting.send(make_claim(slots, "flood", 10.0))
+    waiting.send(make_claim(slots, "small", 1.0))
+    for _ in range(31):
+        slots.free += 1
+        queue.pump()
+    waiting.join()
+    assert len(waiting.served) == 31
+    assert waiting.served.index("small") <= 12
+
+
+def test_hopeless_wait_is_refused_at_once() -> None:
+    """Guards against a refusal that comes only when the target is over."""
+    queue: FairQueue[str] = FairQueue(ManualClock(), 1000)
+    slots = Slots(0)
+    waiting = Waiting(queue)
+    for number in range(6):
+        waiting.send(make_claim(slots, target=2.0, interval=0.5))
+        assert len(waiting.refused) == max(0, number - 3)
+    refusal = waiting.refused[0]
+    assert (refusal.status, refusal.verdict) == (503, Verdict.NOT_RUN)
+    assert refusal.retry_after is not None and refusal.retry_after >= 0.5
+    slots.free = 4
+    queue.pump()
+    waiting.join()
+    assert len(waiting.served) == 4
+
+
+def test_wait_over_the_target_ends_and_takes_no_place() -> None:
+    """Guards against a request that stays queued, or takes a place, after its refusal."""
+    clock = ManualClock()
+    queue: FairQueue[str] = FairQueue(clock, 1000)
+    slots = Slots(0)
+    waiting = Waiting(queue)
+    waiting.send(make_claim(slots, target=1.0))
+    while not waiting.refused:
+        clock.advance(0.2)
+    waiting.join()
+    slots.free = 1
+    queue.pump()
+    assert slots.free == 1 and queue.waiting == 0
+
+
+def test_full_group_does_not_block_another() -> None:
+    """Guards against a request that waits although its own servers are free."""
+    queue: FairQueue[str] = FairQueue(SystemClock(), 1000)
+    full, free = Slots(0), Slots(1)
+    waiting = Waiting(queue)
+    waiting.send(make_claim(full, group="busy"))
+    assert queue.enter(make_claim(free, group="idle")) == "server"
+    full.free = 1
+    queue.pump()
+    waiting.join()
+
+
+def test_queue_over_its_capacity_refuses_who_would_go_last() -> None:
+    """Guards against a small account that finds the queue full of another's requests."""
+    queue: FairQueue[str] = FairQueue(SystemClock(), 5)
+    slots = Slots(0)
+    waiting = Waiting(queue)
+    for _ in range(5):
+        waiting.send(make_claim(slots, "flood", 1.0))
+    waiting.send(make_claim(slots, "small", 1.0))
+    slots.free = 5
+    queue.pump()
+    waiting.join()
+    assert Counter(waiting.served) == {"flood": 4, "small": 1}
+
+
+def test_caller_that_left_gives_up_its_turn() -> None:
+    """Guards against a place for a caller who is gone."""
+    queue: FairQueue[str] = FairQueue(SystemClock(), 5)
+    slots = Slots(0)
+    with pytest.raises(CallerGone):
+        queue.enter(make_claim(slots)._replace(gone=lambda: True))
+    assert queue.waiting == 0
