Limit a crashing request to two workers in the whole fleet

Cause: a retried or resent crashing prompt took down one worker after another. Change: requests in flight on a worker that died are recorded and pushed to all peers, run again only as trials under leases, and a second crash makes the trial poison (422).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -11,6 +11,13 @@
 from trefoilreach._internal.coordination.affinity import find_prefixes
 from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
 from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.crash_guard import (
+    CrashGuard,
+    GuardedRun,
+    TrialBusy,
+    find_fingerprint,
+    refuse_busy,
+)
 from trefoilreach._internal.coordination.fairness import CallerGone
 from trefoilreach._internal.coordination.load_poller import LoadPoller
 from trefoilreach._internal.coordination.load_view import LoadView
@@ -38,6 +45,12 @@
 _SPARE_THREADS = 16
 _CANCEL_THREADS = 4
 _CLIENT_ERRORS = {400, 413, 422}
+# How often a suspect that found no worker for its trial looks again.
+_TRIAL_WAIT_SECONDS = 0.1
+# Innocent requests wait for their turn instead of failing, but not for ever.
+_TRIAL_LIMIT_SECONDS = 30.0
+# A process that is just ending can reset a connection before it refuses the next.
+_DYING_SECONDS = 0.1
 STOPPED_STATUS = 503
 
 
@@ -64,10 +77,12 @@
         config: ConfigHolder,
         engine: Engine,
         backends: Backends,
+        guard: CrashGuard,
     ) -> None:
         self.clock = clock
         self.engine = engine
         self.backends = backends
+        self.guard = guard
         self.budget = RetryBudget(clock, settings.routing.retry_share / 100.0)
         self._settings = settings
         self._config = config
@@ -122,8 +137,12 @@
 
 
 class _Attempt(NamedTuple):
+    """One try on one server; ``instance`` is the server's process as last reported."""
+
     server: Server
     request_id: str
+    instance: str
+    guarded: GuardedRun
 
 
 class _Run:
@@ -135,6 +154,9 @@
         self._job = job
         self._request = request
         self._prefixes = find_prefixes(prompt_text(job.completion))
+        self._fingerprint = find_fingerprint(
+            job.account.name, job.completion.path, job.completion.body
+        )
         self._delivered: list[bytes] = []
         self._failed: list[str] = []
         self._silent_attempts = 0
@@ -143,7 +165,7 @@
     def relay(self) -> Iterator[bytes]:
         """Yield payloads over as many attempts as allowed."""
         for number in range(_ATTEMPTS):
-            attempt = self._place(number)
+            attempt = self._start_attempt(number)
             try:
                 yield from self._relay_attempt(attempt)
                 return
@@ -151,7 +173,26 @@
                 self._note_failure(attempt, error)
                 self._check_retry(error, number)
 
-    def _place(self, number: int) -> _Attempt:
+    def _start_attempt(self, number: int) -> _Attempt:
+        """Return an attempt with a place; a suspect waits for its trial."""
+        clock = self._dispatcher.clock
+        deadline = clock.now() + _TRIAL_LIMIT_SECONDS
+        while True:
+            server, request_id = self._place(number)
+            guarded = self._dispatcher.guard.begin(self._fingerprint, server.name)
+            if not isinstance(guarded, Err):
+                report = self._backends.load.last_report(server.name)
+                instance = "" if report is None else report.instance
+                return _Attempt(server, request_id, instance, guarded.ok_value)
+            self._backends.release(server, request_id)
+            refusal = guarded.err_value
+            if not isinstance(refusal, TrialBusy):
+                raise self._keep_verdict(refusal)
+            if clock.now() > deadline or self._request.stop_reason:
+                raise self._keep_verdict(refuse_busy())
+            clock.sleep(_TRIAL_WAIT_SECONDS)
+
+    def _place(self, number: int) -> tuple[Server, str]:
         job = self._job
         # Another attempt has another id, so that a late answer to the first cannot match.
         request_id = job.request_id if number == 0 else f"{job.request_id}-{number}"
@@ -164,7 +205,7 @@
             gone=lambda: bool(self._request.stop_reason),
         )
         try:
-            return _Attempt(self._backends.enter(place), request_id)
+            return self._backends.enter(place), request_id
         except CallerGone:
             raise self._refuse("stopped", self._request.stop_reason) from None
         except Refusal as refusal:
@@ -173,15 +214,37 @@
     def _relay_attempt(self, attempt: _Attempt) -> Iterator[bytes]:
         backends, clock = self._backends, self._dispatcher.clock
         started = clock.now()
+        succeeded = False
         try:
             backends.note_online(attempt.server.name)
             yield from self._relay_events(attempt)
+            succeeded = True
             backends.note_service_time(self._job.route, clock.now() - started)
             backends.prefixes.learn(attempt.server.name, self._prefixes)
+        except EngineError as error:
+            if self._has_died(attempt, error):
+                backends.health.mark_refused(attempt.server.name, polled=True)
+                self._dispatcher.guard.worker_died(attempt.server.name)
+            raise
         finally:
             self._request.end_attempt()
+            self._dispatcher.guard.end(attempt.guarded, succeeded)
             backends.release(attempt.server, attempt.request_id)
 
+    def _has_died(self, attempt: _Attempt, error: EngineError) -> bool:
+        """Return whether the server's process ended while it had the request."""
+        interrupted = self._request.stop_reason or error.silent or error.status
+        if error.verdict is Verdict.NOT_RUN or interrupted:
+            return False
+        for _ in range(2):
+            reply = self._dispatcher.engine.load(attempt.server)
+            if not isinstance(reply, Err):
+                return bool(attempt.instance) and reply.ok_value.instance != attempt.instance
+            if reply.err_value.gone:
+                return True
+            self._dispatcher.clock.sleep(_DYING_SECONDS)
+        return False
+
     def _relay_events(self, attempt: _Attempt) -> Iterator[bytes]:
         opened = self._dispatcher.engine.open(attempt.server, self._build_request(attempt))
         if isinstance(opened, Err):
@@ -251,6 +314,11 @@
     def _resumable(self) -> bool:
         return read_text(self._delivered) is not None
 
+    def _keep_verdict(self, refusal: Refusal) -> Refusal:
+        if self._may_have_run:
+            refusal.verdict = Verdict.MAY_HAVE_RUN
+        return refusal
+
     def _refuse(
         self, code: str, message: str, retry_after: float | None = _RETRY_AFTER_FAILURE_SECONDS
     ) -> Refusal:
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.drain import Drain
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
@@ -58,6 +59,7 @@
         parts = self._build_parts(stack)
         self._start_fleet(parts, stack)
         parts.dispatcher.start(stack)
+        parts.dispatcher.guard.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -84,7 +86,7 @@
             borrow=parts.quota.borrow,
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
-            suspects=lambda suspects: None,
+            suspects=parts.dispatcher.guard.hear,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -112,7 +114,8 @@
         batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
         backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
         backends.note_online = batches.notices.note_online
-        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        guard = CrashGuard(self._clock, table, membership)
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
