Keep the first outcome of each idempotency key

Cause: a resend of a completion or service call ran a second time. Change: a row is inserted before the call and names the recorded outcome after it; resends to any VM get that outcome, 409 while it runs, or may-have-run when its VM is gone. A keyed request goes on when its caller leaves. Ends that a store did not take are settled later.

--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -1,6 +1,5 @@
 """The WSGI application: finds the handler, answers refusals in the API's error shape."""
 
-import math
 import uuid
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -13,21 +12,14 @@
     services,
 )
 from trefoilreach._internal.api.parts import Parts
-from trefoilreach._internal.api.web import (
-    JSON_TYPE,
-    WebRequest,
-    WebResponse,
-    respond_bytes,
-    routes,
-)
+from trefoilreach._internal.api.refusals import respond_refusal
+from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
 from trefoilreach._internal.logs import log_event
-from trefoilreach._internal.protocol.openai import encode_error
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 # Answered whatever the state of the daemon.
 HEALTH_PATH = "/healthz"
-VERDICT_HEADER = "Trefoilreach-Verdict"
 
 
 class Application:
@@ -56,14 +48,3 @@
             log_event("api:error", incident=incident, path=request.path, error=repr(error))
             message = f"internal error, incident {incident}"
             return respond_refusal(Refusal(500, "internal", message, Verdict.MAY_HAVE_RUN))
-
-
-def respond_refusal(refusal: Refusal) -> WebResponse:
-    """Return the response of a refusal."""
-    response = respond_bytes(encode_error(refusal), JSON_TYPE, refusal.status)
-    response.headers.append((VERDICT_HEADER, refusal.verdict.value))
-    if refusal.retry_after is not None:
-        seconds = max(1, math.ceil(refusal.retry_after))
-        response.headers.append(("Retry-After", str(seconds)))
-        response.headers.append(("Retry-After-Ms", str(math.ceil(refusal.retry_after * 1000))))
-    return response
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
@@ -13,9 +13,16 @@
     require_account,
     take_quota,
 )
+from trefoilreach._internal.api.keyed import run_keyed
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.scrub import find_secrets, scrub_json
-from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
+from trefoilreach._internal.api.web import (
+    IDEMPOTENCY_HEADER,
+    WebRequest,
+    WebResponse,
+    respond_json,
+    routes,
+)
 from trefoilreach._internal.coordination.dispatch import Job
 from trefoilreach._internal.coordination.keys import refuse_ended_stream
 from trefoilreach._internal.protocol.events import join_events
@@ -41,7 +48,8 @@
 @routes.register("POST", COMPLETIONS_PATH)
 def complete(parts: Parts, request: WebRequest) -> WebResponse:
     """Run one completion, plain or streamed."""
-    body = parse_json_object(request.read_body(parts.settings.daemon.body_limit))
+    data = request.read_body(parts.settings.daemon.body_limit)
+    body = parse_json_object(data)
     model = body.get("model")
     route = parts.config.view.routes.get(model) if isinstance(model, str) else None
     # The key is judged before the request's other faults.
@@ -54,10 +62,14 @@
     take_quota(parts, account)
     watch = KeyWatch(parts, request, "" if key is None else key.id)
     job = Job(f"cmpl-{uuid.uuid4().hex}", account, route, completion, watch.stopped)
+    return run_keyed(parts, request, account.name, data, lambda: _run(parts, watch, job))
+
+
+def _run(parts: Parts, watch: "KeyWatch", job: Job) -> WebResponse:
     events = _relay(parts, watch, job)
-    if completion.stream:
+    if job.completion.stream:
         return WebResponse(200, _EVENT_STREAM_HEADERS, _start_stream(job, events))
-    return respond_json(join_events(completion.path, events))
+    return respond_json(join_events(job.completion.path, events))
 
 
 class KeyWatch:
@@ -67,11 +79,15 @@
         self._parts = parts
         self._request = request
         self._key_id = key_id
+        self._keyed = request.header(IDEMPOTENCY_HEADER) is not None
         self._ended = threading.Event()
 
     def stopped(self) -> bool:
-        """Return whether the request must end."""
-        return self._ended.is_set() or self._request.caller_gone()
+        """Return whether the request must end.
+
+        With an idempotency key it goes on without its caller, who may ask again.
+        """
+        return self._ended.is_set() or (not self._keyed and self._request.caller_gone())
 
     def check(self) -> None:
         """Raise the refusal of a request whose key was withdrawn while it ran."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -9,6 +9,7 @@
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.drain import Drain
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.idempotency import Idempotency
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
@@ -32,6 +33,7 @@
     config_sync: ConfigSync
     dispatcher: Dispatcher
     services: ServiceDispatcher
+    idempotency: Idempotency
     membership: Membership
     quota: Quota
     entrypoints: EntryPoints
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
@@ -4,6 +4,7 @@
 
 from trefoilreach._internal.api.auth import identify_caller, take_quota
 from trefoilreach._internal.api.callers import KeyWatch
+from trefoilreach._internal.api.keyed import run_keyed
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.scrub import (
     Secrets,
@@ -49,8 +50,13 @@
     if found is None:
         raise Refusal(404, "service_not_found", f"the service {route!r} does not exist")
     watch = KeyWatch(parts, request, "" if key is None else key.id)
-    job = _build_job(parts, request, account, found, rest)._replace(gone=watch.stopped)
+    data = request.read_body(parts.settings.daemon.body_limit)
+    job = _build_job(parts, request, account, found, rest, data)._replace(gone=watch.stopped)
     take_quota(parts, account)
+    return run_keyed(parts, request, account.name, data, lambda: _run(parts, watch, job))
+
+
+def _run(parts: Parts, watch: KeyWatch, job: ServiceJob) -> WebResponse:
     with watch.open():
         try:
             reply = parts.services.run(job)
@@ -60,10 +66,9 @@
 
 
 def _build_job(
-    parts: Parts, request: WebRequest, account: Account, route: Route, rest: str
+    parts: Parts, request: WebRequest, account: Account, route: Route, rest: str, body: bytes
 ) -> ServiceJob:
     secrets = find_secrets(request, parts.config.view.keys_by_hash)
-    body = request.read_body(parts.settings.daemon.body_limit)
     if secrets.carries(rest):
         raise refuse_bad_request("the path must not carry a key")
     headers = request.headers
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/web.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/web.py
@@ -10,6 +10,7 @@
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
 
 JSON_TYPE = "application/json"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
 _REASONS = {
     200: "OK",
     201: "Created",
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -15,6 +15,7 @@
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.drain import Drain
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.idempotency import Idempotency
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
@@ -60,6 +61,7 @@
         self._start_fleet(parts, stack)
         parts.dispatcher.start(stack)
         parts.dispatcher.guard.start(stack)
+        parts.idempotency.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -126,6 +128,7 @@
             config=config,
             config_sync=sync,
             dispatcher=dispatcher,
+            idempotency=Idempotency(self._clock, table, objects, membership),
             services=ServiceDispatcher(self._clock, service, backends, dispatcher),
             membership=membership,
             quota=quota_policies.get(settings.quota.policy)(tools),
--- a/tests/functional/test_online.py
+++ b/tests/functional/test_online.py
@@ -165,9 +165,10 @@
         wait_until(lambda: _total(site) == base, 5.0, "the request to be cancelled")
 
 
-def _send_and_leave(address: Address, body: Any) -> None:
+def _send_and_leave(address: Address, body: Any, headers: dict[str, str] | None = None) -> None:
     data = orjson.dumps(body)
     head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
     head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
     with socket.create_connection(address, timeout=5.0) as connection:
         connection.sendall(head.encode() + data)
