--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -11,9 +11,11 @@
 from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.drain import Drain
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.idempotency import Idempotency
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
@@ -59,6 +61,8 @@
         parts = self._build_parts(stack)
         self._start_fleet(parts, stack)
         parts.dispatcher.start(stack)
+        parts.dispatcher.guard.start(stack)
+        parts.idempotency.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -85,7 +89,7 @@
             borrow=parts.quota.borrow,
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
-            suspects=lambda suspects: None,
+            suspects=parts.dispatcher.guard.hear,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -115,7 +119,8 @@
         batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
         backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
         backends.note_online = batches.notices.note_online
-        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        guard = CrashGuard(self._clock, table, membership)
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
@@ -126,6 +131,7 @@
             config=config,
             config_sync=sync,
             dispatcher=dispatcher,
+            idempotency=Idempotency(self._clock, table, objects, membership),
             services=ServiceDispatcher(self._clock, service, backends, dispatcher),
             membership=membership,
             quota=quota_policies.get(settings.quota.policy)(tools),
