--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -115,7 +115,8 @@
             now, slots = self._clock.now(), self._ledger.slots
             if slots.row is None or now - self._table_read_at < CONFIRM_BY_PEERS_SECONDS:
                 return
-            slots.confirm_by_majority(now)
+            if not self._peers.members():
+                slots.confirm_alone(now)
             owners = [name for name in slots.row.owners() if name != self._ledger.owner]
         for owner in owners:
             self._ask(owner)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -211,21 +211,11 @@
         if self._row is None or revision != self.revision:
             return
         self._confirmed_by[vm] = max(asked_at, self._confirmed_by.get(vm, -math.inf))
-        self.confirm_by_majority(now)
+        self._confirm_by_majority(self._row, now)
 
-    def confirm_by_majority(self, now: float) -> None:
-        """Extend the use of the slots when most owners confirmed the row."""
-        if self._row is None:
-            return
-        vms = {vm_of(owner) for owner in self._row.owners()}
-        needed = len(vms) // 2
-        times = sorted(
-            (at for vm, at in self._confirmed_by.items() if vm in vms and not self._is_self(vm)),
-            reverse=True,
-        )
-        if self._row.owned_by(self._owner) and len(times) >= needed:
-            asked_at = times[needed - 1] if needed else now
-            self._confirm(asked_at + VALID_SECONDS, now)
+    def confirm_alone(self, now: float) -> None:
+        """Extend the use of the slots of a daemon that knows no other VM."""
+        self._confirm(now + VALID_SECONDS, now)
 
     def acknowledge(self, vm: str, revision: int, now: float) -> None:
         """Note that a VM knows the row under which slots were taken over."""
@@ -279,6 +269,16 @@
             for entry in self._pending
         ]
 
+    def _confirm_by_majority(self, row: SlotRow, now: float) -> None:
+        vms = {vm_of(owner) for owner in row.owners()}
+        needed = max(1, len(vms) // 2)
+        times = sorted(
+            (at for vm, at in self._confirmed_by.items() if vm in vms and not self._is_self(vm)),
+            reverse=True,
+        )
+        if len(times) >= needed and row.owned_by(self._owner):
+            self._confirm(times[needed - 1] + VALID_SECONDS, now)
+
     def _is_self(self, vm: str) -> bool:
         return vm == vm_of(self._owner)
 
--- /dev/null
+++ b/tests/functional/test_quota.py
@@ -0,0 +1,179 @@
+"""Guards against limits that fail, or service that stops, when real daemons fail.
+
+Each test sends requests to real processes and checks every window of the admissions
+against burst + rate * T by their completion at the caller.
+"""
+
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from harness import Address, Fleet, call, hash_secret, publish, wait_until
+from trefoilreach._internal.state.config import Account, ConfigDocument, Key, Route, Server
+
+RATE, BURST = 20.0, 10.0
+# Requests are seen at the caller, some milliseconds after they were admitted.
+SLACK_SECONDS = 0.25
+SETTLE_SECONDS = 5.0
+BODY = {"model": "m", "max_tokens": 1, "messages": [{"role": "user", "content": "x"}]}
+
+
+class Sent(NamedTuple):
+    due: float
+    ended: float
+    status: int
+
+
+def make_document(engine: Address, version: int, rate: float, burst: float) -> ConfigDocument:
+    accounts = (Account("a", rate, burst), Account("b", rate, burst), Account("s", 0.8, 1.0))
+    server = Server("engine1", "engine", engine.host, engine.port, ("m",), slots=64)
+    return ConfigDocument(
+        version=version,
+        accounts=accounts,
+        keys=tuple(Key(f"k{a.name}", hash_secret(f"s{a.name}"), "caller", a.name) for a in accounts),
+        routes=(Route("m"),),
+        servers=(server,),
+    )
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    with Fleet(tmp_path) as fleet:
+        fleet.start_emulator("platform", "platform")
+        options = ("--models", "m", "--slots", "64", "--token-interval", "0.001")
+        fleet.start_emulator("engine", "engine1", *options, "--first-token", "0.001")
+        for number in (1, 2, 3):
+            fleet.start_daemon(f"vm{number}", number)
+        publish(fleet, make_document(fleet.addresses["engine1"], 1, RATE, BURST))
+        for name in ("vm1", "vm2", "vm3"):
+            wait_for_version(fleet, name, 1)
+        time.sleep(SETTLE_SECONDS)
+        yield fleet
+
+
+def wait_for_version(fleet: Fleet, name: str, version: int) -> None:
+    address = fleet.addresses[name]
+    wait_until(lambda: call(address, "GET", "/healthz").json()["config_version"] == version)
+
+
+def offer(address: Address, account: str, rate: float, seconds: float, sent: list[Sent]) -> None:
+    """Send requests at even times, however long the answers take."""
+    threads = []
+    due = time.monotonic()
+    end = due + seconds
+    while due < end:
+        time.sleep(max(0.0, due - time.monotonic()))
+        thread = threading.Thread(target=send, args=(address, account, due, sent))
+        thread.start()
+        threads.append(thread)
+        due += 1.0 / rate
+    for thread in threads:
+        thread.join()
+
+
+def send(address: Address, account: str, due: float, sent: list[Sent]) -> None:
+    try:
+        path = "/v1/chat/completions"
+        status = call(address, "POST", path, BODY, key=f"s{account}", timeout=5.0).status
+    except OSError:
+        status = 0
+    sent.append(Sent(due, time.monotonic(), status))
+
+
+@contextmanager
+def offering(
+    fleet: Fleet, names: str, account: str, rate: float, seconds: float
+) -> Iterator[list[Sent]]:
+    """Send to several daemons for the time of a block and longer."""
+    sent: list[Sent] = []
+    threads = [
+        threading.Thread(target=offer, args=(fleet.addresses[name], account, rate, seconds, sent))
+        for name in names.split()
+    ]
+    for thread in threads:
+        thread.start()
+    yield sent
+    for thread in threads:
+        thread.join()
+
+
+def check_windows(sent: list[Sent], rate: float = RATE, burst: float = BURST) -> None:
+    times = sorted(entry.ended for entry in sent if entry.status == 200)
+    for first, begin in enumerate(times):
+        for count, end in enumerate(times[first:], 1):
+            limit = burst + rate * (end - begin + SLACK_SECONDS)
+            assert count <= limit, f"{count} admitted in {end - begin:.3f} s"
+
+
+def refused_share(sent: list[Sent]) -> float:
+    return sum(entry.status == 429 for entry in sent) / len(sent)
+
+
+def test_one_daemon_gets_the_whole_rate_and_small_bursts(fleet: Fleet) -> None:
+    """Refusals of callers that stay inside their rate but use one VM."""
+    with (
+        offering(fleet, "vm1", "a", 0.9 * RATE, 8.0) as hot,
+        offering(fleet, "vm2", "s", 0.72, 8.0) as small,
+    ):
+        pass
+    assert refused_share(hot) < 0.005, refused_share(hot)
+    assert refused_share(small) == 0.0
+    with offering(fleet, "vm3", "s", 0.72, 6.0) as moved:
+        pass
+    assert refused_share(moved) == 0.0
+
+
+def test_account_over_its_rate_does_not_disturb_others(fleet: Fleet) -> None:
+    """Refusals or delays of other accounts, and admissions above the rate, under overload."""
+    with (
+        offering(fleet, "vm1 vm2 vm3", "a", 5.0 * RATE / 3.0, 6.0) as loud,
+        offering(fleet, "vm1", "b", 0.9 * RATE, 6.0) as quiet,
+    ):
+        pass
+    check_windows(loud)
+    assert refused_share(quiet) < 0.005
+    delays = sorted(entry.ended - entry.due for entry in quiet)
+    assert delays[len(delays) * 9 // 10] < 0.1
+    admitted = sum(entry.status == 200 for entry in loud)
+    assert admitted >= 0.9 * RATE * 6.0
+
+
+def test_killed_daemon_and_table_down(fleet: Fleet) -> None:
+    """Service that ends with a daemon's death while the table is down, or excess after it."""
+    fleet.set_faults(down=True)
+    fleet.kill("vm2")
+    time.sleep(8.0)
+    with offering(fleet, "vm1", "a", 0.6 * RATE, 8.0) as sent:
+        pass
+    check_windows(sent)
+    assert refused_share(sent) < 0.02, refused_share(sent)
+
+
+def test_frozen_daemon_spends_nothing_from_lapsed_loans(fleet: Fleet) -> None:
+    """Admissions by a daemon that wakes up after its loans and slots went to others."""
+    with offering(fleet, "vm1 vm2 vm3", "a", 1.5 * RATE, 20.0) as sent:
+        time.sleep(3.0)
+        fleet.process("vm2").signal(signal.SIGSTOP)
+        call(fleet.addresses["platform"], "DELETE", "/vms/vm2")
+        time.sleep(14.0)
+        fleet.process("vm2").signal(signal.SIGCONT)
+    check_windows(sent)
+
+
+def test_lowered_rate_holds_everywhere(fleet: Fleet) -> None:
+    """A changed rate that some daemon goes on exceeding after it is in force."""
+    document = make_document(fleet.addresses["engine1"], 2, RATE / 4.0, BURST / 2.0)
+    with offering(fleet, "vm1 vm2 vm3", "a", RATE, 10.0) as sent:
+        time.sleep(2.0)
+        publish(fleet, document, 1)
+        for name in ("vm1", "vm2", "vm3"):
+            wait_for_version(fleet, name, 2)
+        # Loans under the old rate end after three seconds.
+        changed = time.monotonic() + 3.1
+    check_windows(sent)
+    check_windows([entry for entry in sent if entry.ended > changed], RATE / 4.0, BURST / 2.0)
