Do not refuse requests inside the rate on a new fleet

Three causes, found with the log of one refusing daemon: slots that were just claimed stayed unconfirmed until the next read of the row, one second later; an account first seen in that second started with an empty bucket; and an owner that had lent more than it kept after releasing slots asked back only one token. A successful conditional write now confirms the slots, the bucket fills when the slots first hold, and recalls cover what is lent beyond the own slots.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
@@ -191,7 +191,7 @@
                 for lender in lenders
             ]
             own = entry.bucket.own.capacity > 0.0
-            lacking = Missing(missing, missing)
+            lacking = Missing(missing + entry.bucket.overlent, missing)
             recalls = self._lender.plan_recalls(name, self._ledger.owner, lacking) if own else []
         calls = self.recall(recalls)
         calls += [self._pool.submit(self._call, lender, [need], []) for lender, need in demands]
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_buckets.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_buckets.py
@@ -68,6 +68,11 @@
         """Terms borrowed, by lender."""
         return self._borrowed
 
+    @property
+    def overlent(self) -> float:
+        """Capacity lent beyond that of the own slots, after some of those were released."""
+        return max(0.0, self._sum_lent().capacity - self._own.capacity)
+
     @property
     def lent_to(self) -> list[str]:
         """Borrowers whose terms have not ended."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -244,11 +244,16 @@
     def _write(self, row: SlotRow, reason: str) -> bool:
         """Write a row made from the one in force; the next read tells what came of it."""
         value = encode_value(row, uuid.uuid4().hex)
+        asked_at = self._clock.now()
         done = self._table.commit([Write(SLOTS_KEY, value, row.revision)])
         log_decision("quota-slots", reason, type(done).__name__, revision=row.revision)
         if isinstance(done, Ok):
             with self._ledger.lock:
-                self._ledger.adopt(row._replace(revision=done.ok_value[0]), self._clock.now())
+                now = self._clock.now()
+                self._ledger.adopt(row._replace(revision=done.ok_value[0]), now)
+                if self._ledger.slots.revision == done.ok_value[0]:
+                    # The condition of the write held, so the table had no newer row.
+                    self._ledger.slots.confirm_by_table(asked_at, now)
         return True
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_ledger.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_ledger.py
@@ -28,6 +28,7 @@
         self.bucket = Bucket(now)
         self.meter = Meter(now)
         self.generation = 0
+        self.filled = False
         self.last_arrival = -1e9
         # Requests a second that other daemons stated, with the time at which they did.
         self.demands: dict[str, tuple[float, float]] = {}
@@ -124,11 +125,6 @@
         entry = self._entries.get(name)
         if entry is None:
             entry = self._entries[name] = Entry(name, now)
-            entry.bucket.set_own(_own_terms(account, held))
-            entry.bucket.advance(now)
-            entry.bucket.add(sum(_filled(account, held, now)))
-            entry.generation = held.generation
-            return entry
         bucket = entry.bucket
         if entry.generation == held.generation and held.ends != bucket.own.ends:
             bucket.set_own(bucket.own._replace(ends=held.ends))
@@ -137,6 +133,10 @@
         if own != bucket.own and own.ends > now:
             bucket.set_own(own)
         entry.generation = held.generation
+        if not entry.filled and own.ends > now and held.owned:
+            # No token of these slots was spent for the account before now.
+            entry.filled = True
+            bucket.add(sum(_filled(account, held, now)))
         return entry
 
 
