--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
@@ -191,8 +191,11 @@
         _check_route(route, document)
     for server in document.servers:
         _check_server(server, document)
+    withdrawn = {entry.key_id for entry in document.withdrawn}
     for key in document.keys:
-        _check_key(key, document)
+        # A withdrawn key does not keep its client account from being deleted.
+        if key.id not in withdrawn:
+            _check_key(key, document)
 
 
 def _check_unique(document: ConfigDocument) -> None:
--- a/tests/unit/test_config_check.py
+++ b/tests/unit/test_config_check.py
@@ -9,6 +9,7 @@
     Key,
     Route,
     Server,
+    Withdrawn,
     WorkClass,
 )
 from trefoilreach._internal.state.config_check import (
@@ -94,3 +95,10 @@
     assert find_references(DOCUMENT, "accounts", "shop") == ["key 'k'", "route 'm'"]
     assert find_references(DOCUMENT, "routes", "m") == ["backend server 'e'"]
     assert find_references(DOCUMENT, "servers", "e") == []
+
+
+def test_withdrawn_key_does_not_hold_its_account() -> None:
+    route = DOCUMENT.routes[0]._replace(accounts=())
+    document = DOCUMENT._replace(routes=(route,), withdrawn=(Withdrawn("k", 0.0),))
+    assert find_references(document, "accounts", "shop") == []
+    check_document(document._replace(accounts=()))
