--- a/tests/functional/test_online.py
+++ b/tests/functional/test_online.py
@@ -28,7 +28,14 @@
 class Site:
     """Two engines, one service, some daemons, one account."""
 
-    def __init__(self, fleet: Fleet, daemons: int = 1, engines: int = 2, **engine: str) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        daemons: int = 1,
+        engines: int = 2,
+        settings: dict[str, dict[str, str]] | None = None,
+        **engine: str,
+    ) -> None:
         self.fleet = fleet
         fleet.start_emulator("platform", "platform")
         options = [text for name, value in engine.items() for text in (f"--{name}", value)]
@@ -36,7 +43,9 @@
         self.options = options
         servers = [self._server("engine", f"e{number}", "m", *options) for number in range(engines)]
         servers.append(self._server("service", "s0", "echo"))
-        self.daemons = [fleet.start_daemon(f"vm{n}", n + 10) for n in range(1, daemons + 1)]
+        self.daemons = [
+            fleet.start_daemon(f"vm{n}", n + 10, extra=settings) for n in range(1, daemons + 1)
+        ]
         self.document = ConfigDocument(
             version=1,
             classes=(WorkClass("counter", first_token_seconds=1.0, token_interval_seconds=0.1),),
