--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_server.py
@@ -15,6 +15,8 @@
 # Clients drop idle connections earlier, so that a call never meets a closing connection.
 SERVER_IDLE_SECONDS = 60.0
 _BACKLOG = 512
+# Pause after a failed accept, which repeats at once while file descriptors are short.
+_ACCEPT_RETRY_SECONDS = 0.1
 
 
 class PeerServer:
@@ -32,7 +34,7 @@
         self._listener = socket.create_server((host, port), backlog=_BACKLOG)
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
-        self._closed = False
+        self._stopped = threading.Event()
 
     @property
     def port(self) -> int:
@@ -52,7 +54,7 @@
     def close(self) -> None:
         """Stop listening and drop the connections."""
         with self._lock:
-            self._closed = True
+            self._stopped.set()
             connections = list(self._open)
         for connection in [self._listener, *connections]:
             with suppress(OSError):
@@ -64,7 +66,7 @@
             try:
                 connection, _ = self._listener.accept()
             except OSError:
-                if self._closed:
+                if self._stopped.wait(_ACCEPT_RETRY_SECONDS):
                     return
                 continue
             with self._lock:
@@ -81,7 +83,7 @@
         transport = CountedTransport(handle, self._traffic)
         protocol = TCompactProtocolAcceleratedFactory().getProtocol(transport)
         try:
-            while not self._closed:
+            while not self._stopped.is_set():
                 self._processor.process(protocol, protocol)
         except (TException, OSError, EOFError):
             # The peer closed the connection, left it idle or sent no valid message.
--- a/tests/unit/test_config_machine.py
+++ b/tests/unit/test_config_machine.py
@@ -269,4 +269,4 @@
                 assert str(in_force) in outcome.err_value.message
 
 
-TestConfigMachine = ConfigMachine.TestCase
+TestConfigFuzz = ConfigMachine.TestCase
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -58,7 +58,7 @@
     ),
     seed=st.randoms(),
 )
-def test_order_of_news_does_not_matter(news: list[Member], seed: Any) -> None:
+def test_fuzz_order_of_news_does_not_matter(news: list[Member], seed: Any) -> None:
     """Two daemons that heard the same in another order must agree."""
     views = []
     for _ in range(2):
