--- a/tests/functional/test_cut_off.py
+++ b/tests/functional/test_cut_off.py
@@ -13,10 +13,18 @@
     return answer.status, answer.headers.get("trefoilreach-verdict")
 
 
+def start_serving_fleet(fleet: Fleet) -> list[Address]:
+    """Start three daemons and wait until each has quota to serve from."""
+    daemons = start_fleet(fleet)
+    for daemon in daemons:
+        wait_until(lambda d=daemon: ask(d)[0] == 200, 10)
+    return daemons
+
+
 def test_daemon_cut_off_from_store_and_peers_stops_serving(tmp_path: Path) -> None:
     """New requests get 503 not-run after 3 s, open streams end after 5 s, service comes back."""
     with Fleet(tmp_path) as fleet:
-        daemons = start_fleet(fleet)
+        daemons = start_serving_fleet(fleet)
         reader = Reader(daemons[0], "s1")
         wait_until(lambda: reader.data, 5)
         begin = time.monotonic()
@@ -34,7 +42,7 @@
 def test_daemon_that_lacks_only_one_side_goes_on(tmp_path: Path) -> None:
     """An outage of the store, or of all peers, must not stop online service."""
     with Fleet(tmp_path) as fleet:
-        daemons = start_fleet(fleet)
+        daemons = start_serving_fleet(fleet)
         for names in (("platform",), ("vm2", "vm3")):
             for name in names:
                 fleet.process(name).signal(signal.SIGSTOP)
@@ -50,7 +58,7 @@
 def test_frozen_daemon_refuses_until_it_hears_again(tmp_path: Path) -> None:
     """A daemon that resumes after a long freeze answers its first requests from old knowledge."""
     with Fleet(tmp_path) as fleet:
-        daemons = start_fleet(fleet)
+        daemons = start_serving_fleet(fleet)
         fleet.process("vm1").signal(signal.SIGSTOP)
         wait_until(lambda: _entry_vms(daemons[1]) == {"vm2", "vm3"}, 8)
         time.sleep(2.0)
@@ -62,7 +70,7 @@
 def test_start_during_an_outage_needs_most_of_the_known_vms(tmp_path: Path) -> None:
     """A daemon that restarts while the store is down serves keys that may be withdrawn."""
     with Fleet(tmp_path) as fleet:
-        daemons = start_fleet(fleet)
+        daemons = start_serving_fleet(fleet)
         addresses = [f"{d.host}:{fleet._peer_ports[f'vm{n}']}" for n, d in enumerate(daemons, 1)]
         fleet.process("vm3").signal(signal.SIGSTOP)
         fleet.kill("vm1")
