--- a/tests/functional/features/callers.feature
+++ b/tests/functional/features/callers.feature
@@ -23,9 +23,9 @@
     Then the job ends as cancelled and no more items complete
 
   Scenario: An account over its rate is told when to come back
-    When the caller of "kiosk" sends 40 requests at once over all daemons
+    When the caller of "stall" sends 40 requests at once over all daemons
     Then at least one is refused with 429, was not run and names the time to come back
-    And after that time a request is served
+    And after that time a request of "stall" is served
 
   Scenario: A resent batch job is the same job
     When the caller of "shop" submits 2 items twice under one idempotency key
--- a/tests/functional/site_fixture.py
+++ b/tests/functional/site_fixture.py
@@ -65,7 +65,7 @@
 
 @contextmanager
 def open_site(folder: Path) -> Iterator[Site]:
-    """Start and configure a site; account ``shop`` is large, ``kiosk`` small."""
+    """Start and configure a site; account ``shop`` is large, the others small."""
     with Fleet(folder) as fleet:
         fleet.start_emulator("platform", "platform")
         options = ("--models", "m,private", "--token-interval", "0.005", "--first-token", "0.01")
@@ -74,7 +74,7 @@
         daemons = [fleet.start_daemon(f"vm{number}", number) for number in (1, 2)]
         site = Site(fleet, daemons, {})
         _configure(site, engines, service)
-        for account in ("shop", "kiosk"):
+        for account in ("shop", "kiosk", "stall"):
             site.keys[account] = site.grant(account)[1]
         yield site
 
@@ -84,6 +84,7 @@
         ("/classes/chat", {"first_token_seconds": 2}),
         ("/accounts/shop", {"rate": 200, "burst": 400}),
         ("/accounts/kiosk", {"rate": 1, "burst": 12}),
+        ("/accounts/stall", {"rate": 1, "burst": 12}),
         ("/routes/m", {"work_class": "chat"}),
         ("/routes/private", {"work_class": "chat", "accounts": ["shop"]}),
         ("/routes/till", {"kind": "service", "idempotent": False}),
--- a/tests/functional/test_stories.py
+++ b/tests/functional/test_stories.py
@@ -271,10 +271,10 @@
     story["wait"] = max(float(answer.headers["retry-after"]) for answer in refused)
 
 
-@then("after that time a request is served")
-def served_later(site: Site, story: dict[str, Any]) -> None:
+@then(parsers.parse('after that time a request of "{account}" is served'))
+def served_later(site: Site, story: dict[str, Any], account: str) -> None:
     time.sleep(story["wait"])
-    wait_until(lambda: complete(site, site.keys["kiosk"]).status == 200, 5, "the retry")
+    wait_until(lambda: complete(site, site.keys[account]).status == 200, 5, "the retry")
 
 
 @when(
