Charge batch creation to the rate and let online requests see batch work

Cause: load reports count batch items, so that an online request could wait for a place that batch work would give up. Change: a batch sender answers online_started with the number of batch items in its last load report; creating a batch takes one token; a planned stop gives chunks back with their progress.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
@@ -67,7 +67,7 @@
             withdraw=lambda withdrawals: None,
             fetch_config=lambda version: ConfigReply(version=0, document=b"", withdrawals=[]),
             borrow=self._answer_borrow,
-            online_started=lambda worker, count: None,
+            online_started=lambda worker, count: 0,
             cancel_job=lambda job: None,
             suspects=lambda suspects: None,
         )
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/batches.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/batches.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from trefoilreach._internal.api.auth import require_account
+from trefoilreach._internal.api.auth import require_account, take_quota
 from trefoilreach._internal.api.multipart import FormPart, read_form
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
@@ -79,6 +79,7 @@
     body = parse_json_object(request.read_body(parts.settings.daemon.body_limit))
     job_request = _parse_job_request(body)
     accept = parts.batches.accept
+    take_quota(parts, account)
     job = accept.accept_job(account, job_request, request.header(_IDEMPOTENCY_HEADER))
     parts.batches.runner.refresh_soon()
     return respond_json(_describe_job(parts.batches.reader.view(job)))
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -64,6 +64,7 @@
         yielding: bool,
         on_change: Callable[[], None],
     ) -> None:
+        self.note_batch: Callable[[str, int], None] = lambda worker, count: None
         self._clock = clock
         self._engine = engine
         self._config = config
@@ -168,11 +169,19 @@
                 task.held.note_saved(task)
             self._signal()
 
-    def note_online(self, worker: str, count: int = 1) -> None:
-        """Make way for online requests; returns at once."""
+    def note_online(self, worker: str, count: int = 1) -> int:
+        """Make way for online requests; returns at once.
+
+        :returns: batch items that the worker's load reports count, 0 unless this daemon
+            sends them.
+        """
         with self._changed:
+            share = self._shares.get(worker)
+            if share is None:
+                return 0
             self._notices.append(OnlineNotice(worker, count))
             self._signal()
+            return share.reported_batch()
 
     def _close(self) -> None:
         self._stopped.set()
@@ -217,6 +226,7 @@
         started: list[tuple[WorkerShare, StreamHandle]] = []
         for share in self._shares.values():
             share.adjust(now)
+            self.note_batch(share.server.name, share.reported_batch())
         self._choose_trial_workers()
         for share in self._shares.values():
             task = self._start_trial(share, now)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
@@ -33,7 +33,9 @@
 
 
 def find_sender(worker: str, live: Sequence[Member]) -> str:
-    """Return the VM that sends batch work to a worker, by rendezvous hashing."""
+    """Return the VM that sends batch work to a worker, by rendezvous hashing; empty for none."""
+    if not live:
+        return ""
     return max(
         live, key=lambda member: xxhash.xxh64_intdigest(f"{worker}\n{member.vm}".encode())
     ).vm
@@ -139,6 +141,10 @@
         live = [handle for handle in self.streams.values() if not handle.cancelled]
         return live[::-1][:over]
 
+    def reported_batch(self) -> int:
+        """Return how many batch streams the last load report counts."""
+        return self._own_at(self._report_moment)
+
     def note_report(self, report: LoadReport, now: float) -> None:
         """Take a load report; its figures are ``age_seconds`` old."""
         self.instance = report.instance
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -94,6 +94,7 @@
         parts.quota.start(stack)
         parts.batches.start(stack)
         parts.drain.add_hook("quota", parts.quota.hand_back)
+        parts.drain.add_hook("batch", parts.batches.runner.stop)
         parts.isolation.start(stack)
 
     def _build_parts(self, stack: ExitStack) -> Parts:
@@ -112,6 +113,8 @@
         batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
         backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
         backends.note_online = batches.notices.note_online
+        batches.feed.note_batch = batches.notices.note_batch = backends.load.note_batch
+        batches.notices.pump = backends.pump
         dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -261,7 +261,7 @@
 
         """
         self.send_online_started(worker, count)
-        self.recv_online_started()
+        return self.recv_online_started()
 
     def send_online_started(self, worker, count):
         self._oprot.writeMessageBegin('online_started', TMessageType.CALL, self._seqid)
@@ -283,7 +283,9 @@
         result = online_started_result()
         result.read(iprot)
         iprot.readMessageEnd()
-        return
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "online_started failed: unknown result")
 
     def cancel_job(self, job_id):
         """
@@ -501,7 +503,7 @@
         iprot.readMessageEnd()
         result = online_started_result()
         try:
-            self._handler.online_started(args.worker, args.count)
+            result.success = self._handler.online_started(args.worker, args.count)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -1265,8 +1267,16 @@
 
 
 class online_started_result(object):
+    """
+    Attributes:
+     - success
+
+    """
 
 
+    def __init__(self, success=None,):
+        self.success = success
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -1276,6 +1286,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 0:
+                if ftype == TType.I32:
+                    self.success = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1286,6 +1301,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('online_started_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.I32, 0)
+            oprot.writeI32(self.success)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1304,6 +1323,7 @@
         return not (self == other)
 all_structs.append(online_started_result)
 online_started_result.thrift_spec = (
+    (0, TType.I32, 'success', None, None, ),  # 0
 )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -114,8 +114,9 @@
   // Configuration of at least min_version, or the highest known one.
   ConfigReply fetch_config(1: i64 min_version),
   BorrowReply borrow(1: BorrowRequest request),
-  // Online requests sent to the worker since the last notice.
-  void online_started(1: string worker, 2: i32 count),
+  // Online requests sent to the worker since the last notice; the answer is the number
+  // of batch items that the worker's load reports count.
+  i32 online_started(1: string worker, 2: i32 count),
   void cancel_job(1: string job_id),
   void suspects(1: list<Suspect> suspects),
 }
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
@@ -22,6 +22,6 @@
     withdraw: Callable[[list[Withdrawal]], None]
     fetch_config: Callable[[int], ConfigReply]
     borrow: Callable[[BorrowRequest], BorrowReply]
-    online_started: Callable[[str, int], None]
+    online_started: Callable[[str, int], int]
     cancel_job: Callable[[str], None]
     suspects: Callable[[list[Suspect]], None]
--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -92,10 +92,16 @@
         fleet.start_daemon(f"vm{number}", number, extra=extra) for number in range(1, daemons + 1)
     ]
     for daemon in found:
-        wait_until(lambda place=daemon: call(place, "GET", "/healthz").json()["config_version"])
+        wait_until(lambda place=daemon: is_ready(place), what="quota of a new daemon")
     return found
 
 
+def is_ready(daemon: Address) -> bool:
+    """Return whether the daemon has the configuration and its share of the rate."""
+    body = {"input_file_id": "none", "endpoint": CHAT}
+    return call(daemon, "POST", "/v1/batches", body, "s1").status == 404
+
+
 @pytest.fixture(scope="module")
 def daemon(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Address]:
     with Fleet(tmp_path_factory.mktemp("batch")) as fleet:
--- a/tests/functional/test_batch_faults.py
+++ b/tests/functional/test_batch_faults.py
@@ -51,21 +51,29 @@
 
 def test_late_results_of_a_frozen_owner_never_show(tmp_path: Path) -> None:
     with Fleet(tmp_path) as fleet:
-        first, second = start_fleet(fleet, 2, 1, SETTINGS, *FAST)
-        client = open_client(second)
-        job = submit(open_client(first), make_lines(200, tokens=20))
+        daemons = dict(zip(("vm1", "vm2"), start_fleet(fleet, 2, 1, SETTINGS, *FAST), strict=True))
+        job = submit(open_client(daemons["vm1"]), make_lines(200, tokens=20))
+        owner = wait_until(lambda: find_owner(fleet), what="claim")
+        client = open_client(daemons["vm2" if owner == "vm1" else "vm1"])
         wait_until(lambda: client.batches.retrieve(job.id).request_counts.completed > 20)
-        fleet.process("vm1").signal(signal.SIGSTOP)
+        fleet.process(owner).signal(signal.SIGSTOP)
         done = wait_final(client, job.id)
         check_each_item_once(client, done, 200, Counter())
         output = client.files.content(done.output_file_id).read()
-        fleet.process("vm1").signal(signal.SIGCONT)
-        wait_until(lambda: "batch:claim-lost" in fleet.log("vm1"), what="refused late result")
+        fleet.process(owner).signal(signal.SIGCONT)
+        wait_until(lambda: "batch:claim-lost" in fleet.log(owner), what="refused late result")
         time.sleep(1.0)
         assert client.files.content(done.output_file_id).read() == output
         assert client.batches.retrieve(job.id) == done
 
 
+def find_owner(fleet: Fleet) -> str:
+    body = {"prefix": "chunk/", "after": "", "limit": 100}
+    rows = call(fleet.addresses["platform"], "POST", "/table/scan", body).json()["rows"]
+    owners = [row["value"]["owner"] for row in rows if row["value"]["state"] == "running"]
+    return owners[0].partition("/")[0] if owners else ""
+
+
 def test_results_are_held_while_the_store_is_down(tmp_path: Path) -> None:
     with Fleet(tmp_path) as fleet:
         (daemon,) = start_fleet(fleet, 1, 1, SETTINGS, *FAST)
