Give the monitor a read-only view of batch items, refusals and withdrawals

Cause: nobody could check that accepted items complete once. Change: records are buffered and written as segment objects every 5 s and at stop; GET /v1/audit pages through them and through every accepted item with its completions.

--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -10,6 +10,7 @@
     batches,
     callers,
     entry,
+    monitor,
     services,
 )
 from trefoilreach._internal.api.parts import Parts
@@ -20,9 +21,11 @@
     respond_bytes,
     routes,
 )
+from trefoilreach._internal.coordination.audit import REFUSED
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.openai import encode_error
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.config import hash_key
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 # Answered whatever the state of the daemon.
@@ -50,6 +53,7 @@
                 self._parts.isolation.check()
             return handler(self._parts, request, **values)
         except Refusal as refusal:
+            self._record_refusal(request, refusal)
             return respond_refusal(refusal)
         except Exception as error:
             incident = uuid.uuid4().hex
@@ -57,6 +61,19 @@
             message = f"internal error, incident {incident}"
             return respond_refusal(Refusal(500, "internal", message, Verdict.MAY_HAVE_RUN))
 
+    def _record_refusal(self, request: WebRequest, refusal: Refusal) -> None:
+        key = self._parts.config.view.keys_by_hash.get(hash_key(request.bearer_key() or ""))
+        fields = {
+            "account": "" if key is None else key.account,
+            "key_id": "" if key is None else key.id,
+            "method": request.method,
+            "path": request.path,
+            "status": refusal.status,
+            "code": refusal.code,
+            "verdict": refusal.verdict.value,
+        }
+        self._parts.audit.record(REFUSED, fields)
+
 
 def respond_refusal(refusal: Refusal) -> WebResponse:
     """Return the response of a refusal."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.audit import Audit
 from trefoilreach._internal.coordination.batch import Batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
@@ -39,3 +40,4 @@
     isolation: Isolation
     drain: Drain
     batches: Batches
+    audit: Audit
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit.py
@@ -0,0 +1,90 @@
+"""Records for the monitor, buffered and written as segment objects."""
+
+import threading
+import uuid
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+import orjson
+from result import Err
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.state.objects import ObjectStore
+
+SEGMENT_PREFIX = "audit/"
+REFUSED = "refused"
+WITHDRAWN = "withdrawn"
+CONFIG = "config"
+_SEGMENT_SECONDS = 5.0
+# Up to this many daemons a segment is written every 5 s, with more of them less often.
+_FLEET_PER_INTERVAL = 420
+# Held while the object store is down: about 20 MB; the oldest records go first.
+_BUFFER_RECORDS = 100_000
+
+
+class Audit:
+    """Buffers records of this daemon and writes them every few seconds.
+
+    :param live_daemons: number of daemons that write segments.
+    """
+
+    def __init__(
+        self, clock: Clock, objects: ObjectStore, vm: str, live_daemons: Callable[[], int]
+    ) -> None:
+        self._clock = clock
+        self._objects = objects
+        self._vm = vm
+        self._live_daemons = live_daemons
+        self._lock = threading.Lock()
+        self._buffer: list[dict[str, Any]] = []
+        self._dropped = 0
+        self._stopped = threading.Event()
+
+    def start(self, stack: ExitStack) -> None:
+        """Write segments until the exit stack closes, and what is left then."""
+        stack.callback(self.stop)
+        threading.Thread(target=self._run, name="audit", daemon=True).start()
+
+    def record(self, kind: str, fields: dict[str, Any]) -> None:
+        """Buffer one record; never a key or a prompt."""
+        entry = {"kind": kind, "vm": self._vm, "time": self._clock.wall_time(), **fields}
+        with self._lock:
+            self._buffer.append(entry)
+            over = len(self._buffer) - _BUFFER_RECORDS
+            if over > 0:
+                del self._buffer[:over]
+                self._dropped += over
+
+    def flush(self) -> bool:
+        """Write the buffered records as one segment; return whether none is left."""
+        with self._lock:
+            records, self._buffer = self._buffer, []
+            dropped, self._dropped = self._dropped, 0
+        if dropped:
+            log_event("audit:dropped", records=dropped)
+        if not records:
+            return True
+        # Names sort by the time of writing, so that readers continue after the last one.
+        milliseconds = int(self._clock.wall_time() * 1000)
+        name = f"{SEGMENT_PREFIX}{milliseconds:015d}-{self._vm}-{uuid.uuid4().hex[:8]}"
+        done = self._objects.put(name, b"\n".join(map(orjson.dumps, records)))
+        if isinstance(done, Err):
+            # After an unknown outcome the records may be written twice, but never lost.
+            with self._lock:
+                self._buffer = records + self._buffer
+            return False
+        return True
+
+    def stop(self) -> None:
+        """Write what is left."""
+        if not self._stopped.is_set():
+            self._stopped.set()
+            self.flush()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            fleet = max(1.0, self._live_daemons() / _FLEET_PER_INTERVAL)
+            self._clock.wait(self._stopped, _SEGMENT_SECONDS * fleet)
+            self.flush()
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -7,6 +7,7 @@
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
+from trefoilreach._internal.coordination.audit import CONFIG, WITHDRAWN, Audit
 from trefoilreach._internal.coordination.backends import Backends
 from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
@@ -76,6 +77,7 @@
         membership.set_exchange(sync.state, sync.hear)
         membership.set_store_silent(sync.store_silent)
         sync.withdrawals.add_listener(parts.streams.close_keys)
+        self._record_changes(parts, stack)
         handlers = PeerHandlers(
             probe=membership.answer_probe,
             probe_via=membership.answer_probe_via,
@@ -97,6 +99,20 @@
         parts.drain.add_hook("batch", parts.batches.runner.stop)
         parts.isolation.start(stack)
 
+    def _record_changes(self, parts: Parts, stack: ExitStack) -> None:
+        """Tell the monitor when a withdrawal or a configuration is in force here."""
+        audit = parts.audit
+
+        def record_withdrawn(key_ids: frozenset[str]) -> None:
+            for key_id in sorted(key_ids):
+                audit.record(WITHDRAWN, {"key_id": key_id})
+
+        parts.config_sync.withdrawals.add_listener(record_withdrawn)
+        parts.config.add_listener(
+            lambda view: audit.record(CONFIG, {"version": view.document.version})
+        )
+        audit.start(stack)
+
     def _build_parts(self, stack: ExitStack) -> Parts:
         settings, platform = self._settings, self._settings.platform
         engine = HttpEngine(self._clock, settings.routing.connect_timeout)
@@ -134,4 +150,5 @@
             isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
             drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
             batches=batches,
+            audit=Audit(self._clock, objects, settings.daemon.name, lambda: len(membership.live())),
         )
--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 import pytest
@@ -213,3 +214,33 @@
     assert 0 < counts.completed < 3000
     lines = read_lines(client, done.output_file_id)
     assert len({line["custom_id"] for line in lines}) == len(lines) == counts.completed
+
+
+def read_audit(daemon: Address) -> list[dict[str, Any]]:
+    records: list[dict[str, Any]] = []
+    cursor: str | None = ""
+    while cursor is not None:
+        path = f"/v1/audit?limit=7&after={quote(cursor)}"
+        page = call(daemon, "GET", path, key="s3").json()
+        records += page["data"]
+        cursor = page["next"]
+    return records
+
+
+def test_monitor_sees_each_item_once_and_refusals_with_their_verdict(daemon: Address) -> None:
+    client = open_client(daemon)
+    job = wait_final(client, submit(client, make_lines(45, i3="impossible-item")).id)
+    assert call(daemon, "GET", "/v1/audit", key="s1").status == 403
+    assert call(daemon, "GET", "/v1/audit?after=x", key="s3").status == 400
+    assert call(daemon, "GET", "/v1/batches/unknown", key="s2").status == 404
+
+    def find_refusal() -> Any:
+        return [entry for entry in read_audit(daemon) if entry.get("path") == "/v1/batches/unknown"]
+
+    (refused,) = wait_until(find_refusal, what="segment with the refusal")
+    assert (refused["account"], refused["status"], refused["verdict"]) == ("b", 404, "not-run")
+    items = [entry for entry in read_audit(daemon) if entry.get("batch") == job.id]
+    outcomes = {entry["custom_id"]: entry["outcome"] for entry in items}
+    assert len(outcomes) == len(items) == 45
+    assert [name for name, outcome in outcomes.items() if outcome != "completed"] == ["i3"]
+    assert all(len(entry["completions"]) == 1 for entry in items)
