--- /dev/null
+++ b/tests/unit/test_batch_parts.py
@@ -0,0 +1,112 @@
+"""Guards against batch work that takes slots from online requests or ignores fair turns."""
+
+from typing import Any
+
+from batch_fakes import DOCUMENT, ENDPOINT, Faults, FaultyObjects, FaultyTable, Runner, make_input
+from hypothesis import given
+from hypothesis import strategies as st
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
+from trefoilreach._internal.coordination.batch_chunks import JobClosed, free_chunk
+from trefoilreach._internal.coordination.batch_items import StreamHandle
+from trefoilreach._internal.coordination.batch_share import Targets, WorkerShare, find_sender
+from trefoilreach._internal.coordination.batch_turns import FairTurns
+from trefoilreach._internal.coordination.peers import LIVE, Member
+from trefoilreach._internal.state.config import Server
+from trefoilreach._internal.state.jobs import FREE, decode_chunk
+from trefoilreach._internal.transport.engine import LoadReport
+
+SERVER = Server("w", "engine", "127.0.0.1", 1, ("m",), slots=8)
+
+
+def make_member(name: str) -> Member:
+    return Member(name, "127.0.0.1", 1, 2, "dc", "r", 1, LIVE)
+
+
+def fill(share: WorkerShare, now: float, first: int = 0) -> None:
+    for number in range(first, first + max(0, share.room(now))):
+        share.start(StreamHandle(None, f"r{number}", share.server), now)  # type: ignore[arg-type]
+
+
+def make_share(now: float, **options: Any) -> WorkerShare:
+    share = WorkerShare(SERVER, Targets(1.0, 0.1), now, **options)
+    share.note_report(LoadReport("i", 1, 0, 0, 8, 0.0, ("m",), "mixed"), now)
+    return share
+
+
+@given(
+    steps=st.lists(
+        st.one_of(st.tuples(st.just("online"), st.integers(1, 6)), st.just(("grow", 0))),
+        max_size=20,
+    )
+)
+def test_batch_and_online_never_exceed_the_slots_fuzz(steps: list[tuple[str, int]]) -> None:
+    now, online = 100.0, 0
+    share = make_share(now)
+    for number, (kind, count) in enumerate(steps):
+        now += 0.05
+        if kind == "online":
+            online += count
+            for handle in share.note_online(count, now):
+                handle.cancel()
+                share.end(handle, now)
+        share.adjust(now)
+        fill(share, now, first=100 * number)
+        assert share.running + min(online, SERVER.slots) <= SERVER.slots
+
+
+def test_baseline_without_yielding_keeps_every_slot() -> None:
+    share = make_share(100.0, yielding=False)
+    assert share.room(100.0) == SERVER.slots
+    fill(share, 100.0)
+    assert share.note_online(5, 100.0) == []
+
+
+def test_share_shrinks_while_a_target_is_missed_and_grows_again() -> None:
+    share = make_share(100.0)
+    for _ in range(100):
+        share.note_interval(0.5)
+    for tenths in range(30):
+        share.adjust(100.0 + tenths / 10)
+    shrunk = share.room(103.0)
+    for _ in range(200):
+        share.note_interval(0.01)
+    for tenths in range(30):
+        share.adjust(103.0 + tenths / 10)
+    assert shrunk <= 1
+    assert share.room(106.0) == 7
+
+
+@given(names=st.sets(st.sampled_from("abcdefgh"), min_size=2), worker=st.text(max_size=5))
+def test_sender_moves_only_when_it_is_gone_fuzz(names: set[str], worker: str) -> None:
+    members = [make_member(name) for name in sorted(names)]
+    sender = find_sender(worker, members)
+    other = next(name for name in sorted(names) if name != sender)
+    assert find_sender(worker, [entry for entry in members if entry.vm != other]) == sender
+
+
+def test_turns_follow_the_agreed_rates() -> None:
+    turns = FairTurns()
+    rates = {"a": 30.0, "b": 10.0}
+    served = {"a": 0, "b": 0}
+    for _ in range(400):
+        account = turns.order(rates)[0]
+        turns.charge(account, 1, rates[account])
+        served[account] += 1
+    assert served == {"a": 300, "b": 100}
+
+
+def test_claim_from_an_old_view_of_a_cancelled_job_is_undone() -> None:
+    clock, faults = ManualClock(), Faults()
+    table = FaultyTable(faults)
+    runner = Runner("vm1", clock, table, FaultyObjects(faults))
+    account, parts = DOCUMENT.accounts[0], runner.parts
+    file = parts.accept.accept_file(account, Upload("f", "batch", make_input(2)))
+    job = parts.accept.accept_job(account, JobRequest(file.id, ENDPOINT, "24h", {}), "k")
+    parts.cancel.cancel("a", job.id)
+    chunk = free_chunk(job.id, 0)
+    claimed = parts.cancel._store.claim(chunk)
+    assert isinstance(claimed.err_value, JobClosed)
+    row = table.get(chunk.key).unwrap()
+    assert row is not None
+    assert decode_chunk(row).state == FREE
