--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -17,6 +17,7 @@
     output_line,
 )
 from trefoilreach._internal.coordination.batch_items import (
+    CLIENT_ERROR_STATUSES,
     Attempt,
     Ending,
     ItemRunner,
@@ -26,7 +27,14 @@
 from trefoilreach._internal.coordination.batch_share import WorkerShare, find_targets
 from trefoilreach._internal.coordination.batch_turns import FairTurns
 from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.crash_guard import (
+    CrashGuard,
+    Standing,
+    TrialBusy,
+    find_fingerprint,
+)
 from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.jobs import OpenJob
 from trefoilreach._internal.transport.engine import Engine
@@ -64,6 +72,7 @@
         yielding: bool,
         on_change: Callable[[], None],
     ) -> None:
+        self.guard: CrashGuard | None = None
         self.note_batch: Callable[[str, int], None] = lambda worker, count: None
         self._clock = clock
         self._engine = engine
@@ -293,11 +302,8 @@
 
     def _run_item(self, share: WorkerShare, handle: StreamHandle) -> None:
         held = handle.task.held
-        pace = Pace(share.note_first_token, share.note_interval)
         try:
-            attempt = self._items.run(
-                handle, held.job.endpoint, share.instance, self._token_timeout(share), pace
-            )
+            attempt = self._attempt(share, handle)
         except Exception as error:
             log_event("batch:item-error", chunk=held.key, error=repr(error))
             attempt = Attempt(Ending.FAILED, handle.task.text, message=repr(error))
@@ -308,6 +314,26 @@
         if wake:
             self._on_change()
 
+    def _attempt(self, share: WorkerShare, handle: StreamHandle) -> Attempt:
+        """Run one attempt, unless the crash guard of the fleet stands against it."""
+        task, endpoint = handle.task, handle.task.held.job.endpoint
+        timeout = self._token_timeout(share)
+        pace = Pace(share.note_first_token, share.note_interval)
+        if self.guard is None:
+            return self._items.run(handle, endpoint, share.instance, timeout, pace)
+        fingerprint = find_fingerprint(task.held.job.account, endpoint, task.item.body)
+        if not task.alone and self.guard.check(fingerprint) is Standing.SUSPECT:
+            task.alone = True
+            return Attempt(Ending.BUSY, task.text)
+        begun = self.guard.begin(fingerprint, share.server.name)
+        if isinstance(begun, Err):
+            return _refuse_attempt(begun.err_value, task)
+        attempt = self._items.run(handle, endpoint, share.instance, timeout, pace)
+        if attempt.ending is Ending.CRASHED:
+            self.guard.worker_died(share.server.name)
+        self.guard.end(begun.ok_value, attempt.ending in (Ending.COMPLETED, Ending.REFUSED))
+        return attempt
+
     def _token_timeout(self, share: WorkerShare) -> float:
         seconds = share.targets.token_interval * _TOKEN_TIMEOUT_FACTOR
         longest = min(seconds, _LONGEST_TOKEN_TIMEOUT_SECONDS)
@@ -390,3 +416,9 @@
             else:
                 share.note_report(report.ok_value, now)
             self._signal()
+
+
+def _refuse_attempt(error: Refusal | TrialBusy, task: ItemTask) -> Attempt:
+    if isinstance(error, Refusal) and error.status in CLIENT_ERROR_STATUSES:
+        return Attempt(Ending.REFUSED, task.text, status=error.status, message=error.message)
+    return Attempt(Ending.BUSY, task.text)
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -12,13 +12,16 @@
 from trefoilreach._internal.coordination.batch import build_batches
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.drain import Drain
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.idempotency import Idempotency
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.reporter import Reporter
 from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
@@ -59,6 +62,8 @@
         parts = self._build_parts(stack)
         self._start_fleet(parts, stack)
         parts.dispatcher.start(stack)
+        parts.dispatcher.guard.start(stack)
+        parts.idempotency.start(stack)
         server = HttpServer(
             Application(parts),
             settings.daemon.host,
@@ -86,7 +91,7 @@
             borrow=parts.quota.borrow,
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
-            suspects=lambda suspects: None,
+            suspects=parts.dispatcher.guard.hear,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -98,6 +103,8 @@
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.drain.add_hook("batch", parts.batches.runner.stop)
         parts.isolation.start(stack)
+        reporter = Reporter(self._clock, parts.metrics, parts.config, membership, parts.streams)
+        reporter.start(stack)
 
     def _record_changes(self, parts: Parts, stack: ExitStack) -> None:
         """Tell the monitor when a withdrawal or a configuration is in force here."""
@@ -131,7 +138,9 @@
         backends.note_online = batches.notices.note_online
         batches.feed.note_batch = batches.notices.note_batch = backends.load.note_batch
         batches.notices.pump = backends.pump
-        dispatcher = Dispatcher(self._clock, settings, config, engine, backends)
+        guard = CrashGuard(self._clock, table, membership)
+        dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
+        batches.feed.guard = guard
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
@@ -142,6 +151,7 @@
             config=config,
             config_sync=sync,
             dispatcher=dispatcher,
+            idempotency=Idempotency(self._clock, table, objects, membership),
             services=ServiceDispatcher(self._clock, service, backends, dispatcher),
             membership=membership,
             quota=quota_policies.get(settings.quota.policy)(tools),
