--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch.py
@@ -2,11 +2,8 @@
 
 import threading
 import uuid
-from collections.abc import Callable
 from contextlib import ExitStack
-from typing import Any, NamedTuple, TypeVar
-
-from result import Err, Result
+from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.batch_accept import BatchAccept
@@ -17,58 +14,12 @@
 from trefoilreach._internal.coordination.batch_reader import BatchReader
 from trefoilreach._internal.coordination.batch_runner import BatchRunner
 from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError, Peers
-from trefoilreach._internal.settings import DaemonSettings, Settings
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import TableService
-from trefoilreach._internal.state.vms import Vm
 from trefoilreach._internal.transport.engine import Engine
 
-T = TypeVar("T")
-
-
-class SoloPeers:
-    """The fleet of a daemon that knows no other."""
-
-    def __init__(self, settings: DaemonSettings) -> None:
-        self._member = Member(
-            settings.name,
-            settings.host,
-            settings.http_port,
-            settings.peer_port,
-            settings.data_centre,
-            settings.region,
-            1,
-            LIVE,
-        )
-
-    @property
-    def self_member(self) -> Member:
-        """Return this daemon."""
-        return self._member
-
-    def members(self) -> list[Member]:
-        """Return nothing."""
-        return []
-
-    def live(self) -> list[Member]:
-        """Return this daemon."""
-        return [self._member]
-
-    def listed_vms(self) -> tuple[Vm, ...] | None:
-        """Return None, as there is no list."""
-        return None
-
-    def call(self, vm: str, action: Callable[[Any], T], timeout: float) -> Result[T, PeerError]:
-        """Fail, as there is no other daemon."""
-        return Err(PeerError(f"{vm!r} is unknown"))
-
-    def broadcast(
-        self, action: Callable[[Any], T], timeout: float
-    ) -> dict[str, Result[T, PeerError]]:
-        """Call nobody."""
-        return {}
-
 
 class Batches(NamedTuple):
     """Parts of batch work that handlers, peers and the dispatcher use."""
--- a/tests/unit/batch_fakes.py
+++ b/tests/unit/batch_fakes.py
@@ -6,10 +6,11 @@
 
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.batch import Batches, SoloPeers, build_batches
+from trefoilreach._internal.coordination.batch import Batches, build_batches
 from trefoilreach._internal.coordination.batch_held import HeldChunk, output_line
 from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.settings import BatchSettings, Settings
+from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.settings import BatchSettings, DaemonSettings, Settings
 from trefoilreach._internal.state.config import Account, ConfigDocument, Route, Server
 from trefoilreach._internal.state.objects import MemoryObjectStore
 from trefoilreach._internal.state.table import (
@@ -20,6 +21,7 @@
     StoreUnavailable,
     Write,
 )
+from trefoilreach._internal.state.vms import Vm
 from trefoilreach._internal.transport.engine import EngineError, LoadReport
 
 DOCUMENT = ConfigDocument(
@@ -116,6 +118,41 @@
         return DOWN if self.faults.take(write=False) else super().get(name)
 
 
+class SoloPeers:
+    """The fleet of a daemon that knows no other."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._member = Member(
+            settings.name,
+            settings.host,
+            settings.http_port,
+            settings.peer_port,
+            settings.data_centre,
+            settings.region,
+            1,
+            LIVE,
+        )
+
+    @property
+    def self_member(self) -> Member:
+        return self._member
+
+    def members(self) -> list[Member]:
+        return []
+
+    def live(self) -> list[Member]:
+        return [self._member]
+
+    def listed_vms(self) -> tuple[Vm, ...] | None:
+        return None
+
+    def call(self, vm: str, action: Any, timeout: float) -> Result[Any, PeerError]:
+        return Err(PeerError(f"{vm!r} is unknown"))
+
+    def broadcast(self, action: Any, timeout: float) -> dict[str, Result[Any, PeerError]]:
+        return {}
+
+
 class FakeEngine:
     """Engine that only reports its load."""
 
