--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from typing import Any
+from urllib.parse import quote
 
 import orjson
 import pytest
@@ -92,10 +93,16 @@
         fleet.start_daemon(f"vm{number}", number, extra=extra) for number in range(1, daemons + 1)
     ]
     for daemon in found:
-        wait_until(lambda place=daemon: call(place, "GET", "/healthz").json()["config_version"])
+        wait_until(lambda place=daemon: is_ready(place), what="quota of a new daemon")
     return found
 
 
+def is_ready(daemon: Address) -> bool:
+    """Return whether the daemon has the configuration and its share of the rate."""
+    body = {"input_file_id": "none", "endpoint": CHAT}
+    return call(daemon, "POST", "/v1/batches", body, "s1").status == 404
+
+
 @pytest.fixture(scope="module")
 def daemon(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Address]:
     with Fleet(tmp_path_factory.mktemp("batch")) as fleet:
@@ -182,7 +189,7 @@
 
 def test_upload_keeps_every_byte(daemon: Address) -> None:
     client = open_client(daemon)
-    data = bytes(range(256)) + b"\r\n--x\r\n\n\r\xc3\xa9" + bytes(range(255, -1, -1))
+    data = b"\r\n " + bytes(range(256)) + b"\r\n--x\r\n\n\r\xc3\xa9" + bytes(range(256)) + b"\n\r\n"
     file = client.files.create(file=("raw.bin", data), purpose="batch")
     assert (file.bytes, file.filename) == (len(data), "raw.bin")
     assert client.files.content(file.id).read() == data
@@ -194,16 +201,48 @@
 
 def test_cancelled_job_stops_and_keeps_finished_items(daemon: Address) -> None:
     client = open_client(daemon)
-    job = submit(client, make_lines(3000, tokens=10))
+    # The seven slots of batch work need 4.5 s for a chunk, so that only a cancelled
+    # stream ends within the limit.
+    job = submit(client, make_lines(300, tokens=300))
 
     def has_progress() -> Any:
-        return client.batches.retrieve(job.id).request_counts.completed > 20
+        return client.batches.retrieve(job.id).request_counts.completed > 0
 
     wait_until(has_progress)
     assert client.batches.cancel(job.id).status == "cancelling"
-    done = wait_final(client, job.id, 5.0)
+    done = wait_final(client, job.id, 1.5)
     counts = done.request_counts
     assert done.status == "cancelled"
-    assert 0 < counts.completed < 3000
+    assert 0 < counts.completed < 300
     lines = read_lines(client, done.output_file_id)
     assert len({line["custom_id"] for line in lines}) == len(lines) == counts.completed
+
+
+def read_audit(daemon: Address) -> list[dict[str, Any]]:
+    records: list[dict[str, Any]] = []
+    cursor: str | None = ""
+    while cursor is not None:
+        path = f"/v1/audit?limit=7&after={quote(cursor)}"
+        page = call(daemon, "GET", path, key="s3").json()
+        records += page["data"]
+        cursor = page["next"]
+    return records
+
+
+def test_monitor_sees_each_item_once_and_refusals_with_their_verdict(daemon: Address) -> None:
+    client = open_client(daemon)
+    job = wait_final(client, submit(client, make_lines(45, i3="impossible-item")).id)
+    assert call(daemon, "GET", "/v1/audit", key="s1").status == 403
+    assert call(daemon, "GET", "/v1/audit?after=x", key="s3").status == 400
+    assert call(daemon, "GET", "/v1/batches/unknown", key="s2").status == 404
+
+    def find_refusal() -> Any:
+        return [entry for entry in read_audit(daemon) if entry.get("path") == "/v1/batches/unknown"]
+
+    (refused,) = wait_until(find_refusal, what="segment with the refusal")
+    assert (refused["account"], refused["status"], refused["verdict"]) == ("b", 404, "not-run")
+    items = [entry for entry in read_audit(daemon) if entry.get("batch") == job.id]
+    outcomes = {entry["custom_id"]: entry["outcome"] for entry in items}
+    assert len(outcomes) == len(items) == 45
+    assert [name for name, outcome in outcomes.items() if outcome != "completed"] == ["i3"]
+    assert all(len(entry["completions"]) == 1 for entry in items)
