Guard plain services against calls that crash them

Change: calls of services pass the crash guard as completions do. The online tests use the static quota, since a new fleet with slots refuses some requests inside the rate on main too (test_no_refusal_inside_the_rate_on_a_new_fleet).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_guard.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_guard.py
@@ -7,7 +7,7 @@
 
 import threading
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import ExitStack
 from enum import Enum
 from typing import Any, NamedTuple
@@ -22,6 +22,7 @@
 from trefoilreach._internal.protocol.gen.peer.ttypes import Suspect
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 from trefoilreach._internal.state.commits import commit_checked
+from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.table import RevisionConflict, Row, TableService, Write
 
 _PREFIX = "suspect/"
@@ -35,6 +36,10 @@
 _TRIAL_LIFE_SECONDS = 150.0
 _BUSY_RETRY_SECONDS = 0.5
 _STORE_RETRY_SECONDS = 2.0
+# How often a suspect that found no worker for its trial looks again.
+_TRIAL_WAIT_SECONDS = 0.1
+# Innocent requests wait for their turn instead of failing, but not for ever.
+_TRIAL_LIMIT_SECONDS = 30.0
 # Fields that do not change what the engine computes.
 _DELIVERY_FIELDS = {"stream", "stream_options"}
 
@@ -368,3 +373,36 @@
     """Return the refusal of a suspect that found no worker for its trial."""
     message = "the request was in flight when a server died and waits for a trial"
     return refuse_unavailable(message, _BUSY_RETRY_SECONDS)
+
+
+class GuardedPlace(NamedTuple):
+    """A place on a server, and the guard's note of the attempt."""
+
+    server: Server
+    run: GuardedRun
+
+
+def enter_guarded(
+    clock: Clock,
+    guard: CrashGuard,
+    fingerprint: str,
+    enter: Callable[[], Server],
+    release: Callable[[Server], None],
+    stopped: Callable[[], bool],
+) -> GuardedPlace:
+    """Wait for a place; a suspect waits until it can run as a trial.
+
+    :raises Refusal: when the request must not run, or waited too long for its trial.
+    """
+    deadline = clock.now() + _TRIAL_LIMIT_SECONDS
+    while True:
+        server = enter()
+        begun = guard.begin(fingerprint, server.name)
+        if isinstance(begun, Ok):
+            return GuardedPlace(server, begun.ok_value)
+        release(server)
+        if not isinstance(begun.err_value, TrialBusy):
+            raise begun.err_value
+        if clock.now() > deadline or stopped():
+            raise refuse_busy()
+        clock.sleep(_TRIAL_WAIT_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -14,9 +14,8 @@
 from trefoilreach._internal.coordination.crash_guard import (
     CrashGuard,
     GuardedRun,
-    TrialBusy,
+    enter_guarded,
     find_fingerprint,
-    refuse_busy,
 )
 from trefoilreach._internal.coordination.fairness import CallerGone
 from trefoilreach._internal.coordination.load_poller import LoadPoller
@@ -45,10 +44,6 @@
 _SPARE_THREADS = 16
 _CANCEL_THREADS = 4
 _CLIENT_ERRORS = {400, 413, 422}
-# How often a suspect that found no worker for its trial looks again.
-_TRIAL_WAIT_SECONDS = 0.1
-# Innocent requests wait for their turn instead of failing, but not for ever.
-_TRIAL_LIMIT_SECONDS = 30.0
 # A process that is just ending can reset a connection before it refuses the next.
 _DYING_SECONDS = 0.1
 STOPPED_STATUS = 503
@@ -175,41 +170,38 @@
 
     def _start_attempt(self, number: int) -> _Attempt:
         """Return an attempt with a place; a suspect waits for its trial."""
-        clock = self._dispatcher.clock
-        deadline = clock.now() + _TRIAL_LIMIT_SECONDS
-        while True:
-            server, request_id = self._place(number)
-            guarded = self._dispatcher.guard.begin(self._fingerprint, server.name)
-            if not isinstance(guarded, Err):
-                report = self._backends.load.last_report(server.name)
-                instance = "" if report is None else report.instance
-                return _Attempt(server, request_id, instance, guarded.ok_value)
-            self._backends.release(server, request_id)
-            refusal = guarded.err_value
-            if not isinstance(refusal, TrialBusy):
-                raise self._keep_verdict(refusal)
-            if clock.now() > deadline or self._request.stop_reason:
-                raise self._keep_verdict(refuse_busy())
-            clock.sleep(_TRIAL_WAIT_SECONDS)
-
-    def _place(self, number: int) -> tuple[Server, str]:
-        job = self._job
+        job, request = self._job, self._request
         # Another attempt has another id, so that a late answer to the first cannot match.
         request_id = job.request_id if number == 0 else f"{job.request_id}-{number}"
+        try:
+            place = enter_guarded(
+                self._dispatcher.clock,
+                self._dispatcher.guard,
+                self._fingerprint,
+                lambda: self._place(request_id),
+                lambda server: self._backends.release(server, request_id),
+                lambda: bool(request.stop_reason),
+            )
+        except CallerGone:
+            raise self._refuse("stopped", request.stop_reason) from None
+        except Refusal as refusal:
+            if self._may_have_run:
+                refusal.verdict = Verdict.MAY_HAVE_RUN
+            raise
+        report = self._backends.load.last_report(place.server.name)
+        instance = "" if report is None else report.instance
+        return _Attempt(place.server, request_id, instance, place.run)
+
+    def _place(self, request_id: str) -> Server:
         place = PlaceRequest(
             request_id=request_id,
-            account=job.account,
-            route=job.route,
+            account=self._job.account,
+            route=self._job.route,
             prefixes=self._prefixes,
             avoid=self._failed,
             gone=lambda: bool(self._request.stop_reason),
         )
-        try:
-            return self._backends.enter(place), request_id
-        except CallerGone:
-            raise self._refuse("stopped", self._request.stop_reason) from None
-        except Refusal as refusal:
-            raise self._refuse(refusal.code, refusal.message, refusal.retry_after) from None
+        return self._backends.enter(place)
 
     def _relay_attempt(self, attempt: _Attempt) -> Iterator[bytes]:
         backends, clock = self._backends, self._dispatcher.clock
@@ -314,11 +306,6 @@
     def _resumable(self) -> bool:
         return read_text(self._delivered) is not None
 
-    def _keep_verdict(self, refusal: Refusal) -> Refusal:
-        if self._may_have_run:
-            refusal.verdict = Verdict.MAY_HAVE_RUN
-        return refusal
-
     def _refuse(
         self, code: str, message: str, retry_after: float | None = _RETRY_AFTER_FAILURE_SECONDS
     ) -> Refusal:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/service_dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/service_dispatch.py
@@ -3,10 +3,15 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
+from trefoilreach._internal.coordination.crash_guard import (
+    GuardedPlace,
+    enter_guarded,
+    find_fingerprint,
+)
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.fairness import CallerGone
 from trefoilreach._internal.coordination.running import RunningRequest
@@ -25,6 +30,7 @@
 _ANSWER_FACTOR = 5.0
 _ANSWER_MIN_SECONDS = 10.0
 _RETRY_AFTER_FAILURE_SECONDS = 1.0
+_DYING_SECONDS = 0.1
 
 
 class ServiceJob(NamedTuple):
@@ -70,8 +76,9 @@
         may_have_run = False
         for number in range(_ATTEMPTS):
             request_id = f"{job.request_id}-{number}"
-            server = self._place(job, request, request_id, failed, may_have_run)
-            outcome = self._call(job, request, server, request_id)
+            place = self._place(job, request, request_id, failed, may_have_run)
+            server = place.server
+            outcome = self._call(job, request, place, request_id)
             if isinstance(outcome, Ok):
                 return outcome.ok_value
             error = outcome.err_value
@@ -89,7 +96,7 @@
         request_id: str,
         failed: list[str],
         may_have_run: bool,
-    ) -> Server:
+    ) -> GuardedPlace:
         place = PlaceRequest(
             request_id=request_id,
             account=job.account,
@@ -98,7 +105,14 @@
             gone=lambda: bool(request.stop_reason),
         )
         try:
-            return self._backends.enter(place)
+            return enter_guarded(
+                self._clock,
+                self._dispatcher.guard,
+                _find_fingerprint(job),
+                lambda: self._backends.enter(place),
+                lambda server: self._backends.release(server, request_id),
+                lambda: bool(request.stop_reason),
+            )
         except CallerGone:
             raise _refuse(503, "stopped", request.stop_reason, may_have_run) from None
         except Refusal as refusal:
@@ -107,8 +121,10 @@
             raise
 
     def _call(
-        self, job: ServiceJob, request: RunningRequest, server: Server, request_id: str
+        self, job: ServiceJob, request: RunningRequest, place: GuardedPlace, request_id: str
     ) -> Result[ServiceReply, ServiceError]:
+        server, guard = place.server, self._dispatcher.guard
+        outcome: Result[ServiceReply, ServiceError] | None = None
         target = self._backends.work_class(job.route).first_token_seconds
         # A call that must not be repeated is not cut when its caller leaves: its outcome
         # may still be asked for with an idempotency key.
@@ -127,13 +143,28 @@
                     interrupt=interrupt,
                 ),
             )
+            if isinstance(outcome, Err) and self._has_died(request, server, outcome.err_value):
+                guard.worker_died(server.name)
         finally:
             request.end_attempt()
+            guard.end(place.run, isinstance(outcome, Ok))
             self._backends.release(server, request_id)
         if isinstance(outcome, Ok):
             self._backends.note_service_time(job.route, self._clock.now() - started)
         return outcome
 
+    def _has_died(self, request: RunningRequest, server: Server, error: ServiceError) -> bool:
+        """Return whether the server's process ended while it had the call."""
+        if error.verdict is Verdict.NOT_RUN or error.silent or request.stop_reason:
+            return False
+        if not self._service.is_gone(server):
+            # A process that is just ending can drop a connection before it stops listening.
+            self._clock.sleep(_DYING_SECONDS)
+            if not self._service.is_gone(server):
+                return False
+        self._backends.health.mark_refused(server.name, polled=False)
+        return True
+
     def _note_failure(self, job: ServiceJob, server: Server, error: ServiceError) -> None:
         log_event(
             "request:attempt-failed",
@@ -154,6 +185,11 @@
         return allowed and self._dispatcher.budget.take()
 
 
+def _find_fingerprint(job: ServiceJob) -> str:
+    path = f"{job.method} {job.route.name} {job.target}"
+    return find_fingerprint(job.account.name, path, {"data": job.body.decode("latin-1")})
+
+
 def _refuse(status: int, code: str, message: str, may_have_run: bool) -> Refusal:
     verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
     return Refusal(status, code, message, verdict, _RETRY_AFTER_FAILURE_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -149,6 +149,14 @@
             raise HttpFailure(message, Verdict.MAY_HAVE_RUN, silent=silent) from error
         return HttpExchange(self, connection, response, connected, interrupt)
 
+    def is_refused(self) -> bool:
+        """Return whether a new connection is refused."""
+        try:
+            self._connect().close()
+        except HttpFailure as failure:
+            return failure.refused
+        return False
+
     def drop_idle(self) -> None:
         """Close the idle connections, for example after one of them was silent."""
         with self._lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
@@ -19,12 +19,16 @@
 
     :param verdict: whether the service may have run the call.
     :param gone: whether the service's process seems to be gone.
+    :param silent: whether a wait for the service was over its limit.
     """
 
-    def __init__(self, message: str, verdict: Verdict, gone: bool = False) -> None:
+    def __init__(
+        self, message: str, verdict: Verdict, gone: bool = False, silent: bool = False
+    ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.gone = gone
+        self.silent = silent
 
 
 class ServiceRequest(NamedTuple):
@@ -58,6 +62,9 @@
     def call(self, server: Server, request: ServiceRequest) -> Result[ServiceReply, ServiceError]:
         """Make one call; it is sent at most once."""
 
+    def is_gone(self, server: Server) -> bool:
+        """Return whether no process listens at a server's address."""
+
 
 class HttpService:
     """Service adapter over HTTP.
@@ -92,7 +99,12 @@
             finally:
                 exchange.close()
         except HttpFailure as failure:
-            return Err(ServiceError(str(failure), failure.verdict, failure.refused))
+            error = ServiceError(str(failure), failure.verdict, failure.refused, failure.silent)
+            return Err(error)
+
+    def is_gone(self, server: Server) -> bool:
+        """Return whether no process listens at a server's address."""
+        return self._pool(server).is_refused()
 
     def _pool(self, server: Server) -> HttpPool:
         address = (server.host, server.port)
