Test a service call that crashes its service

Guards against more than two lost processes when the call is resent to another VM; the service emulator ends its process on crash=1.

--- a/tests/functional/test_crash_guard.py
+++ b/tests/functional/test_crash_guard.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from harness import Fleet, call, wait_until
-from test_online import Site
+from harness import Answer, Fleet, call, wait_until
+from test_online import KEY, Site
 
 
 def crashed(site: Site) -> list[str]:
@@ -63,3 +63,26 @@
         wait_until(rejected, 15.0, "the request to be refused for good")
         assert len(crashed(site)) == 2
         assert call(site.daemons[0], "GET", "/healthz").status == 200
+
+
+def test_crashing_service_call_costs_two_processes(tmp_path: Path) -> None:
+    """A call that must not be repeated crashes its service and is resent to the other VM."""
+    with Fleet(tmp_path) as fleet:
+        site = Site(fleet, daemons=2, engines=1)
+
+        def send(daemon: int) -> Answer:
+            path = "/v1/services/echo/pay?crash=1"
+            return call(site.daemons[daemon], "POST", path, b"bad", KEY)
+
+        crashes = 0
+        for daemon in (0, 1, 0, 1):
+            answer = send(daemon)
+            if not fleet.process("s0").alive:
+                crashes += 1
+                assert answer.headers["trefoilreach-verdict"] == "may-have-run"
+                fleet.restart_emulator("service", "s0")
+                time.sleep(1.5)
+        assert crashes == 2
+        assert (answer.status, answer.headers["trefoilreach-verdict"]) == (422, "not-run")
+        good = call(site.daemons[0], "POST", "/v1/services/echo/pay", b"good", KEY)
+        assert good.status == 200
