--- /dev/null
+++ b/tests/unit/test_leases.py
@@ -0,0 +1,97 @@
+"""Guards against two valid holders of one lease, and fencing numbers that fall."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err, Ok
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.leases import Lease, Leases
+from trefoilreach._internal.state.table import MemoryTable, OutcomeUnknown, StoreUnavailable, Write
+
+NAME, SECONDS = "lease/worker", 20.0
+HOLDERS = st.integers(0, 2)
+FAULTS = st.sampled_from(["", "", "", "down", "lost", "late"])
+
+
+class FaultyTable(MemoryTable):
+    fault = ""
+    held_back: tuple[Write, ...] = ()
+
+    def get(self, key: str) -> Any:
+        return Err(StoreUnavailable("down")) if self.fault == "down" else super().get(key)
+
+    def commit(self, writes: Sequence[Write]) -> Any:
+        if self.fault == "down":
+            return Err(StoreUnavailable("down"))
+        if self.fault == "late":
+            self.held_back = tuple(writes)
+            return Err(OutcomeUnknown("late"))
+        done = super().commit(writes)
+        return Err(OutcomeUnknown("lost")) if self.fault == "lost" else done
+
+    def arrive(self) -> None:
+        super().commit(self.held_back)
+        self.held_back = ()
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three processes; a paused one is one that does not act while the clock moves."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table, self.clock = FaultyTable(), ManualClock()
+        self.parties = [Leases(self.clock, self.table, f"vm{n}", SECONDS) for n in range(3)]
+        self.held: dict[int, Lease] = {}
+        self.highest = 0
+
+    @rule(number=HOLDERS, renewing=st.booleans(), fault=FAULTS)
+    def act(self, number: int, renewing: bool, fault: str) -> None:
+        self.table.fault = fault
+        party, lease = self.parties[number], self.held.get(number)
+        done = party.renew(lease) if renewing and lease else party.acquire(NAME)
+        if isinstance(done, Ok):
+            self.held[number] = done.ok_value
+            assert done.ok_value.fencing >= self.highest
+            self.highest = done.ok_value.fencing
+
+    @rule(number=HOLDERS)
+    def release(self, number: int) -> None:
+        lease = self.held.pop(number, None)
+        self.table.fault = ""
+        if lease is not None:
+            self.parties[number].release(lease)
+
+    @rule(seconds=st.sampled_from([0.1, 6.0, 12.0, 20.3]))
+    def advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @rule()
+    def arrive(self) -> None:
+        self.table.arrive()
+
+    @invariant()
+    def one_valid_holder(self) -> None:
+        valid = [n for n, lease in self.held.items() if self.parties[n].is_valid(lease)]
+        assert len(valid) <= 1, valid
+
+
+TestLeaseFuzz = LeaseMachine.TestCase
+
+
+def test_unknown_outcome_is_read_back() -> None:
+    """A process that takes its lost or late write for a lease."""
+    table, clock = FaultyTable(), ManualClock()
+    first, second = (Leases(clock, table, name, SECONDS) for name in ("vm1", "vm2"))
+    table.fault = "lost"
+    assert first.acquire(NAME).unwrap().fencing == 1
+    assert isinstance(second.acquire(NAME), Err)
+    clock.advance(SECONDS * 1.02)
+    table.fault = "late"
+    assert isinstance(second.acquire(NAME), Err)
+    table.arrive()
+    table.fault = ""
+    assert isinstance(second.acquire(NAME), Err)
+    clock.advance(SECONDS * 1.02)
+    assert second.acquire(NAME).unwrap().fencing == 3
