--- a/tests/unit/test_quota_parts.py
+++ b/tests/unit/test_quota_parts.py
@@ -90,7 +90,7 @@
     world.listed.discard("vm0")
     limits = [Limit(0.0, 12.0, 12.0)]
     admitted = []
-    for _ in range(50):
+    for _ in range(150):
         world.run(0.2, 0.2)
         for node in nodes:
             while node.admit("a") and len(admitted) < 1000:
