Let a sole owner of slots go on while other VMs confirm it

Cause: on a fleet some seconds old one daemon owns every slot, and it stopped serving 5 s after the table fell silent (two tests of test_cut_off.py). Change: most of the other known VMs confirm a sole owner, and its slots are taken over only when half of the listed VMs know the row.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -117,9 +117,11 @@
             now, slots = self._clock.now(), self._ledger.slots
             if slots.row is None or now - self._table_read_at < CONFIRM_BY_PEERS_SECONDS:
                 return
-            if not self._peers.members():
-                slots.confirm_alone(now)
+            others = {member.vm for member in self._peers.members()}
+            slots.set_others(others, now)
             owners = [name for name in slots.row.owners() if name != self._ledger.owner]
+            if not owners:
+                owners = [f"{vm}/" for vm in sorted(others)]
         for owner in owners:
             self._ask(owner)
 
@@ -129,7 +131,7 @@
             slots = self._ledger.slots
             waiting = [entry for entry in slots.pending if math.isinf(entry.active_at)]
             if listed is not None:
-                slots.forget_voters({vm.name for vm in listed}, self._clock.now())
+                slots.follow_list({vm.name for vm in listed}, self._clock.now())
             voters = {vm for entry in waiting for vm in entry.voters - entry.acknowledged}
         for vm in sorted(voters):
             self._ask(f"{vm}/")
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -106,11 +106,16 @@
     return xxhash.xxh32_intdigest(account.encode()) % shards
 
 
+# Number of voters before the platform's list was consulted.
+_UNKNOWN = -1
+
+
 class Pending(NamedTuple):
     """Slots taken over, which are not used yet.
 
     :param voters: VMs whose knowledge of the row counts.
     :param needed: how many of them must know it.
+    :param deposed: VMs that owned the slots.
     """
 
     indexes: frozenset[int]
@@ -118,6 +123,7 @@
     needed: int
     acknowledged: frozenset[str]
     active_at: float
+    deposed: frozenset[str]
 
 
 class Holding(NamedTuple):
@@ -154,6 +160,7 @@
         self._releasing: dict[int, float] = {}
         self._valid_until = -math.inf
         self._confirmed_by: dict[str, float] = {}
+        self._others: set[str] | None = None
         self._generation = 1
         self._holdings: dict[int, Holding] = {}
 
@@ -213,9 +220,11 @@
         self._confirmed_by[vm] = max(asked_at, self._confirmed_by.get(vm, -math.inf))
         self._confirm_by_majority(self._row, now)
 
-    def confirm_alone(self, now: float) -> None:
-        """Extend the use of the slots of a daemon that knows no other VM."""
-        self._confirm(now + VALID_SECONDS, now)
+    def set_others(self, others: set[str], now: float) -> None:
+        """Name the other VMs, most of which confirm the row when this daemon owns every slot."""
+        self._others = others
+        if self._row is not None:
+            self._confirm_by_majority(self._row, now)
 
     def acknowledge(self, vm: str, revision: int, now: float) -> None:
         """Note that a VM knows the row under which slots were taken over."""
@@ -260,27 +269,30 @@
             self._holdings[shard] = found
         return found
 
-    def forget_voters(self, listed: set[str], now: float) -> None:
-        """Wait no longer for VMs that the platform's list does not name."""
+    def follow_list(self, listed: set[str], now: float) -> None:
+        """Wait no longer for VMs that the platform's list does not name.
+
+        Without another owner, half of the other VMs of the list must know the row.
+        """
         self._pending = [
-            self._count_voter(entry._replace(voters=entry.voters & listed), "", now)
-            if math.isinf(entry.active_at)
-            else entry
+            self._limit_voters(entry, listed, now) if math.isinf(entry.active_at) else entry
             for entry in self._pending
         ]
 
     def _confirm_by_majority(self, row: SlotRow, now: float) -> None:
         vms = {vm_of(owner) for owner in row.owners()}
-        needed = max(1, len(vms) // 2)
-        times = sorted(
-            (at for vm, at in self._confirmed_by.items() if vm in vms and not self._is_self(vm)),
-            reverse=True,
-        )
-        if len(times) >= needed and row.owned_by(self._owner):
-            self._confirm(times[needed - 1] + VALID_SECONDS, now)
-
-    def _is_self(self, vm: str) -> bool:
-        return vm == vm_of(self._owner)
+        others = vms - {vm_of(self._owner)}
+        if others:
+            self._confirm_by(others, len(vms) // 2, now)
+        else:
+            sole = self._others if self._others is not None else {""}
+            self._confirm_by(sole, len(sole) // 2 + 1 if sole else 0, now)
+
+    def _confirm_by(self, vms: set[str], needed: int, now: float) -> None:
+        times = sorted((at for vm, at in self._confirmed_by.items() if vm in vms), reverse=True)
+        if len(times) >= needed and self._row is not None and self._row.owned_by(self._owner):
+            asked_at = times[needed - 1] if needed else now
+            self._confirm(asked_at + VALID_SECONDS, now)
 
     def _change(self) -> None:
         self._generation += 1
@@ -309,12 +321,20 @@
         before = {vm_of(slot.owner) for slot in old.slots if slot.owner}
         deposed = {vm_of(old.slots[index].owner) for index in taken}
         voters = frozenset(before - deposed)
-        needed = (len(before) + 1) // 2
-        entry = Pending(frozenset(taken), voters, needed, frozenset(), math.inf)
+        needed = (len(before) + 1) // 2 if voters else _UNKNOWN
+        entry = Pending(frozenset(taken), voters, needed, frozenset(), math.inf, frozenset(deposed))
         self._pending.append(self._count_voter(entry, vm_of(self._owner), now))
 
+    def _limit_voters(self, entry: Pending, listed: set[str], now: float) -> Pending:
+        if entry.needed != _UNKNOWN:
+            return self._count_voter(entry._replace(voters=entry.voters & listed), "", now)
+        voters = frozenset(listed - entry.deposed)
+        entry = entry._replace(voters=voters, needed=(len(voters) + 1) // 2)
+        return self._count_voter(entry, vm_of(self._owner), now)
+
     def _count_voter(self, entry: Pending, vm: str, now: float) -> Pending:
         acknowledged = entry.acknowledged | ({vm} & entry.voters)
-        enough = len(acknowledged) >= min(entry.needed, len(entry.voters))
+        known = entry.needed != _UNKNOWN
+        enough = known and len(acknowledged) >= min(entry.needed, len(entry.voters))
         active_at = now + self._rest_seconds if enough else math.inf
         return entry._replace(acknowledged=acknowledged, active_at=active_at)
