--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -147,11 +147,12 @@
         self.release = threading.Event()
         self.served = 0
 
-    def answer(self, worker: str, count: int) -> None:
+    def answer(self, worker: str, count: int) -> int:
         self.served += 1
         if self.silent_calls:
             self.silent_calls -= 1
             self.release.wait(10)
+        return 0
 
 
 @pytest.mark.parametrize(("silent_calls", "expected"), [(0, Ok), (1, Ok), (2, Err)])
