Confirm quota slots by peers while the table hangs

The thread that keeps the slots waits up to 2 s for each table read, so a frozen platform delayed the question to the peers beyond the 5 s for which slots hold, and completions inside the rate got 429. The question now has a thread of its own. Completed online requests and refusals inside a stream are recorded for the monitor.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
@@ -1,5 +1,12 @@
 """Probes, one module for each role; importing this package registers them."""
 
-from trefoilreach_emulator._internal.capacity.probes import configuration, entry, membership
+from trefoilreach_emulator._internal.capacity.probes import (
+    batch,
+    configuration,
+    entry,
+    membership,
+    quota,
+    routing,
+)
 
-__all__ = ["configuration", "entry", "membership"]
+__all__ = ["batch", "configuration", "entry", "membership", "quota", "routing"]
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
@@ -23,6 +23,7 @@
     respond_json,
     routes,
 )
+from trefoilreach._internal.coordination.audit import COMPLETED, REFUSED
 from trefoilreach._internal.coordination.dispatch import Job
 from trefoilreach._internal.coordination.keys import refuse_ended_stream
 from trefoilreach._internal.protocol.events import join_events
@@ -92,8 +93,15 @@
     def check(self) -> None:
         """Raise the refusal of a request whose key was withdrawn while it ran."""
         if self._ended.is_set():
-            withdrawn = self._key_id in self._parts.config_sync.withdrawn_ids()
-            raise refuse_ended_stream(withdrawn)
+            raise self._refuse_ended()
+
+    def explain(self, refusal: Refusal) -> Refusal:
+        """Return why a request stopped: its ended key comes before what followed from that."""
+        return self._refuse_ended() if self._ended.is_set() else refusal
+
+    def _refuse_ended(self) -> Refusal:
+        withdrawn = self._key_id in self._parts.config_sync.withdrawn_ids()
+        return refuse_ended_stream(withdrawn)
 
     @contextmanager
     def open(self) -> Iterator[None]:
@@ -107,15 +115,41 @@
 
 def _relay(parts: Parts, watch: KeyWatch, job: Job) -> Generator[bytes, None, None]:
     """Yield payloads until the end or until the key is withdrawn."""
+    begun = False
     with watch.open():
         try:
             for payload in parts.dispatcher.run_stream(job):
                 watch.check()
+                begun = True
                 yield payload
-        except Refusal:
             watch.check()
-            raise
-        watch.check()
+        except Refusal as refusal:
+            ended = watch.explain(refusal)
+            if begun and job.completion.stream:
+                # Its answer has begun with status 200, so no one else records it.
+                parts.audit.record(REFUSED, describe_refusal(job, ended))
+            raise ended from refusal
+    parts.audit.record(COMPLETED, describe_job(job))
+
+
+def describe_job(job: Job) -> dict[str, Any]:
+    """Return the audit fields of a completion; no prompt and no key."""
+    return {
+        "request_id": job.request_id,
+        "account": job.account.name,
+        "route": job.route.name,
+        "path": job.completion.path,
+    }
+
+
+def describe_refusal(job: Job, refusal: Refusal) -> dict[str, Any]:
+    """Return the audit fields of a completion that ended with an error event."""
+    return {
+        **describe_job(job),
+        "status": refusal.status,
+        "code": refusal.code,
+        "verdict": refusal.verdict.value,
+    }
 
 
 def _start_stream(job: Job, payloads: Generator[bytes, None, None]) -> Iterator[bytes]:
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
@@ -14,6 +14,7 @@
     scrub_query,
 )
 from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
+from trefoilreach._internal.coordination.audit import COMPLETED
 from trefoilreach._internal.coordination.service_dispatch import ServiceJob
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
 from trefoilreach._internal.state.config import Account, Route
@@ -62,6 +63,15 @@
             reply = parts.services.run(job)
         finally:
             watch.check()
+    parts.audit.record(
+        COMPLETED,
+        {
+            "request_id": job.request_id,
+            "account": job.account.name,
+            "route": job.route.name,
+            "status": reply.status,
+        },
+    )
     return respond_reply(reply)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit.py
@@ -14,6 +14,7 @@
 from trefoilreach._internal.state.objects import ObjectStore
 
 SEGMENT_PREFIX = "audit/"
+COMPLETED = "completed"
 REFUSED = "refused"
 WITHDRAWN = "withdrawn"
 CONFIG = "config"
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -73,9 +73,8 @@
         self._absence_seconds = max(_MIN_ABSENCE_SECONDS, settings.take_over - rest)
 
     def tick(self) -> None:
-        """Confirm the slots and make the changes to the row that are due."""
+        """Read the row, which confirms the slots, and make the changes that are due."""
         readable = self._read_row()
-        self._confirm_by_peers()
         self._settle_pending()
         if readable:
             self._change_row()
@@ -96,6 +95,23 @@
         with self._ledger.lock:
             return not self._ledger.slots.releasing
 
+    def confirm_by_peers(self) -> None:
+        """Ask the other owners to confirm the slots when the table did not do so lately.
+
+        Runs apart from :meth:`tick`, which waits for a table that hangs.
+        """
+        with self._ledger.lock:
+            now, slots = self._clock.now(), self._ledger.slots
+            if slots.row is None or now - self._table_read_at < CONFIRM_BY_PEERS_SECONDS:
+                return
+            others = {member.vm for member in self._peers.members()}
+            slots.set_others(others, now)
+            owners = [name for name in slots.row.owners() if name != self._ledger.owner]
+            if not owners:
+                owners = [f"{vm}/" for vm in sorted(others)]
+        for owner in owners:
+            self._ask(owner)
+
     def _read_row(self) -> bool:
         asked_at = self._clock.now()
         found = self._table.get(SLOTS_KEY)
@@ -112,19 +128,6 @@
             self._ledger.activate(now)
         return True
 
-    def _confirm_by_peers(self) -> None:
-        with self._ledger.lock:
-            now, slots = self._clock.now(), self._ledger.slots
-            if slots.row is None or now - self._table_read_at < CONFIRM_BY_PEERS_SECONDS:
-                return
-            others = {member.vm for member in self._peers.members()}
-            slots.set_others(others, now)
-            owners = [name for name in slots.row.owners() if name != self._ledger.owner]
-            if not owners:
-                owners = [f"{vm}/" for vm in sorted(others)]
-        for owner in owners:
-            self._ask(owner)
-
     def _settle_pending(self) -> None:
         listed = self._peers.listed_vms()
         with self._ledger.lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_loans.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_loans.py
@@ -24,6 +24,8 @@
 
 _RENEW_INTERVAL_SECONDS = 1.0
 
+_CONFIRM_INTERVAL_SECONDS = 0.5
+
 # A token spent later than this after the clock was read is checked again.
 _SPEND_SECONDS = 0.2
 
@@ -102,6 +104,7 @@
         stack.callback(self._stop.set)
         for name, work, interval in (
             ("quota-slots", self._keeper.tick, TABLE_INTERVAL_SECONDS),
+            ("quota-confirm", self._keeper.confirm_by_peers, _CONFIRM_INTERVAL_SECONDS),
             ("quota-loans", self._borrower.renew, _RENEW_INTERVAL_SECONDS),
         ):
             arguments = (work, interval)
--- a/tests/unit/quota_world.py
+++ b/tests/unit/quota_world.py
@@ -122,6 +122,7 @@
 
     def tick(self) -> None:
         self.quota.keeper.tick()
+        self.quota.keeper.confirm_by_peers()
         self.quota.borrower.renew()
 
     def admit(self, account: str) -> bool:
