Work out capacity at the target from the measured slopes

Adds projections with their sources and margins, the compressed size of the configuration, and keeps start-up objects out of garbage collection, which stopped all threads for 11.5 ms a full collection (0.004 ms after gc.freeze).

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/configuration.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/configuration.py
@@ -13,6 +13,7 @@
     decode_config,
     encode_config,
     hash_key,
+    pack_config,
 )
 
 from trefoilreach_emulator._internal.capacity.memory import measure_resident
@@ -63,6 +64,7 @@
         ("workers", _WORKER_SIZES, build_views_of_workers),
     ):
         slopes.append(_fit("document size", "KB", against, sizes, _size_of(build)))
+        slopes.append(_fit("compressed document", "KB", against, sizes, _packed_size_of(build)))
         slopes.append(_fit("adoption of one version", "ms", against, sizes, _time_of(build)))
         slopes.append(_fit("memory", "KB", against, sizes, _memory_of(build)))
     return slopes
@@ -79,6 +81,10 @@
     return lambda size: len(encode_config(build(size).document)) / 1000
 
 
+def _packed_size_of(build: Callable[[int], ConfigView]) -> Callable[[int], float]:
+    return lambda size: len(pack_config(build(size).document)) / 1000
+
+
 def _time_of(build: Callable[[int], ConfigView]) -> Callable[[int], float]:
     def measure(size: int) -> float:
         data = encode_config(build(size).document)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/capacity.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/capacity.py
@@ -8,6 +8,7 @@
 
 from trefoilreach_emulator._internal.bench.page import replace_section
 from trefoilreach_emulator._internal.capacity import probes as modules  # noqa: F401 - registers
+from trefoilreach_emulator._internal.capacity.projection import format_estimates, project
 from trefoilreach_emulator._internal.capacity.slopes import Slope, format_slopes, probes
 from trefoilreach_emulator._internal.commands.bench import read_commit
 
@@ -38,4 +39,5 @@
             day = time.strftime("%Y-%m-%d")
             head = f"`make capacity` on {day}, commit {read_commit()}.\n\n"
             replace_section(_PAGE, "slopes", head + format_slopes(slopes))
+            replace_section(_PAGE, "estimates", format_estimates(project(slopes)))
         return 0
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -1,5 +1,6 @@
 """Builds the parts of a daemon on one exit stack and runs them."""
 
+import gc
 import threading
 from contextlib import ExitStack
 
@@ -73,6 +74,7 @@
         )
         stack.callback(server.close)
         server.start()
+        _freeze_heap()
         log_event("daemon:started", http_port=server.port)
         return parts.drain, server
 
@@ -162,3 +164,12 @@
             batches=batches,
             audit=Audit(self._clock, objects, settings.daemon.name, lambda: len(membership.live())),
         )
+
+
+def _freeze_heap() -> None:
+    """Keep the objects made at start out of later garbage collections.
+
+    A full collection over them stops all threads for about 11 ms.
+    """
+    gc.collect()
+    gc.freeze()
