--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -63,9 +63,10 @@
         :raises LookupError: when nothing of that name was measured.
         """
         for slope in self._slopes:
-            if slope.role == role and slope.cost.startswith(cost):
-                if slope.against.startswith(against):
-                    return slope
+            if slope.role != role or not slope.cost.startswith(cost):
+                continue
+            if slope.against.startswith(against):
+                return slope
         raise LookupError(f"no slope of {role}: {cost}")
 
 
