--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -83,7 +83,17 @@
         for size in (TODAY, TARGET)
     ]
     source = "measured per request and token; rates of today assumed"
-    return [Estimate("entry", "processor time of requests", "% of a core", *values, source, 100.0)]
+    return [
+        Estimate(
+            "entry",
+            "processor time of requests",
+            "% of a core",
+            values[0],
+            values[1],
+            source,
+            100.0,
+        )
+    ]
 
 
 def _control(slopes: Slopes) -> list[Estimate]:
@@ -102,9 +112,15 @@
         Estimate(name, "control traffic", "KB/s", traffic[0][i], traffic[1][i], sources[i])
         for i, name in enumerate(names)
     ]
-    rows.append(Estimate("control", "processor time", "% of a core", *core, "sum of slopes", 3.5))
-    rows.append(Estimate("control", "resident memory", "MB", *memory, "sum of slopes", 64.0))
-    rows.append(Estimate("control", "traffic", "KB/s", *whole, "sum of the rows above", 6.0))
+    rows.append(
+        Estimate("control", "processor time", "% of a core", core[0], core[1], "sum of slopes", 3.5)
+    )
+    rows.append(
+        Estimate("control", "resident memory", "MB", memory[0], memory[1], "sum of slopes", 64.0)
+    )
+    rows.append(
+        Estimate("control", "traffic", "KB/s", whole[0], whole[1], "sum of the rows above", 6.0)
+    )
     return rows
 
 
@@ -149,9 +165,24 @@
     ]
     source = "measured a job and an item; keyed requests assumed at 50/s, 10 % of it today"
     return [
-        Estimate("batch", "processor time of items", "% of a core", *items, "measured an item"),
-        Estimate("stores", "writes, all daemons", "1/s", *writes, source, 400.0),
-        Estimate("stores", "reads, all daemons", "1/s", *reads, "measured idle and batch", 2000.0),
+        Estimate(
+            "batch",
+            "processor time of items",
+            "% of a core",
+            items[0],
+            items[1],
+            "measured an item",
+        ),
+        Estimate("stores", "writes, all daemons", "1/s", writes[0], writes[1], source, 400.0),
+        Estimate(
+            "stores",
+            "reads, all daemons",
+            "1/s",
+            reads[0],
+            reads[1],
+            "measured idle and batch",
+            2000.0,
+        ),
     ]
 
 
