--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages/trefoilreach/src:packages/trefoilctl/src:packages/trefoilreach-emulator/src
+SOURCES := $(CURDIR)/packages/trefoilreach/src:$(CURDIR)/packages/trefoilctl/src:$(CURDIR)/packages/trefoilreach-emulator/src
 export PYTHONPATH := $(SOURCES)
 SEEDS ?= 20
 FUZZ_FIRST_SEED ?= 1000
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
@@ -170,19 +170,38 @@
         wait_until(lambda: _connects(address), what=name)
         return address
 
-    def publish(self, document: ConfigDocument) -> None:
-        """Put the first configuration into force and wait until all daemons have it."""
+    def put_config(self, document: ConfigDocument, expected: int = 0) -> None:
+        """Put a configuration into force through the platform emulator.
+
+        :param expected: revision of the head row.
+        """
         platform = self.addresses["platform"]
         name = f"config/{document.version}-fleet"
         call(platform, "PUT", f"/objects/{name}", encode_config(document))
         value = {"version": document.version, "object": name, "writer": "fleet"}
-        write = {"key": "config/head", "value": value, "expected": 0}
+        write = {"key": "config/head", "value": value, "expected": expected}
         answer = call(platform, "POST", "/table/commit", {"writes": [write]})
         if answer.status != 200:
             raise RuntimeError(f"the platform emulator refused the configuration: {answer}")
+
+    def publish(self, document: ConfigDocument) -> None:
+        """Put the first configuration into force and wait until all daemons have it."""
+        self.put_config(document)
         for daemon in self._peer_ports:
             wait_until(partial(self._has_version, daemon, document.version), what=daemon)
 
+    def set_faults(self, **faults: Any) -> None:
+        """Set the faults of the platform emulator; none ends them."""
+        call(self.addresses["platform"], "POST", "/faults", faults)
+
+    def kill(self, name: str) -> None:
+        """Kill a program."""
+        self._programs[name].close()
+
+    def log(self, name: str) -> str:
+        """Return what a program has written so far."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")
+
     def _has_version(self, name: str, version: int) -> bool:
         answer = call(self.addresses[name], "GET", "/healthz")
         return answer.status == 200 and answer.json()["config_version"] >= version
