--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -126,7 +126,8 @@
 
 def _control_core(slopes: Slopes, size: Size) -> float:
     idle = slopes.find("membership", "processor time").at(size.daemons - 1)
-    watched = min(size.workers, _SUBSET_WORKERS)
+    # Its routing subset, and the workers that it sends batch work to.
+    watched = min(size.workers, _SUBSET_WORKERS) + size.workers / size.daemons
     workers = slopes.find("routing", "processor time").slope * watched
     adoption = _adoption_ms(slopes, size) * size.changes_per_day / _SECONDS_PER_DAY / 10.0
     return idle + workers + adoption
