--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -246,3 +246,20 @@
     assert len(outcomes) == len(items) == 45
     assert [name for name, outcome in outcomes.items() if outcome != "completed"] == ["i3"]
     assert all(len(entry["completions"]) == 1 for entry in items)
+
+
+def test_monitor_sees_online_requests_and_streams_cut_midway(daemon: Address) -> None:
+    """Online requests that left no record, or a stream that failed after its status 200."""
+    body = {"model": "m", "messages": [{"role": "user", "content": "online"}], "stream": True}
+    assert call(daemon, "POST", CHAT, {**body, "max_tokens": 3}, "s2").status == 200
+    cut = {**body, "messages": [{"role": "user", "content": "cut-the-answer"}], "max_tokens": 9}
+    assert b"[DONE]" not in call(daemon, "POST", CHAT, cut, "s2").data
+
+    def find(kind: str) -> Any:
+        records = (entry for entry in read_audit(daemon) if entry["kind"] == kind)
+        return [entry for entry in records if entry.get("account") == "b" and "route" in entry]
+
+    (completed,) = wait_until(lambda: find("completed"), what="segment with the completion")
+    (refused,) = wait_until(lambda: find("refused"), what="segment with the cut stream")
+    assert completed["request_id"] != refused["request_id"]
+    assert (refused["status"], refused["verdict"]) == (503, "may-have-run")
