--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/scenarios/contention.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/scenarios/contention.py
@@ -14,7 +14,7 @@
 from trefoilreach_emulator._internal.load.processes import run_in_processes
 from trefoilreach_emulator._internal.load.samples import LoadResult
 
-_NAME = "Worst-served account"
+_NAME = "Worst-served account, quota settled"
 _RATES = (18.0, 14.0, 10.0, 8.0, 6.0, 5.0, 4.0, 3.0)
 _LOUD_FACTOR = 5.0
 _OVERLOAD_FACTOR = 2.0
@@ -39,7 +39,7 @@
     scale: Scale, folder: Path, rates: tuple[float, ...], factors: dict[int, float]
 ) -> LoadResult:
     site = Site("contention", daemons=4, engines=5, accounts=build_accounts(rates))
-    with start_site(site, folder) as running:
+    with start_site(site, folder, settled=True) as running:
         streams = tuple(
             LoadStream(
                 account.name,
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/scenarios/quota.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/scenarios/quota.py
@@ -13,7 +13,7 @@
 from trefoilreach_emulator._internal.load.plan import LoadPlan, LoadStream
 from trefoilreach_emulator._internal.load.processes import run_in_processes
 
-_NAME = "Refusals inside the rate, one VM of twelve at 90% of the rate"
+_NAME = "Refusals inside the rate, one VM of twelve at 90% of the rate, quota settled"
 _RATE = 40.0
 _LOAD_SHARE = 0.9
 _REFUSED_LIMIT_PERCENT = 0.5
@@ -39,7 +39,7 @@
         slots=64,
         settings={"quota": {"policy": policy}},
     )
-    with start_site(site, folder) as running:
+    with start_site(site, folder, settled=policy == "loans") as running:
         account = site.accounts[0].name
         stream = LoadStream(
             account, running.entries[:1], key_of(account), MODEL, _RATE * _LOAD_SHARE, tokens=2
