--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/plots.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/bench/plots.py
@@ -14,9 +14,10 @@
 
 def plot_latencies(figures: list[Figure], scenario: str, label: str, path: Path) -> bool:
     """Draw p50, p95 and p99 of one latency for each variant; return whether there were any."""
+    wanted = {f"{label} {percentile}" for percentile in _PERCENTILES}
     found: dict[str, list[float]] = {}
     for figure in figures:
-        if figure.scenario == scenario and figure.name.startswith(f"{label} p"):
+        if figure.scenario == scenario and figure.name in wanted:
             found.setdefault(figure.variant, []).append(figure.value)
     if not found:
         return False
