Share the pools by address between engine and service adapters

Both adapters held the same code that makes one pool for each address. Removes Dispatcher.run_whole and a test constant that nothing used any more.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager, suppress
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from result import Err
 
@@ -23,7 +23,7 @@
 from trefoilreach._internal.coordination.retry_budget import RetryBudget
 from trefoilreach._internal.coordination.running import RunningRequest, RunningRequests
 from trefoilreach._internal.logs import log_event
-from trefoilreach._internal.protocol.events import join_events, read_text
+from trefoilreach._internal.protocol.events import read_text
 from trefoilreach._internal.protocol.openai import Completion, prompt_text
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict, refuse_unavailable
 from trefoilreach._internal.settings import Settings
@@ -99,10 +99,6 @@
         self._running.start(stack)
         self._config.add_listener(lambda view: self.backends.pump())
 
-    def run_whole(self, job: Job) -> dict[str, Any]:
-        """Return the whole answer as one completion object."""
-        return join_events(job.completion.path, self.run_stream(job))
-
     def run_stream(self, job: Job) -> Iterator[bytes]:
         """Yield the event payloads of the answer.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
@@ -1,6 +1,5 @@
 """Adapter for model engines that speak the public completions API over HTTP."""
 
-import threading
 from collections.abc import Callable, Iterator
 from http.client import HTTPException
 from typing import Any, NamedTuple, Protocol
@@ -16,6 +15,7 @@
     HttpExchange,
     HttpFailure,
     HttpPool,
+    HttpPools,
     Interrupt,
 )
 
@@ -149,10 +149,7 @@
     """
 
     def __init__(self, clock: Clock, connect_timeout: float) -> None:
-        self._clock = clock
-        self._connect_timeout = connect_timeout
-        self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], HttpPool] = {}
+        self._pools = HttpPools(clock, connect_timeout)
 
     def open(self, server: Server, request: EngineRequest) -> Result[EngineStream, EngineError]:
         """Start a completion.
@@ -200,18 +197,10 @@
 
     def close(self) -> None:
         """Close the kept connections."""
-        with self._lock:
-            pools = list(self._pools.values())
-        for pool in pools:
-            pool.close()
+        self._pools.close()
 
     def _pool(self, server: Server) -> HttpPool:
-        address = (server.host, server.port)
-        with self._lock:
-            if address not in self._pools:
-                pool = HttpPool(server.host, server.port, self._clock, self._connect_timeout)
-                self._pools[address] = pool
-            return self._pools[address]
+        return self._pools.get(server.host, server.port)
 
     def _read(self, server: Server, path: str) -> Result[Any, EngineError]:
         """Read on a kept connection, and once more on a new one if it gives no answer."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -250,3 +250,29 @@
         else:
             self._response.close()
             self._connection.close()
+
+
+class HttpPools:
+    """A pool for each address, made when it is first used."""
+
+    def __init__(self, clock: Clock, connect_timeout: float) -> None:
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._lock = threading.Lock()
+        self._pools: dict[tuple[str, int], HttpPool] = {}
+
+    def get(self, host: str, port: int) -> HttpPool:
+        """Return the pool of an address."""
+        with self._lock:
+            found = self._pools.get((host, port))
+            if found is None:
+                found = HttpPool(host, port, self._clock, self._connect_timeout)
+                self._pools[host, port] = found
+            return found
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close()
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
@@ -1,6 +1,5 @@
 """Adapter for plain services that are called over HTTP."""
 
-import threading
 from http.client import HTTPResponse
 from typing import NamedTuple, Protocol
 
@@ -9,7 +8,7 @@
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.config import Server
-from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool, Interrupt
+from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool, HttpPools, Interrupt
 
 _REQUEST_ID = "X-Request-Id"
 
@@ -76,10 +75,7 @@
     """
 
     def __init__(self, clock: Clock, connect_timeout: float) -> None:
-        self._clock = clock
-        self._connect_timeout = connect_timeout
-        self._lock = threading.Lock()
-        self._pools: dict[tuple[str, int], HttpPool] = {}
+        self._pools = HttpPools(clock, connect_timeout)
 
     def call(self, server: Server, request: ServiceRequest) -> Result[ServiceReply, ServiceError]:
         """Make one call."""
@@ -107,12 +103,7 @@
         return self._pool(server).is_refused()
 
     def _pool(self, server: Server) -> HttpPool:
-        address = (server.host, server.port)
-        with self._lock:
-            if address not in self._pools:
-                pool = HttpPool(server.host, server.port, self._clock, self._connect_timeout)
-                self._pools[address] = pool
-            return self._pools[address]
+        return self._pools.get(server.host, server.port)
 
 
 def _check(
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -10,7 +10,6 @@
 from trefoilreach_emulator._internal.http_call import Address, Answer, call
 
 __all__ = [
-    "MONITOR_KEY",
     "OPERATOR_KEY",
     "ROOT",
     "Address",
@@ -26,7 +25,6 @@
 ]
 
 ROOT = Path(__file__).resolve().parents[2]
-MONITOR_KEY = "monitor-secret"
 _SUBNET = 7
 
 Process = Program
