Pass quota slots on with their tokens while they stay in use

Cause: an owner stopped using a slot for the 3 s of its loans before it freed it, and the next owner began with empty buckets. Change: the owner goes on using slots that it is about to pass on, lends them no more, calls back what is lent beyond the rest, writes the next owners in one step and sends them the row with the tokens. Slots go to VMs that own fewer and were heard lately. The row of the slots has a module of its own. A refusal says 429 only when the account is over its rate or every slot is within reach, else 503. Ruled out: releasing one slot at a time, tried earlier, leaves accounts with a burst of one without a whole token for seconds.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/quota.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/quota.py
@@ -39,7 +39,7 @@
             result = run_in_processes(LoadPlan(_SEED, 2 * seconds, streams), 1).total
             spent = spent_between(before, read_usage(running))
             traffic.append(Point(size, spent.control_bytes_per_second / _DAEMONS / 1000))
-            refused.append(Point(size, 100.0 * result.refused(429) / result.sent))
+            refused.append(Point(size, 100.0 * result.refused(429, 503) / result.sent))
     against = "accounts in use on one daemon of four"
     return [
         fit_slope(
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/load/samples.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/load/samples.py
@@ -94,9 +94,9 @@
         for status, count in other.statuses.items():
             self.statuses[status] = self.statuses.get(status, 0) + count
 
-    def refused(self, status: int) -> int:
-        """Return how many requests got this HTTP status."""
-        return self.statuses.get(status, 0)
+    def refused(self, *statuses: int) -> int:
+        """Return how many requests got one of these HTTP statuses."""
+        return sum(self.statuses.get(status, 0) for status in statuses)
 
 
 class LoadResult:
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -6,7 +6,7 @@
 
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
-from trefoilreach._internal.coordination.quota import refuse_over_rate
+from trefoilreach._internal.coordination.quota import refuse
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import (
     BOOTSTRAP_KEY_ID,
@@ -94,10 +94,11 @@
 def take_quota(parts: Parts, account: Account) -> None:
     """Spend one token of the account's rate.
 
-    :raises Refusal: 429 when the account is over its rate or burst.
+    :raises Refusal: 429 when the account is over its rate or burst, 503 when the quota
+        cannot be reached.
     """
     if account is ANONYMOUS:
         return
     admitted = parts.quota.admit(account)
     if isinstance(admitted, Err):
-        raise refuse_over_rate(account, admitted.err_value)
+        raise refuse(account, admitted.err_value)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
@@ -17,11 +17,23 @@
 from trefoilreach._internal.state.table import TableService
 
 
+class Shortage(NamedTuple):
+    """Why a request got no token.
+
+    :param seconds: time after which a request can succeed.
+    :param over_rate: whether the account is over its rate or burst; otherwise the part of
+        its quota that other daemons hold could not be reached.
+    """
+
+    seconds: float
+    over_rate: bool
+
+
 class Quota(Protocol):
     """Admission of requests by account."""
 
-    def admit(self, account: Account) -> Result[None, float]:
-        """Spend one token; ``Err`` carries the seconds after which a request can succeed."""
+    def admit(self, account: Account) -> Result[None, Shortage]:
+        """Spend one token."""
 
     def borrow(self, request: BorrowRequest) -> BorrowReply:
         """Answer a peer that needs quota."""
@@ -46,7 +58,10 @@
 quota_policies: Registry[Callable[[QuotaTools], Quota]] = Registry("quota policy")
 
 
-def refuse_over_rate(account: Account, seconds: float) -> Refusal:
-    """Return the refusal of a request over the rate or burst of its account."""
+def refuse(account: Account, shortage: Shortage) -> Refusal:
+    """Return the refusal of a request that got no token."""
+    if not shortage.over_rate:
+        message = f"the quota of account {account.name!r} cannot be reached completely from here"
+        return Refusal(503, "quota_unavailable", message, retry_after=shortage.seconds)
     message = f"account {account.name!r} is over its rate of {account.rate:g} requests a second"
-    return Refusal(429, "rate_limit_exceeded", message, retry_after=seconds)
+    return Refusal(429, "rate_limit_exceeded", message, retry_after=shortage.seconds)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
@@ -19,10 +19,11 @@
     Recall,
     recall_message,
 )
-from trefoilreach._internal.coordination.quota_slots import (
+from trefoilreach._internal.coordination.quota_row import (
     SLOTS_PER_SHARD,
     decode_row,
     encode_row,
+    shard_of,
     vm_of,
 )
 from trefoilreach._internal.logs import log_event
@@ -33,6 +34,7 @@
     QuotaLoan,
     QuotaRecall,
     QuotaReturn,
+    QuotaTokens,
 )
 
 # Longest time that one request waits for a loan.
@@ -140,16 +142,24 @@
         """Ask borrowers of this daemon's slots to shrink their loans."""
         return [self.start(self._call_recall, recall) for recall in recalls]
 
-    def exchange(
-        self, owner: str, request: BorrowRequest, attach_row: bool = False
-    ) -> BorrowReply | None:
+    def show_row(self, owner: str, passed: dict[str, float]) -> None:
+        """Send the row of the slots to a process.
+
+        :param passed: tokens by account of the slots that this row passes on to it.
+        """
+        tokens = [QuotaTokens(account=name, tokens=count) for name, count in passed.items()]
+        request = BorrowRequest(demands=[], returns=[], recalls=[], passed=tokens or None)
+        with self._ledger.lock:
+            row = self._ledger.slots.row
+            request.slots = encode_row(row) if row is not None else None
+        self.exchange(owner, request)
+
+    def exchange(self, owner: str, request: BorrowRequest) -> BorrowReply | None:
         """Send one message to a process; return its answer, or None without one."""
         with self._ledger.lock:
             asked_at = self._clock.now()
-            row = self._ledger.slots.row
             request.sender, request.receiver = self._ledger.owner, owner
             request.slots_revision = self._ledger.slots.revision
-            request.slots = encode_row(row) if attach_row and row is not None else None
         reply = self._peers.call(
             vm_of(owner), lambda client: client.borrow(request), _CALL_TIMEOUT_SECONDS
         )
@@ -161,6 +171,7 @@
             self._ledger.adopt(decode_row(answer.slots), self._clock.now())
         with self._ledger.lock:
             now, slots = self._clock.now(), self._ledger.slots
+            self._ledger.note_process(answer.sender)
             slots.confirm_by_peer(vm_of(owner), answer.slots_revision, asked_at, now)
             slots.acknowledge(vm_of(owner), answer.slots_revision, now)
         return answer
@@ -196,7 +207,7 @@
                 for lender in lenders
             ]
             own = entry.bucket.own.capacity > 0.0
-            lacking = Missing(missing + entry.bucket.overlent, missing)
+            lacking = Missing(missing, missing)
             recalls = self._lender.plan_recalls(name, self._ledger.owner, lacking) if own else []
         calls = self.recall(recalls)
         calls += [self.start(self._call, lender, [need], []) for lender, need in demands]
@@ -231,15 +242,29 @@
         wanted = min(float(waiting), burst)
         return wanted - min(entry.bucket.tokens, entry.bucket.capacity)
 
-    def _choose(self, entry: Entry, everyone: bool) -> list[str]:
-        """Return the lenders to ask: enough for the arrivals here, in an order of its own."""
-        now = self._clock.now()
+    def reaches_all(self, name: str) -> bool:
+        """Return whether every slot of an account is in use here or at a lender that answers."""
+        with self._ledger.lock:
+            now, slots = self._clock.now(), self._ledger.slots
+            if slots.row is None or slots.valid_until <= now:
+                return False
+            shard = shard_of(name, slots.row.shards)
+            lenders = self._reachable_lenders(name, now)
+            lent = sum(slots.row.count_of(shard, lender) for lender in lenders)
+            return slots.hold(shard).owned + lent == SLOTS_PER_SHARD
+
+    def _reachable_lenders(self, name: str, now: float) -> list[str]:
         away = {member.vm for member in self._peers.members() if member.state == UNREACHABLE}
-        lenders = [
+        return [
             owner
-            for owner in self._ledger.lenders(entry.account)
+            for owner in self._ledger.lenders(name)
             if vm_of(owner) not in away and self._paused_until.get(owner, 0.0) <= now
         ]
+
+    def _choose(self, entry: Entry, everyone: bool) -> list[str]:
+        """Return the lenders to ask: enough for the arrivals here, in an order of its own."""
+        now = self._clock.now()
+        lenders = self._reachable_lenders(entry.account, now)
         if everyone or not lenders:
             return lenders
         account = self._ledger.account(entry.account)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_buckets.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_buckets.py
@@ -42,6 +42,7 @@
         self._rate = 0.0
         self._capacity = 0.0
         self._next_end = math.inf
+        self._lendable_part = 1.0
 
     @property
     def tokens(self) -> float:
@@ -69,9 +70,15 @@
         return self._borrowed
 
     @property
-    def overlent(self) -> float:
-        """Capacity lent beyond that of the own slots, after some of those were released."""
-        return max(0.0, self._sum_lent().capacity - self._own.capacity)
+    def overlent_part(self) -> float:
+        """Part of the lent terms that exceeds what may be lent, because slots are passed on."""
+        lent = self._sum_lent()
+        rate = lent.rate - self._own.rate * self._lendable_part
+        capacity = lent.capacity - self._own.capacity * self._lendable_part
+        return max(
+            rate / lent.rate if rate > TOKEN_TOLERANCE else 0.0,
+            capacity / lent.capacity if capacity > TOKEN_TOLERANCE else 0.0,
+        )
 
     @property
     def lent_to(self) -> list[str]:
@@ -107,6 +114,10 @@
         self._own = own
         self._recompute()
 
+    def set_lendable_part(self, part: float) -> None:
+        """Set which part of the own terms may be lent; the rest only serves requests here."""
+        self._lendable_part = part
+
     def set_borrowed(self, lender: str, terms: Terms) -> None:
         """Replace what a lender's earlier answer granted."""
         self._borrowed[lender] = terms
@@ -129,8 +140,8 @@
         lent = self._sum_lent()
         held = self.lent(borrower)
         return Terms(
-            max(0.0, self._own.rate - (lent.rate - held.rate)),
-            max(0.0, self._own.capacity - (lent.capacity - held.capacity)),
+            max(0.0, self._own.rate * self._lendable_part - (lent.rate - held.rate)),
+            max(0.0, self._own.capacity * self._lendable_part - (lent.capacity - held.capacity)),
         )
 
     def latest_sequence(self, borrower: str) -> int | None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -3,20 +3,18 @@
 import math
 import uuid
 from collections import Counter
-from collections.abc import Callable
 
 import xxhash
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.quota_borrower import Borrower
 from trefoilreach._internal.coordination.quota_ledger import Ledger
-from trefoilreach._internal.coordination.quota_slots import (
-    DRIFT_MARGIN,
-    PASSED,
+from trefoilreach._internal.coordination.quota_passing import SlotPasser
+from trefoilreach._internal.coordination.quota_row import (
     SLOTS_KEY,
     TAKEN,
-    VALID_SECONDS,
     Slot,
     SlotRow,
     decode_value,
@@ -24,9 +22,10 @@
     make_row,
     vm_of,
 )
+from trefoilreach._internal.coordination.quota_slots import DRIFT_MARGIN, VALID_SECONDS
 from trefoilreach._internal.logs import log_decision
 from trefoilreach._internal.settings import QuotaSettings
-from trefoilreach._internal.state.table import TableService, Write
+from trefoilreach._internal.state.table import StoreError, TableService, Write
 
 # Twelve VMs read the row twelve times a second; larger fleets should ask their peers instead.
 TABLE_INTERVAL_SECONDS = 1.0
@@ -40,14 +39,9 @@
 # Candidates for the same free slots write one after the other.
 _RANK_DELAY_SECONDS = 1.0
 
-Ask = Callable[[str], object]
-
 
 class SlotKeeper:
-    """Works on the row of the slots; :meth:`tick` is called about every second.
-
-    :param ask: starts an empty quota message to an owner, with the row attached.
-    """
+    """Works on the row of the slots; :meth:`tick` is called about every second."""
 
     def __init__(
         self,
@@ -56,14 +50,16 @@
         peers: Peers,
         table: TableService,
         settings: QuotaSettings,
-        ask: Ask,
+        borrower: Borrower,
+        passer: SlotPasser,
     ) -> None:
         self._clock = clock
         self._ledger = ledger
         self._peers = peers
         self._table = table
         self._settings = settings
-        self._ask = ask
+        self._borrower = borrower
+        self._passer = passer
         self._table_read_at = -math.inf
         self._absent_since: dict[str, float] = {}
         self._free_since: dict[int, float] = {}
@@ -80,20 +76,20 @@
             self._change_row()
 
     def leave(self) -> None:
-        """Stop using every slot; they are passed on once their loans have ended."""
+        """Claim nothing more; :meth:`pass_on` empties this daemon."""
         self._leaving = True
-        with self._ledger.lock:
-            self._ledger.release(self._ledger.slots.in_use(), self._clock.now())
 
     def pass_on(self) -> bool:
-        """Write the release of slots whose loans have ended; return whether none is left."""
+        """Pass slots on that no loan needs; return whether none is left."""
         self._read_row()
         with self._ledger.lock:
             row = self._ledger.slots.row
-        if row is not None:
-            self._pass_on(row)
+        names = self._listed()
+        if row is not None and names is not None:
+            self._pass_on(row, names)
         with self._ledger.lock:
-            return not self._ledger.slots.releasing
+            slots = self._ledger.slots
+            return not slots.in_use() and not slots.dropped
 
     def confirm_by_peers(self) -> None:
         """Ask the other owners to confirm the slots when the table did not do so lately.
@@ -112,6 +108,9 @@
         for owner in owners:
             self._ask(owner)
 
+    def _ask(self, owner: str) -> None:
+        self._borrower.start(self._borrower.show_row, owner, {})
+
     def _read_row(self) -> bool:
         asked_at = self._clock.now()
         found = self._table.get(SLOTS_KEY)
@@ -148,10 +147,10 @@
         if row is None:
             row = make_row(self._settings.shards)
         self._watch(row, names)
-        if self._pass_on(row) or self._leaving:
-            return
-        if not self._claim(row, names):
-            self._release_excess(row, names)
+        if self._leaving:
+            self._pass_on(row, names)
+        elif not self._claim(row, names) and not self._pass_on(row, names):
+            self._passer.ask_for_slots(row)
 
     @property
     def _ledger_vm(self) -> str:
@@ -186,8 +185,9 @@
             if slot.owner != self._ledger.owner and vm_of(slot.owner) == self._ledger_vm
         ]
         if earlier:
-            # An earlier process of this VM owned them; what exceeds the share is released later.
-            return self._write(row.with_slots(earlier, Slot(self._ledger.owner, TAKEN)), "claim")
+            # An earlier process of this VM owned them; what exceeds the share is passed on later.
+            self._write(row.with_slots(earlier, Slot(self._ledger.owner, TAKEN)), "claim")
+            return True
         fewest, most = _fair_share(len(row.slots), len(names))
         candidates = self._candidates(row, now)
         limit = most if self._may_exceed(row, names, candidates, now) else fewest
@@ -198,7 +198,8 @@
         for index in chosen:
             origin = TAKEN if row.slots[index].owner else row.slots[index].origin
             changed = changed.with_slots([index], Slot(self._ledger.owner, origin))
-        return self._write(changed, "claim")
+        self._write(changed, "claim")
+        return True
 
     def _candidates(self, row: SlotRow, now: float) -> list[int]:
         """Return the slots without a living owner, in an order of this VM's own."""
@@ -230,27 +231,14 @@
             return self._free_since.get(index, now)
         return self._absent_since.get(vm_of(owner), now) + self._absence_seconds
 
-    def _release_excess(self, row: SlotRow, names: list[str]) -> None:
-        _, most = _fair_share(len(row.slots), len(names))
-        with self._ledger.lock:
-            slots = self._ledger.slots
-            excess = len(slots.in_use()) - most
-            if excess > 0:
-                self._ledger.release(slots.in_use()[-excess:], self._clock.now())
-        if excess > 0:
-            log_decision("quota-slots", "release", "others own less", count=excess)
-
-    def _pass_on(self, row: SlotRow) -> bool:
-        now = self._clock.now()
-        rest = self._settings.loan * DRIFT_MARGIN
-        with self._ledger.lock:
-            releasing = self._ledger.slots.releasing
-            due = [index for index, at in releasing.items() if now - at > rest]
-        if not due:
+    def _pass_on(self, row: SlotRow, names: list[str]) -> bool:
+        transfer = self._passer.plan(row, names, self._leaving)
+        if transfer is None:
             return False
-        return self._write(row.with_slots(due, Slot("", PASSED)), "pass on")
+        self._passer.settle(transfer, self._write(transfer.row, "pass on"))
+        return True
 
-    def _write(self, row: SlotRow, reason: str) -> bool:
+    def _write(self, row: SlotRow, reason: str) -> Result[list[int], StoreError]:
         """Write a row made from the one in force; the next read tells what came of it."""
         value = encode_value(row, uuid.uuid4().hex)
         asked_at = self._clock.now()
@@ -263,7 +251,7 @@
                 if self._ledger.slots.revision == done.ok_value[0]:
                     # The condition of the write held, so the table had no newer row.
                     self._ledger.slots.confirm_by_table(asked_at, now)
-        return True
+        return done
 
 
 def _fair_share(slots: int, vms: int) -> tuple[int, int]:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_lender.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_lender.py
@@ -95,6 +95,17 @@
                     recalls.append(recall)
             return recalls
 
+    def plan_shrink(self, entry: Entry) -> list[Recall]:
+        """Ask every borrower for its part of what is lent beyond the slots that may be lent."""
+        with self._ledger.lock:
+            now = self._clock.now()
+            bucket, part = entry.bucket, entry.bucket.overlent_part
+            recalls = [
+                self._plan_recall(entry, borrower, bucket.lent(borrower).capacity * part, now)
+                for borrower in bucket.lent_to
+            ]
+            return [recall for recall in recalls if recall is not None]
+
     def take_recalled(self, recall: Recall, returned: QuotaReturn) -> None:
         """Count what a borrower gave back when it was asked."""
         with self._ledger.lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_loans.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_loans.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.quota import QuotaTools, Shortage, quota_policies
 from trefoilreach._internal.coordination.quota_borrower import Borrower
 from trefoilreach._internal.coordination.quota_keeper import (
     TABLE_INTERVAL_SECONDS,
@@ -14,7 +14,8 @@
 )
 from trefoilreach._internal.coordination.quota_ledger import Ledger
 from trefoilreach._internal.coordination.quota_lender import Lender
-from trefoilreach._internal.coordination.quota_slots import decode_row, encode_row
+from trefoilreach._internal.coordination.quota_passing import SlotPasser
+from trefoilreach._internal.coordination.quota_row import decode_row, encode_row
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
 from trefoilreach._internal.state.config import Account
@@ -46,13 +47,15 @@
         self._ledger = Ledger(tools.clock, tools.config, vm, loan)
         self._lender = Lender(tools.clock, self._ledger, loan)
         self._borrower = Borrower(tools.clock, self._ledger, self._lender, tools.peers, self._pool)
+        passer = SlotPasser(tools.clock, self._ledger, self._lender, self._borrower, tools.peers)
         self._keeper = SlotKeeper(
             tools.clock,
             self._ledger,
             tools.peers,
             tools.table,
             tools.settings,
-            lambda owner: self._borrower.start(self._show_row, owner),
+            self._borrower,
+            passer,
         )
         self._stop = threading.Event()
 
@@ -71,19 +74,21 @@
         """Work on loans, for tests that call it in their own time."""
         return self._borrower
 
-    def admit(self, account: Account) -> Result[None, float]:
+    def admit(self, account: Account) -> Result[None, Shortage]:
         """Spend one token."""
         if self._take(account.name, arrived=True):
             return Ok(None)
         self._borrower.wait_for_token(account.name)
         if self._take(account.name, arrived=False):
             return Ok(None)
-        return Err(self._seconds_to_token(account))
+        return Err(self._explain(account))
 
     def borrow(self, request: BorrowRequest) -> BorrowReply:
         """Answer a peer: follow its row, take back, lend and give back."""
+        self._ledger.note_process(request.sender)
         if request.slots is not None:
-            self._ledger.adopt(decode_row(request.slots), self._clock.now())
+            passed = {part.account: part.tokens for part in request.passed or ()}
+            self._ledger.receive(decode_row(request.slots), passed)
         loans, recalls = self._lender.lend(request)
         returns = self._borrower.give_back(request)
         self._borrower.recall(recalls)
@@ -135,18 +140,16 @@
                     return True
                 # Paused between the reading of the clock and the spending.
 
-    def _seconds_to_token(self, account: Account) -> float:
+    def _explain(self, account: Account) -> Shortage:
         with self._ledger.lock:
-            entry = self._ledger.touch(account.name, self._clock.now())
+            now = self._clock.now()
+            entry = self._ledger.touch(account.name, now)
             seconds = entry.bucket.seconds_to_token()
-        if seconds is not None:
-            return seconds
-        return min(_RETRY_SECONDS, 1.0 / account.rate) if account.rate > 0.0 else _RETRY_SECONDS
-
-    def _show_row(self, owner: str) -> None:
-        self._borrower.exchange(
-            owner, BorrowRequest(demands=[], returns=[], recalls=[]), attach_row=True
-        )
+            over_rate = entry.meter.rate(now) > account.rate
+        over_rate = over_rate or self._borrower.reaches_all(account.name)
+        if seconds is None and account.rate > 0.0:
+            seconds = min(_RETRY_SECONDS, 1.0 / account.rate)
+        return Shortage(_RETRY_SECONDS if seconds is None else seconds, over_rate)
 
     def _run(self, work: object, interval: float) -> None:
         assert callable(work)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_passing.py
@@ -0,0 +1,145 @@
+"""Passes slots of the quota on to VMs that own fewer, with their tokens.
+
+The slots stay in use until nothing lent depends on them. They go out of use right before
+the row that names their next owner is written, and come back when that write failed.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from result import Ok, Result
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.quota_borrower import Borrower
+from trefoilreach._internal.coordination.quota_ledger import Ledger
+from trefoilreach._internal.coordination.quota_lender import Lender
+from trefoilreach._internal.coordination.quota_row import PASSED, Slot, SlotRow, vm_of
+from trefoilreach._internal.state.table import OutcomeUnknown, StoreError
+
+# A VM that owns few slots sends a message every second; slots go to those heard lately.
+_HEARD_SECONDS = 3.0
+
+# Owners that a VM with few slots asks at the same time.
+_ASKED_LIMIT = 3
+
+
+class Transfer(NamedTuple):
+    """A row to write that passes slots on.
+
+    :param owners: next owner of each slot, empty for none.
+    :param tokens: tokens that were taken out of each slot, by account.
+    """
+
+    row: SlotRow
+    owners: dict[int, str]
+    tokens: dict[int, dict[str, float]]
+
+
+class SlotPasser:
+    """Chooses the slots to pass on and their next owners."""
+
+    def __init__(
+        self, clock: Clock, ledger: Ledger, lender: Lender, borrower: Borrower, peers: Peers
+    ) -> None:
+        self._clock = clock
+        self._ledger = ledger
+        self._lender = lender
+        self._borrower = borrower
+        self._peers = peers
+
+    def plan(self, row: SlotRow, names: Sequence[str], leaving: bool) -> Transfer | None:
+        """Return the transfer that is due, with its slots out of use, or None.
+
+        :param names: VMs that share the slots.
+        :param leaving: whether every slot has to go.
+        """
+        with self._ledger.lock:
+            slots = self._ledger.slots
+            candidates = self._candidates(row, names, leaving)
+            dropped = sorted(slots.dropped)
+            assigned = self._assign(row, dropped, slots.in_use(), candidates, leaving)
+            self._ledger.offer(assigned)
+            if not assigned:
+                return None
+            needed = self._ledger.needed_by_loans()
+            recalls = [recall for entry in needed for recall in self._lender.plan_shrink(entry)]
+            if not needed:
+                tokens = self._ledger.drop(index for index in assigned if index not in dropped)
+        if needed:
+            self._borrower.recall(recalls)
+            return None
+        changed = row
+        for index, owner in assigned.items():
+            changed = changed.with_slots([index], Slot(owner, PASSED))
+        return Transfer(changed, assigned, tokens)
+
+    def settle(self, transfer: Transfer, done: Result[list[int], StoreError]) -> None:
+        """Send the tokens to the next owners, or take the slots back after a failed write."""
+        if isinstance(done, Ok):
+            for owner in sorted(set(transfer.owners.values()) - {""}):
+                self._borrower.start(self._borrower.show_row, owner, _sum_for(owner, transfer))
+        elif not isinstance(done.err_value, OutcomeUnknown):
+            self._ledger.resume(transfer.tokens)
+
+    def ask_for_slots(self, row: SlotRow) -> None:
+        """Let owners of more slots know this process, so that they pass some on."""
+        counts = _count_by_vm(row)
+        mine = counts[vm_of(self._ledger.owner)]
+        owners = [owner for owner in row.owners() if counts[vm_of(owner)] > mine + 1]
+        owners.sort(key=lambda owner: -counts[vm_of(owner)])
+        for owner in owners[:_ASKED_LIMIT]:
+            self._borrower.start(self._borrower.show_row, owner, {})
+
+    def _candidates(self, row: SlotRow, names: Sequence[str], leaving: bool) -> dict[str, str]:
+        """Return the processes that slots can go to, by VM."""
+        now = self._clock.now()
+        # The list may still name a VM as live that is leaving and gave its slots away.
+        live = {member.vm for member in self._peers.live()} & set(names)
+        live.discard(vm_of(self._ledger.owner))
+        heard = {vm: entry for vm, entry in self._ledger.processes.items() if vm in live}
+        if not leaving:
+            return {
+                vm: process.owner
+                for vm, process in heard.items()
+                if now - process.heard_at <= _HEARD_SECONDS
+            }
+        found = {vm_of(owner): owner for owner in row.owners() if vm_of(owner) in live}
+        found.update({vm: process.owner for vm, process in heard.items()})
+        return found
+
+    def _assign(
+        self,
+        row: SlotRow,
+        dropped: Sequence[int],
+        used: Sequence[int],
+        candidates: dict[str, str],
+        leaving: bool,
+    ) -> dict[int, str]:
+        """Return the next owner of each slot that has to go or that a VM with fewer can have."""
+        counts = _count_by_vm(row)
+        mine = len(dropped) + len(used)
+        assigned: dict[int, str] = {}
+        for index in [*dropped, *reversed(used)]:
+            vm = min(candidates, key=lambda name: (counts[name], name), default="")
+            must_go = leaving or index in dropped
+            if not must_go and (not vm or counts[vm] + 1 >= mine):
+                break
+            assigned[index] = candidates.get(vm, "")
+            counts[vm] += 1
+            mine -= 1
+        return assigned
+
+
+def _count_by_vm(row: SlotRow) -> Counter[str]:
+    return Counter(vm_of(slot.owner) for slot in row.slots if slot.owner)
+
+
+def _sum_for(owner: str, transfer: Transfer) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for index, tokens in transfer.tokens.items():
+        if transfer.owners[index] == owner:
+            for account, count in tokens.items():
+                total[account] = total.get(account, 0.0) + count
+    return total
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_row.py
@@ -0,0 +1,96 @@
+"""The row of the table that says which process owns which slot of the quota."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import orjson
+import xxhash
+
+SLOTS_KEY = "quota/slots"
+SLOTS_PER_SHARD = 12
+
+# How the owner came by a slot: never owned before (its buckets are full), passed on by
+# an owner that had stopped using it (empty), or taken from an owner that may still run.
+NEW = "new"
+PASSED = "passed"
+TAKEN = "taken"
+
+
+class Slot(NamedTuple):
+    """Owner of one slot as ``<vm>/<process>``, empty when free, and how it came by it."""
+
+    owner: str
+    origin: str
+
+
+class SlotRow(NamedTuple):
+    """One revision of the row."""
+
+    revision: int
+    slots: tuple[Slot, ...]
+
+    @property
+    def shards(self) -> int:
+        """Number of groups of slots over which the accounts are spread."""
+        return len(self.slots) // SLOTS_PER_SHARD
+
+    def owned_by(self, owner: str) -> list[int]:
+        """Return the slots of one owner."""
+        return [index for index, slot in enumerate(self.slots) if slot.owner == owner]
+
+    def owners(self) -> list[str]:
+        """Return the distinct owners in order."""
+        return sorted({slot.owner for slot in self.slots if slot.owner})
+
+    def owners_of(self, shard: int) -> list[str]:
+        """Return the distinct owners of a shard in order."""
+        part = self.slots[shard * SLOTS_PER_SHARD : (shard + 1) * SLOTS_PER_SHARD]
+        return sorted({slot.owner for slot in part if slot.owner})
+
+    def count_of(self, shard: int, owner: str) -> int:
+        """Return how many slots of a shard an owner has."""
+        part = self.slots[shard * SLOTS_PER_SHARD : (shard + 1) * SLOTS_PER_SHARD]
+        return sum(slot.owner == owner for slot in part)
+
+    def with_slots(self, indexes: Iterable[int], slot: Slot) -> "SlotRow":
+        """Return a copy with some slots replaced."""
+        slots = list(self.slots)
+        for index in indexes:
+            slots[index] = slot
+        return self._replace(slots=tuple(slots))
+
+
+def make_row(shards: int) -> SlotRow:
+    """Return the row of a fleet that has never run."""
+    return SlotRow(0, (Slot("", NEW),) * (shards * SLOTS_PER_SHARD))
+
+
+def encode_value(row: SlotRow, writer: str) -> dict[str, Any]:
+    """Return the table value of a row."""
+    return {"writer": writer, "slots": [list(slot) for slot in row.slots]}
+
+
+def decode_value(revision: int, value: dict[str, Any]) -> SlotRow:
+    """Return the row of a table value."""
+    return SlotRow(revision, tuple(Slot(*slot) for slot in value["slots"]))
+
+
+def encode_row(row: SlotRow) -> bytes:
+    """Encode a row for a peer."""
+    return orjson.dumps([row.revision, [list(slot) for slot in row.slots]])
+
+
+def decode_row(data: bytes) -> SlotRow:
+    """Decode a row from a peer."""
+    revision, slots = orjson.loads(data)
+    return SlotRow(int(revision), tuple(Slot(*slot) for slot in slots))
+
+
+def vm_of(owner: str) -> str:
+    """Return the VM of an owner."""
+    return owner.rpartition("/")[0]
+
+
+def shard_of(account: str, shards: int) -> int:
+    """Return the shard of an account, the same on every daemon."""
+    return xxhash.xxh32_intdigest(account.encode()) % shards
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -1,7 +1,7 @@
 """Which slots of the quota this daemon may use, and until when.
 
 Rate and burst of each account are split into equal slots. A slot belongs to one process
-of one VM through the table row :data:`SLOTS_KEY`. A daemon uses its slots only for
+of one VM through the table row :data:`~quota_row.SLOTS_KEY`. A daemon uses its slots only for
 :data:`VALID_SECONDS` after the table, or most of the other owners, confirmed that no
 newer row is known. A process that takes over a slot whose owner may still run first tells
 the other owners of the new row and then waits until every earlier confirmation and the
@@ -10,13 +10,15 @@
 
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-import orjson
-import xxhash
-
-SLOTS_KEY = "quota/slots"
-SLOTS_PER_SHARD = 12
+from trefoilreach._internal.coordination.quota_row import (
+    NEW,
+    SLOTS_PER_SHARD,
+    TAKEN,
+    SlotRow,
+    vm_of,
+)
 
 # A confirmation is refreshed every second; five seconds outlast a slow table answer.
 VALID_SECONDS = 5.0
@@ -24,88 +26,6 @@
 # Most that two clocks may drift apart, as a factor on intervals.
 DRIFT_MARGIN = 1.01
 
-# How the owner came by a slot: never owned before (its buckets are full), passed on by
-# an owner that had stopped using it (empty), or taken from an owner that may still run.
-NEW = "new"
-PASSED = "passed"
-TAKEN = "taken"
-
-
-class Slot(NamedTuple):
-    """Owner of one slot as ``<vm>/<process>``, empty when free, and how it came by it."""
-
-    owner: str
-    origin: str
-
-
-class SlotRow(NamedTuple):
-    """One revision of the row."""
-
-    revision: int
-    slots: tuple[Slot, ...]
-
-    @property
-    def shards(self) -> int:
-        """Number of groups of slots over which the accounts are spread."""
-        return len(self.slots) // SLOTS_PER_SHARD
-
-    def owned_by(self, owner: str) -> list[int]:
-        """Return the slots of one owner."""
-        return [index for index, slot in enumerate(self.slots) if slot.owner == owner]
-
-    def owners(self) -> list[str]:
-        """Return the distinct owners in order."""
-        return sorted({slot.owner for slot in self.slots if slot.owner})
-
-    def owners_of(self, shard: int) -> list[str]:
-        """Return the distinct owners of a shard in order."""
-        part = self.slots[shard * SLOTS_PER_SHARD : (shard + 1) * SLOTS_PER_SHARD]
-        return sorted({slot.owner for slot in part if slot.owner})
-
-    def with_slots(self, indexes: Iterable[int], slot: Slot) -> "SlotRow":
-        """Return a copy with some slots replaced."""
-        slots = list(self.slots)
-        for index in indexes:
-            slots[index] = slot
-        return self._replace(slots=tuple(slots))
-
-
-def make_row(shards: int) -> SlotRow:
-    """Return the row of a fleet that has never run."""
-    return SlotRow(0, (Slot("", NEW),) * (shards * SLOTS_PER_SHARD))
-
-
-def encode_value(row: SlotRow, writer: str) -> dict[str, Any]:
-    """Return the table value of a row."""
-    return {"writer": writer, "slots": [list(slot) for slot in row.slots]}
-
-
-def decode_value(revision: int, value: dict[str, Any]) -> SlotRow:
-    """Return the row of a table value."""
-    return SlotRow(revision, tuple(Slot(*slot) for slot in value["slots"]))
-
-
-def encode_row(row: SlotRow) -> bytes:
-    """Encode a row for a peer."""
-    return orjson.dumps([row.revision, [list(slot) for slot in row.slots]])
-
-
-def decode_row(data: bytes) -> SlotRow:
-    """Decode a row from a peer."""
-    revision, slots = orjson.loads(data)
-    return SlotRow(int(revision), tuple(Slot(*slot) for slot in slots))
-
-
-def vm_of(owner: str) -> str:
-    """Return the VM of an owner."""
-    return owner.rpartition("/")[0]
-
-
-def shard_of(account: str, shards: int) -> int:
-    """Return the shard of an account, the same on every daemon."""
-    return xxhash.xxh32_intdigest(account.encode()) % shards
-
-
 # Number of voters before the platform's list was consulted.
 _UNKNOWN = -1
 
@@ -130,18 +50,20 @@
     """What this daemon may use of one shard.
 
     :param owned: slots of the shard in use.
+    :param lendable: slots in use that are not about to be passed on.
     :param ends: time of the clock until which they may be used.
     :param generation: changes whenever slots were gained, dropped or had lapsed.
     :param since: for each slot, the time from which unknown accounts fill their buckets.
     """
 
     owned: int
+    lendable: int
     ends: float
     generation: int
     since: tuple[float, ...]
 
 
-NOTHING_HELD = Holding(0, 0.0, 0, ())
+NOTHING_HELD = Holding(0, 0, 0.0, 0, ())
 
 
 class SlotHolder:
@@ -157,7 +79,8 @@
         self._row: SlotRow | None = None
         self._since: dict[int, float] = {}
         self._pending: list[Pending] = []
-        self._releasing: dict[int, float] = {}
+        self._offered: set[int] = set()
+        self._dropped: set[int] = set()
         self._valid_until = -math.inf
         self._confirmed_by: dict[str, float] = {}
         self._others: set[str] | None = None
@@ -185,9 +108,14 @@
         return self._pending
 
     @property
-    def releasing(self) -> dict[int, float]:
-        """Slots that this daemon stopped using, with the time at which it did."""
-        return self._releasing
+    def offered(self) -> set[int]:
+        """Slots in use that are lent no more, because they are about to be passed on."""
+        return self._offered
+
+    @property
+    def dropped(self) -> set[int]:
+        """Slots out of use whose next owner is being written."""
+        return self._dropped
 
     def adopt(self, row: SlotRow, now: float) -> bool:
         """Follow a newer row; return whether it was newer."""
@@ -196,14 +124,15 @@
         old, self._row = self._row, row
         mine = set(row.owned_by(self._owner))
         self._since = {index: since for index, since in self._since.items() if index in mine}
-        self._releasing = {index: at for index, at in self._releasing.items() if index in mine}
+        self._offered &= mine
+        self._dropped &= mine
         self._pending = [
             entry._replace(indexes=entry.indexes & mine)
             for entry in self._pending
             if entry.indexes & mine
         ]
         known = set(self._since).union(*(entry.indexes for entry in self._pending))
-        gained = mine - known - set(self._releasing)
+        gained = mine - known - self._dropped
         self._gain(gained, row, old or row, now)
         self._confirmed_by = {}
         self._change()
@@ -244,12 +173,29 @@
             self._pending = [entry for entry in self._pending if entry not in ready]
             self._change()
 
-    def release(self, indexes: Iterable[int], now: float) -> None:
-        """Stop using some slots, so that they can be passed on once their loans have ended."""
+    def offer(self, indexes: Iterable[int]) -> None:
+        """Choose the slots that are lent no more, so that they can be passed on."""
+        self._offered = set(indexes) & set(self._since)
+        self._change()
+
+    def drop(self, indexes: Iterable[int]) -> None:
+        """Stop using some slots, before their next owner is written."""
         for index in indexes:
             if self._since.pop(index, None) is not None:
-                self._releasing[index] = now
+                self._dropped.add(index)
+        self._offered -= self._dropped
+        self._change()
+
+    def resume(self, indexes: Iterable[int], now: float) -> list[int]:
+        """Use dropped slots again, whose next owner was certainly not written.
+
+        :returns: those that still belong to this process.
+        """
+        resumed = sorted(self._dropped & set(indexes))
+        self._since.update(dict.fromkeys(resumed, now))
+        self._dropped -= set(resumed)
         self._change()
+        return resumed
 
     def in_use(self) -> list[int]:
         """Return the slots in use."""
@@ -260,12 +206,11 @@
         found = self._holdings.get(shard)
         if found is None:
             first = shard * SLOTS_PER_SHARD
-            since = tuple(
-                self._since[index]
-                for index in range(first, first + SLOTS_PER_SHARD)
-                if index in self._since
-            )
-            found = Holding(len(since), self._valid_until, self._generation, since)
+            used = [i for i in range(first, first + SLOTS_PER_SHARD) if i in self._since]
+            since = tuple(self._since[index] for index in used)
+            lendable = len(set(used) - self._offered)
+            ends = self._valid_until
+            found = Holding(len(since), lendable, ends, self._generation, since)
             self._holdings[shard] = found
         return found
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_static.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_static.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
+from trefoilreach._internal.coordination.quota import QuotaTools, Shortage, quota_policies
 from trefoilreach._internal.coordination.quota_buckets import Bucket, Terms
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
 from trefoilreach._internal.state.config import Account
@@ -23,7 +23,7 @@
         self._lock = threading.Lock()
         self._buckets: dict[str, Bucket] = {}
 
-    def admit(self, account: Account) -> Result[None, float]:
+    def admit(self, account: Account) -> Result[None, Shortage]:
         """Spend one token of this VM's share."""
         now = self._clock.now()
         count = max(1, len(self._peers.listed_vms() or ()))
@@ -38,7 +38,8 @@
                 bucket.add(bucket.capacity)
             if bucket.take():
                 return Ok(None)
-            return Err(bucket.seconds_to_token() or _RETRY_SECONDS)
+            seconds = bucket.seconds_to_token() or _RETRY_SECONDS
+            return Err(Shortage(seconds, over_rate=True))
 
     def borrow(self, request: BorrowRequest) -> BorrowReply:
         """Lend nothing."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -797,6 +797,74 @@
         return not (self == other)
 
 
+class QuotaTokens(object):
+    """
+    Attributes:
+     - account
+     - tokens
+
+    """
+
+
+    def __init__(self, account=None, tokens=None,):
+        self.account = account
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaTokens')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 2)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BorrowRequest(object):
     """
     Attributes:
@@ -807,11 +875,12 @@
      - recalls
      - slots_revision
      - slots
+     - passed
 
     """
 
 
-    def __init__(self, sender=None, receiver=None, demands=None, returns=None, recalls=None, slots_revision=None, slots=None,):
+    def __init__(self, sender=None, receiver=None, demands=None, returns=None, recalls=None, slots_revision=None, slots=None, passed=None,):
         self.sender = sender
         self.receiver = receiver
         self.demands = demands
@@ -819,6 +888,7 @@
         self.recalls = recalls
         self.slots_revision = slots_revision
         self.slots = slots
+        self.passed = passed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -882,6 +952,17 @@
                     self.slots = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.passed = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = QuotaTokens()
+                        _elem44.read(iprot)
+                        self.passed.append(_elem44)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -903,22 +984,22 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter39 in self.demands:
-                iter39.write(oprot)
+            for iter45 in self.demands:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter40 in self.returns:
-                iter40.write(oprot)
+            for iter46 in self.returns:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recalls is not None:
             oprot.writeFieldBegin('recalls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recalls))
-            for iter41 in self.recalls:
-                iter41.write(oprot)
+            for iter47 in self.recalls:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -929,6 +1010,13 @@
             oprot.writeFieldBegin('slots', TType.STRING, 7)
             oprot.writeBinary(self.slots)
             oprot.writeFieldEnd()
+        if self.passed is not None:
+            oprot.writeFieldBegin('passed', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.passed))
+            for iter48 in self.passed:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1095,22 +1183,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = QuotaLoan()
-                        _elem47.read(iprot)
-                        self.loans.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = QuotaLoan()
+                        _elem54.read(iprot)
+                        self.loans.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = QuotaReturn()
-                        _elem53.read(iprot)
-                        self.returns.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = QuotaReturn()
+                        _elem60.read(iprot)
+                        self.returns.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1141,15 +1229,15 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter54 in self.loans:
-                iter54.write(oprot)
+            for iter61 in self.loans:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter55 in self.returns:
-                iter55.write(oprot)
+            for iter62 in self.returns:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1320,6 +1408,12 @@
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
     (4, TType.DOUBLE, 'capacity', None, None, ),  # 4
 )
+all_structs.append(QuotaTokens)
+QuotaTokens.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'tokens', None, None, ),  # 2
+)
 all_structs.append(BorrowRequest)
 BorrowRequest.thrift_spec = (
     None,  # 0
@@ -1330,6 +1424,7 @@
     (5, TType.LIST, 'recalls', (TType.STRUCT, [QuotaRecall, None], False), None, ),  # 5
     (6, TType.I64, 'slots_revision', None, None, ),  # 6
     (7, TType.STRING, 'slots', 'BINARY', None, ),  # 7
+    (8, TType.LIST, 'passed', (TType.STRUCT, [QuotaTokens, None], False), None, ),  # 8
 )
 all_structs.append(QuotaLoan)
 QuotaLoan.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -70,6 +70,12 @@
   4: double capacity,
 }
 
+// Tokens of one account in slots that were passed on.
+struct QuotaTokens {
+  1: string account,
+  2: double tokens,
+}
+
 // Daemons name themselves in quota messages by VM and process, since a VM that
 // restarted has none of the loans and slots of its earlier process.
 struct BorrowRequest {
@@ -80,6 +86,7 @@
   5: list<QuotaRecall> recalls,
   6: i64 slots_revision,
   7: optional binary slots,  // row of the slots when the receiver may not have it
+  8: optional list<QuotaTokens> passed,  // tokens of slots that this row passes on to the receiver
 }
 
 // Terms that replace those of the borrower's earlier loan from the same lender.
--- a/tests/unit/test_quota_machine.py
+++ b/tests/unit/test_quota_machine.py
@@ -163,6 +163,22 @@
             del self.world.nodes[node.vm]
             self.world.listed.discard(node.vm)
 
+    @rule(number=st.integers(0, 9), seconds=st.sampled_from([0.5, 3.0, 8.0]))
+    def leave(self, number: int, seconds: float) -> None:
+        """A planned stop, which ends after some time whether or not the slots were passed on."""
+        node = self.pick(number)
+        if node in self.world.zombies or len(self.world.nodes) < 2:
+            return
+        self.world.leave(node.vm)
+        self.run(seconds, greedy=True)
+        del self.world.nodes[node.vm]
+        self.world.listed.discard(node.vm)
+
+    @rule(number=st.integers(0, 9), speed=SPEEDS)
+    def join(self, number: int, speed: float) -> None:
+        if len(self.world.nodes) < 6:
+            self.world.start(f"new{number}", speed)
+
     @rule(number=st.integers(0, 9), listed=st.booleans())
     def list_wrongly(self, number: int, listed: bool) -> None:
         vm = self.pick(number).vm
