Wait for a lender of quota that answers late

Change: while a lender has not answered, the wait goes on for up to 0.2 s; when one stays silent, the refusal says 503. Measured: a lender that answers after 0.2 s led to a refusal before, to an admission after (test_quota_waiting).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
@@ -40,6 +40,10 @@
 # Longest time that one request waits for a loan.
 BORROW_WAIT_SECONDS = 0.1
 
+# Time added while a lender has not answered yet, as on a busy VM. Without it, daemons that
+# had just joined refused requests inside the rate.
+_LATE_ANSWER_SECONDS = 0.2
+
 # Pause before the lenders are asked again, in which they call back what others hold.
 _RECALL_PAUSE_SECONDS = 0.01
 
@@ -91,6 +95,8 @@
         self._rounds: dict[str, _Round] = {}
         self._waiters: dict[str, int] = {}
         self._refused_until: dict[str, float] = {}
+        # Accounts for which a lender did not answer in time.
+        self._unanswered: set[str] = set()
         self._paused_until: dict[str, float] = {}
         self._calls_locks: dict[str, threading.Lock] = {}
 
@@ -110,7 +116,7 @@
             if running is None:
                 self._lead(name)
             else:
-                self._clock.wait(running.done, BORROW_WAIT_SECONDS)
+                self._clock.wait(running.done, BORROW_WAIT_SECONDS + _LATE_ANSWER_SECONDS)
         finally:
             with self._ledger.lock:
                 self._waiters[name] -= 1
@@ -213,11 +219,16 @@
         calls += [self.start(self._call, lender, [need], []) for lender, need in demands]
         if not calls:
             return True
-        self._await(calls, end)
+        answered = self._await(calls, end + _LATE_ANSWER_SECONDS)
         with self._ledger.lock:
+            if answered:
+                self._unanswered.discard(name)
+            else:
+                self._unanswered.add(name)
             return self._has_token(name)
 
-    def _await(self, calls: list[Future[None]], end: float) -> None:
+    def _await(self, calls: list[Future[None]], end: float) -> bool:
+        """Wait for calls; return whether all of them ended in time."""
         done = threading.Event()
         left = [len(calls)]
         lock = threading.Lock()
@@ -230,7 +241,7 @@
 
         for call in calls:
             call.add_done_callback(count)
-        self._clock.wait(done, max(0.0, end - self._clock.now()))
+        return self._clock.wait(done, max(0.0, end - self._clock.now()))
 
     def _has_token(self, name: str) -> bool:
         return self._ledger.touch(name, self._clock.now()).bucket.tokens >= 1.0 - SMALL
@@ -246,7 +257,7 @@
         """Return whether every slot of an account is in use here or at a lender that answers."""
         with self._ledger.lock:
             now, slots = self._clock.now(), self._ledger.slots
-            if slots.row is None or slots.valid_until <= now:
+            if slots.row is None or slots.valid_until <= now or name in self._unanswered:
                 return False
             shard = shard_of(name, slots.row.shards)
             lenders = self._reachable_lenders(name, now)
