--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/memory.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/memory.py
@@ -14,6 +14,8 @@
     receiver, sender = context.Pipe(duplex=False)
     process = context.Process(target=_build_and_report, args=(build, size, sender))
     process.start()
+    # Without the parent's copy, a child that ends early ends the wait below.
+    sender.close()
     grown = receiver.recv()
     process.join()
     return float(grown)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
@@ -1,6 +1,7 @@
 """Probes, one module for each role; importing this package registers them."""
 
 from trefoilreach_emulator._internal.capacity.probes import (
+    audit,
     batch,
     configuration,
     entry,
@@ -9,4 +10,4 @@
     routing,
 )
 
-__all__ = ["batch", "configuration", "entry", "membership", "quota", "routing"]
+__all__ = ["audit", "batch", "configuration", "entry", "membership", "quota", "routing"]
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -73,7 +73,7 @@
 def project(measured: Sequence[Slope]) -> list[Estimate]:
     """Return the figures of all roles."""
     slopes = Slopes(measured)
-    return [*_entry(slopes), *_control(slopes), *_stores(slopes)]
+    return [*_entry(slopes), *_control(slopes), *_audit(slopes), *_stores(slopes)]
 
 
 def _entry(slopes: Slopes) -> list[Estimate]:
@@ -157,6 +157,20 @@
     return probes, loans, changes, listing
 
 
+def _audit(slopes: Slopes) -> list[Estimate]:
+    rates = [size.requests / size.daemons for size in (TODAY, TARGET)]
+    core = [slopes.find("audit", "processor").slope * rate / 10.0 for rate in rates]
+    written = [slopes.find("audit", "segment").slope * rate for rate in rates]
+    memory = slopes.find("audit", "memory").slope * _SEGMENT_SECONDS / 1000.0
+    kept = [memory * rate for rate in rates]
+    source = "measured a request; one record each"
+    return [
+        Estimate("audit", "processor time of records", "% of a core", core[0], core[1], source),
+        Estimate("audit", "written to the object store", "KB/s", written[0], written[1], source),
+        Estimate("audit", "memory of one interval", "MB", kept[0], kept[1], source),
+    ]
+
+
 def _stores(slopes: Slopes) -> list[Estimate]:
     writes = [_writes(slopes, size) for size in (TODAY, TARGET)]
     reads = [_reads(slopes, size) for size in (TODAY, TARGET)]
