Split the configuration module by job

They are now config_sync (polling and catching up), config_copy (what is in force here), config_writer, config_peers and key_withdrawal. Behaviour is the same: the configuration and administration machines, the documents test and the functional tests of withdrawal and administration pass unchanged.

--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_copy.py
@@ -0,0 +1,47 @@
+"""The copy of the configuration and of the withdrawals that a daemon holds."""
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.peers import PeerState
+from trefoilreach._internal.coordination.withdrawals import WithdrawalSet
+from trefoilreach._internal.state.config import ConfigDocument
+
+# Version in an answer of a daemon that does not know yet which version is in force.
+NOT_READY_VERSION = -1
+
+
+class ConfigCopy:
+    """The highest document seen and the merged withdrawals.
+
+    ``ready`` is set once this daemon knows which version is in force.
+    """
+
+    def __init__(self, clock: Clock, holder: ConfigHolder, own_vm: str) -> None:
+        self.ready = False
+        self.withdrawals = WithdrawalSet(clock, own_vm)
+        self._holder = holder
+
+    @property
+    def document(self) -> ConfigDocument:
+        """The document in force here."""
+        return self._holder.view.document
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force here."""
+        return self._holder.view.document.version
+
+    def state(self) -> PeerState:
+        """Return what rides on the probes of this daemon."""
+        version = self.version if self.ready else NOT_READY_VERSION
+        return PeerState(version, self.withdrawals.digest)
+
+    def adopt(self, document: ConfigDocument) -> bool:
+        """Put a document that was in force into force here, if it is higher."""
+        self.withdrawals.merge(document.withdrawn)
+        return self._holder.adopt(document)
+
+    def has_undurable(self) -> bool:
+        """Return whether a withdrawal is missing in the document."""
+        named = {entry.key_id for entry in self.document.withdrawn}
+        return not self.withdrawals.ids <= named
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_writer.py
@@ -0,0 +1,105 @@
+"""Puts edited configurations into force by compare-and-swap on the head row."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_copy import ConfigCopy
+from trefoilreach._internal.coordination.config_store import (
+    STORE_RETRY_SECONDS,
+    ConfigStore,
+    refuse_stale,
+)
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
+from trefoilreach._internal.state.config import ConfigDocument
+
+_REBASE_TRIES = 8
+_REBASE_PAUSE_SECONDS = 0.05
+_UNREADABLE_RETRY_SECONDS = 1.0
+
+Edit = Callable[[ConfigDocument], ConfigDocument]
+
+
+class ConfigWriter:
+    """Makes one change at a time.
+
+    :param catch_up: reads the head and adopts the version that it names.
+    :param announce: called after each change that came into force.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: ConfigStore,
+        copy: ConfigCopy,
+        catch_up: Callable[[], object],
+        announce: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._copy = copy
+        self._catch_up = catch_up
+        self._announce = announce
+        self._lock = threading.Lock()
+
+    def change(self, base_version: int | None, edit: Edit) -> Result[ConfigDocument, Refusal]:
+        """Put an edited configuration into force.
+
+        :param base_version: version that the change was made against; None applies the
+            edit to the version in force, whichever it is.
+        :param edit: returns the edited document, or raises :class:`Refusal`.
+        :returns: the document in force; 409 when the base is not in force any more.
+        """
+        with self._lock:
+            outcome = self._change_once(base_version, edit)
+            for _ in range(_REBASE_TRIES):
+                if base_version is not None or isinstance(outcome, Ok):
+                    break
+                if outcome.err_value.status != 409:
+                    break
+                self._clock.sleep(_REBASE_PAUSE_SECONDS * random.uniform(0.5, 2.0))
+                outcome = self._change_once(None, edit)
+        if isinstance(outcome, Ok):
+            self._announce()
+        return outcome
+
+    def make_durable(self) -> Result[ConfigDocument, Refusal]:
+        """Write withdrawals that the configuration in the stores does not name yet."""
+        if not self._copy.has_undurable():
+            return Ok(self._copy.document)
+        return self.change(None, lambda document: document)
+
+    def _change_once(self, base_version: int | None, edit: Edit) -> Result[ConfigDocument, Refusal]:
+        found = self._store.read_head()
+        if isinstance(found, Err):
+            message = f"table service: {found.err_value}"
+            return Err(refuse_unavailable(message, STORE_RETRY_SECONDS))
+        head = found.ok_value
+        if base_version is not None and base_version != head.version:
+            return Err(refuse_stale(base_version, head.version))
+        if head.version > self._copy.version:
+            self._catch_up()
+        current = self._copy.document
+        if current.version != head.version:
+            message = "the configuration in force cannot be read"
+            return Err(refuse_unavailable(message, _UNREADABLE_RETRY_SECONDS))
+        try:
+            edited = edit(current)
+        except Refusal as refusal:
+            return Err(refusal)
+        document = self._complete(edited, head.version + 1)
+        written = self._store.write(document, head)
+        if isinstance(written, Err):
+            return written
+        self._copy.adopt(document)
+        self._copy.ready = True
+        return Ok(document)
+
+    def _complete(self, edited: ConfigDocument, version: int) -> ConfigDocument:
+        """Return the edited document with its version and every known withdrawal."""
+        withdrawn = {entry.key_id: entry for entry in self._copy.withdrawals.entries()}
+        withdrawn.update({entry.key_id: entry for entry in edited.withdrawn})
+        return edited._replace(version=version, withdrawn=tuple(sorted(withdrawn.values())))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/key_withdrawal.py
@@ -0,0 +1,70 @@
+"""Withdraws a key on this daemon, on its peers and in the stores."""
+
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_copy import ConfigCopy
+from trefoilreach._internal.coordination.config_writer import ConfigWriter
+from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.gen.peer.ttypes import Withdrawal
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.state.config import BOOTSTRAP_KEY_ID, Withdrawn
+
+_PUSH_TIMEOUT_SECONDS = 1.0
+
+
+class WithdrawReport(NamedTuple):
+    """How far a withdrawal has come.
+
+    :param in_force: VMs that refuse the key now.
+    :param pending: VMs that did not answer; they hear of it when they are back.
+    :param durable: whether the configuration in the stores names it.
+    """
+
+    key_id: str
+    in_force: tuple[str, ...]
+    pending: tuple[str, ...]
+    durable: bool
+
+
+class KeyWithdrawal:
+    """Carries out withdrawals."""
+
+    def __init__(
+        self, clock: Clock, copy: ConfigCopy, writer: ConfigWriter, peers: Peers | None
+    ) -> None:
+        self._clock = clock
+        self._copy = copy
+        self._writer = writer
+        self._peers = peers
+
+    def withdraw(self, key_id: str) -> Result[WithdrawReport, Refusal]:
+        """Withdraw a key here, on all peers that answer, and in the stores."""
+        known = {key.id for key in self._copy.document.keys} | {BOOTSTRAP_KEY_ID}
+        if key_id not in known and key_id not in self._copy.withdrawals.ids:
+            return Err(Refusal(404, "key_not_found", f"there is no key {key_id!r}"))
+        self._copy.withdrawals.merge([Withdrawn(key_id, self._clock.wall_time())])
+        in_force, pending = self._push(key_id)
+        durable = isinstance(self._writer.make_durable(), Ok)
+        log_event("withdrawal", key_id=key_id, pending=pending, durable=durable)
+        return Ok(WithdrawReport(key_id, tuple(in_force), tuple(pending), durable))
+
+    def _push(self, key_id: str) -> tuple[list[str], list[str]]:
+        """Return the VMs where the key is refused now, and those that did not answer."""
+        if self._peers is None:
+            return [""], []
+        entries = [entry for entry in self._copy.withdrawals.entries() if entry.key_id == key_id]
+        message = [Withdrawal(*entry) for entry in entries]
+        outcomes = self._peers.broadcast(
+            lambda client: client.withdraw(message), _PUSH_TIMEOUT_SECONDS
+        )
+        in_force = [self._peers.self_member.vm]
+        for vm, outcome in outcomes.items():
+            if isinstance(outcome, Ok):
+                self._copy.withdrawals.note_in_force(vm, [key_id])
+                in_force.append(vm)
+        pending = {member.vm for member in self._peers.members()} - set(in_force)
+        return sorted(in_force), sorted(pending)
