Fetch differences between configuration versions

Each change sent every daemon the whole compressed document, 104 KB at the target size. A change now also stores its difference to the version before, with the check sum of the result. A daemon that lacks at most 4 versions reads the differences from the store, or up to 16 from a peer, and falls back to the whole document when one is missing or leads to another check sum. The generated thrift code follows peer.thrift.

The stateful machine covers refused, missing, wrong and lost differences; without the comparison of check sums it fails with a fork.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
@@ -65,7 +65,7 @@
             probe=self._answer_probe,
             probe_via=lambda host, port: True,
             withdraw=lambda withdrawals: None,
-            fetch_config=lambda version: ConfigReply(version=0, document=b"", withdrawals=[]),
+            fetch_config=lambda version, base: ConfigReply(version=0, document=b"", withdrawals=[]),
             borrow=self._answer_borrow,
             online_started=lambda worker, count: 0,
             cancel_job=lambda job: None,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_copy.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_copy.py
@@ -1,6 +1,9 @@
 """The copy of the configuration and of the withdrawals that a daemon holds."""
 
+from collections.abc import Sequence
+
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_changes import ChangeLog
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.peers import PeerState
 from trefoilreach._internal.coordination.withdrawals import WithdrawalSet
@@ -19,6 +22,7 @@
     def __init__(self, clock: Clock, holder: ConfigHolder, own_vm: str) -> None:
         self.ready = False
         self.withdrawals = WithdrawalSet(clock, own_vm)
+        self.changes = ChangeLog()
         self._holder = holder
 
     @property
@@ -36,8 +40,12 @@
         version = self.version if self.ready else NOT_READY_VERSION
         return PeerState(version, self.withdrawals.digest)
 
-    def adopt(self, document: ConfigDocument) -> bool:
-        """Put a document that was in force into force here, if it is higher."""
+    def adopt(self, document: ConfigDocument, changes: Sequence[bytes] = ()) -> bool:
+        """Put a document that was in force into force here, if it is higher.
+
+        :param changes: encoded changes that led to the document, kept for peers.
+        """
+        self.changes.record(document.version, changes)
         self.withdrawals.merge(document.withdrawn)
         return self._holder.adopt(document)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_peers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_peers.py
@@ -1,6 +1,7 @@
 """Exchanges the configuration and the withdrawals with other daemons."""
 
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -9,10 +10,19 @@
 from trefoilreach._internal.coordination.peers import PeerError, Peers, PeerState
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
-from trefoilreach._internal.state.config import ConfigError, Withdrawn, decode_config, pack_config
+from trefoilreach._internal.state.config import (
+    ConfigDocument,
+    ConfigError,
+    Withdrawn,
+    decode_config,
+    pack_config,
+)
+from trefoilreach._internal.state.config_change import apply_changes
 
 _FETCH_TIMEOUT_SECONDS = 2.0
 _FETCH_TRIES = 3
+# Base version in a request that only a whole document can answer.
+_NO_BASE = -1
 
 
 class ConfigPeers(Peers, Protocol):
@@ -39,15 +49,15 @@
 
         :returns: version in force there.
         """
-        assert self._peers is not None
-        wanted = self._copy.version + 1 if self._copy.ready else 0
-        fetched = self._peers.call(
-            vm, lambda client: client.fetch_config(wanted), _FETCH_TIMEOUT_SECONDS
-        )
+        base = self._copy.document
+        fetched = self._ask(vm, base.version if self._copy.ready else _NO_BASE)
+        if isinstance(fetched, Ok) and fetched.ok_value.changes:
+            if self._adopt_changes(base, fetched.ok_value.changes):
+                return Ok(fetched.ok_value.version)
+            fetched = self._ask(vm, _NO_BASE)
         if isinstance(fetched, Err):
             return fetched
         reply = fetched.ok_value
-        self.answer_withdraw(reply.withdrawals)
         if reply.document:
             self._adopt_encoded(reply.document)
         return Ok(reply.version)
@@ -83,15 +93,22 @@
         log_event("config:from-peers", answers=answers, known=known)
         return True
 
-    def answer_fetch(self, min_version: int) -> ConfigReply:
-        """Return the withdrawals, and the document when its version is not too low."""
+    def answer_fetch(self, min_version: int, base_version: int | None) -> ConfigReply:
+        """Return the withdrawals, and the configuration when its version is not too low.
+
+        :param base_version: version that the asker has; the changes since then are returned
+            instead of the document when all of them are kept here.
+        """
         version = self._copy.state().config_version
-        data = b""
+        data, changes = b"", []
         if version >= max(min_version, 0):
             document = self._copy.document
-            version, data = document.version, pack_config(document)
+            version = document.version
+            if base_version is not None:
+                changes = self._copy.changes.find(base_version, version)
+            data = b"" if changes else pack_config(document)
         withdrawals = [Withdrawal(*entry) for entry in self._copy.withdrawals.entries()]
-        return ConfigReply(version=version, document=data, withdrawals=withdrawals)
+        return ConfigReply(version=version, document=data, withdrawals=withdrawals, changes=changes)
 
     def answer_withdraw(self, withdrawals: list[Withdrawal]) -> None:
         """Merge withdrawals that a peer pushed."""
@@ -99,6 +116,26 @@
             Withdrawn(entry.key_id, entry.wall_time) for entry in withdrawals
         )
 
+    def _ask(self, vm: str, base_version: int) -> Result[ConfigReply, PeerError]:
+        assert self._peers is not None
+        wanted = self._copy.version + 1 if self._copy.ready else 0
+        fetched: Result[ConfigReply, PeerError] = self._peers.call(
+            vm, lambda client: client.fetch_config(wanted, base_version), _FETCH_TIMEOUT_SECONDS
+        )
+        if isinstance(fetched, Ok):
+            self.answer_withdraw(fetched.ok_value.withdrawals)
+        return fetched
+
+    def _adopt_changes(self, base: ConfigDocument, changes: Sequence[bytes]) -> bool:
+        """Return whether the changes could be applied."""
+        try:
+            document = apply_changes(base, changes)
+        except ConfigError as error:
+            log_event("config:change-unusable", error=str(error))
+            return False
+        self._copy.adopt(document, changes)
+        return True
+
     def _adopt_encoded(self, data: bytes) -> bool:
         try:
             return self._copy.adopt(decode_config(data))
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_store.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict, refuse_unavailable
 from trefoilreach._internal.state.config import (
     ConfigDocument,
@@ -33,6 +34,11 @@
 # Earlier documents named by the head row, so that a writer whose answer was lost
 # finds its write even after others have written.
 _RECENT = 32
+# Name of a change: that of the document that it makes, and this.
+CHANGE_SUFFIX = ".change"
+# A daemon that is further behind reads the whole document. With more, the catch-up of
+# 420 daemons after an outage would near the two thousand reads a second of the stores.
+_MAX_CHANGES_READ = 4
 _RESOLVE_TRIES = 4
 _RESOLVE_PAUSE_SECONDS = 0.2
 
@@ -92,14 +98,38 @@
             return Err(ConfigError(message))
         return Ok(document)
 
-    def write(self, document: ConfigDocument, head: Head) -> Result[None, Refusal]:
-        """Put a document into force if ``head`` is still the head."""
+    def read_changes(self, head: Head, base: int) -> Result[list[bytes], StoreError]:
+        """Read the changes that lead from version ``base`` to the head.
+
+        :returns: nothing when the base is too far behind or a change is not there.
+        """
+        missing = head.version - base
+        if not 0 < missing <= min(_MAX_CHANGES_READ, len(head.recent)):
+            return Ok([])
+        changes: list[bytes] = []
+        for name in head.recent[-missing:]:
+            found = self._objects.get(name + CHANGE_SUFFIX)
+            if isinstance(found, Err):
+                return found
+            if found.ok_value is None:
+                return Ok([])
+            changes.append(found.ok_value)
+        return Ok(changes)
+
+    def write(
+        self, document: ConfigDocument, head: Head, change: bytes = b""
+    ) -> Result[None, Refusal]:
+        """Put a document into force if ``head`` is still the head.
+
+        :param change: encoded difference to the head's document; empty for none.
+        """
         writer = uuid.uuid4().hex
         name = f"config/{document.version}-{writer}"
         stored = self._put(name, pack_config(document))
         if isinstance(stored, Err):
             message = f"object store: {stored.err_value}"
             return Err(refuse_unavailable(message, STORE_RETRY_SECONDS))
+        self._put_change(name, change)
         value = {
             "version": document.version,
             "object": name,
@@ -114,6 +144,11 @@
         ]
         return self._commit(writes, name, document.version)
 
+    def _put_change(self, name: str, change: bytes) -> None:
+        # Daemons that do not find the change read the document.
+        if change and isinstance(self._put(name + CHANGE_SUFFIX, change), Err):
+            log_event("config:change-unwritten", object=name)
+
     def _put(self, name: str, data: bytes) -> Result[None, StoreError]:
         outcome = self._objects.put(name, data)
         for _ in range(_RESOLVE_TRIES):
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
@@ -19,7 +19,8 @@
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
 from trefoilreach._internal.protocol.verdict import Refusal
-from trefoilreach._internal.state.config import ConfigDocument
+from trefoilreach._internal.state.config import ConfigDocument, ConfigError
+from trefoilreach._internal.state.config_change import apply_changes
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import TableService
 
@@ -152,9 +153,9 @@
             self._sources[vm] = state
         self._wake.set()
 
-    def answer_fetch(self, min_version: int) -> ConfigReply:
-        """Return the withdrawals, and the document when its version is not too low."""
-        return self._exchange.answer_fetch(min_version)
+    def answer_fetch(self, min_version: int, base_version: int | None = None) -> ConfigReply:
+        """Return the withdrawals, and the configuration when its version is not too low."""
+        return self._exchange.answer_fetch(min_version, base_version)
 
     def answer_withdraw(self, withdrawals: list[Withdrawal]) -> None:
         """Merge withdrawals that a peer pushed."""
@@ -181,13 +182,36 @@
 
     def _follow(self, head: Head) -> bool:
         """Adopt the version that the head names; return whether it came into force."""
-        document = self._store.read_document(head)
-        if isinstance(document, Ok):
-            return self._copy.adopt(document.ok_value)
-        error = str(document.err_value)
+        base = self._copy.document
+        changes = self._store.read_changes(head, base.version)
+        if isinstance(changes, Ok):
+            document = self._apply(base, changes.ok_value, head)
+            if document is not None:
+                return self._copy.adopt(document, changes.ok_value)
+            found = self._store.read_document(head)
+            if isinstance(found, Ok):
+                return self._copy.adopt(found.ok_value)
+            error = str(found.err_value)
+        else:
+            error = str(changes.err_value)
         log_event("config:unreadable", version=head.version, error=error)
         return self._exchange.fetch_from_any(head.version)
 
+    def _apply(
+        self, base: ConfigDocument, changes: list[bytes], head: Head
+    ) -> ConfigDocument | None:
+        """Return the head's document, or None when the changes do not lead to it."""
+        if not changes:
+            return None
+        try:
+            document = apply_changes(base, changes)
+            if document.version != head.version:
+                raise ConfigError(f"the changes lead to version {document.version}")
+        except ConfigError as error:
+            log_event("config:change-unusable", version=head.version, error=str(error))
+            return None
+        return document
+
     def _push(self) -> None:
         if self._peers is not None and not self._stop.is_set():
             self._pushes.submit(self._peers.push_state)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_writer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_writer.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.config_changes import MAX_CHANGE_BYTES
 from trefoilreach._internal.coordination.config_copy import ConfigCopy
 from trefoilreach._internal.coordination.config_store import (
     STORE_RETRY_SECONDS,
@@ -15,6 +16,7 @@
 )
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 from trefoilreach._internal.state.config import ConfigDocument
+from trefoilreach._internal.state.config_change import encode_change
 
 _REBASE_TRIES = 8
 _REBASE_PAUSE_SECONDS = 0.05
@@ -91,10 +93,13 @@
         except Refusal as refusal:
             return Err(refusal)
         document = self._complete(edited, head.version + 1)
-        written = self._store.write(document, head)
+        change = encode_change(current, document)
+        if len(change) > MAX_CHANGE_BYTES:
+            change = b""
+        written = self._store.write(document, head, change)
         if isinstance(written, Err):
             return written
-        self._copy.adopt(document)
+        self._copy.adopt(document, [change] if change else [])
         self._copy.ready = True
         return Ok(document)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -44,10 +44,11 @@
         """
         pass
 
-    def fetch_config(self, min_version):
+    def fetch_config(self, min_version, base_version):
         """
         Parameters:
          - min_version
+         - base_version
 
         """
         pass
@@ -189,19 +190,21 @@
         iprot.readMessageEnd()
         return
 
-    def fetch_config(self, min_version):
+    def fetch_config(self, min_version, base_version):
         """
         Parameters:
          - min_version
+         - base_version
 
         """
-        self.send_fetch_config(min_version)
+        self.send_fetch_config(min_version, base_version)
         return self.recv_fetch_config()
 
-    def send_fetch_config(self, min_version):
+    def send_fetch_config(self, min_version, base_version):
         self._oprot.writeMessageBegin('fetch_config', TMessageType.CALL, self._seqid)
         args = fetch_config_args()
         args.min_version = min_version
+        args.base_version = base_version
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -457,7 +460,7 @@
         iprot.readMessageEnd()
         result = fetch_config_result()
         try:
-            result.success = self._handler.fetch_config(args.min_version)
+            result.success = self._handler.fetch_config(args.min_version, args.base_version)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -852,11 +855,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Withdrawal()
-                        _elem61.read(iprot)
-                        self.withdrawals.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Withdrawal()
+                        _elem68.read(iprot)
+                        self.withdrawals.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -873,8 +876,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter62 in self.withdrawals:
-                iter62.write(oprot)
+            for iter69 in self.withdrawals:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -947,12 +950,14 @@
     """
     Attributes:
      - min_version
+     - base_version
 
     """
 
 
-    def __init__(self, min_version=None,):
+    def __init__(self, min_version=None, base_version=None,):
         self.min_version = min_version
+        self.base_version = base_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -968,6 +973,11 @@
                     self.min_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -982,6 +992,10 @@
             oprot.writeFieldBegin('min_version', TType.I64, 1)
             oprot.writeI64(self.min_version)
             oprot.writeFieldEnd()
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 2)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1002,6 +1016,7 @@
 fetch_config_args.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'min_version', None, None, ),  # 1
+    (2, TType.I64, 'base_version', None, None, ),  # 2
 )
 
 
@@ -1455,11 +1470,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Suspect()
-                        _elem68.read(iprot)
-                        self.suspects.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Suspect()
+                        _elem75.read(iprot)
+                        self.suspects.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1476,8 +1491,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter69 in self.suspects:
-                iter69.write(oprot)
+            for iter76 in self.suspects:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -445,14 +445,16 @@
      - version
      - document
      - withdrawals
+     - changes
 
     """
 
 
-    def __init__(self, version=None, document=None, withdrawals=None,):
+    def __init__(self, version=None, document=None, withdrawals=None, changes=None,):
         self.version = version
         self.document = document
         self.withdrawals = withdrawals
+        self.changes = changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -484,6 +486,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readBinary()
+                        self.changes.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -505,8 +517,15 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter20 in self.withdrawals:
-                iter20.write(oprot)
+            for iter26 in self.withdrawals:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.changes))
+            for iter27 in self.changes:
+                oprot.writeBinary(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -842,33 +861,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = QuotaDemand()
-                        _elem26.read(iprot)
-                        self.demands.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = QuotaDemand()
+                        _elem33.read(iprot)
+                        self.demands.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = QuotaReturn()
-                        _elem32.read(iprot)
-                        self.returns.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = QuotaReturn()
+                        _elem39.read(iprot)
+                        self.returns.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recalls = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = QuotaRecall()
-                        _elem38.read(iprot)
-                        self.recalls.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = QuotaRecall()
+                        _elem45.read(iprot)
+                        self.recalls.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -903,22 +922,22 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter39 in self.demands:
-                iter39.write(oprot)
+            for iter46 in self.demands:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter40 in self.returns:
-                iter40.write(oprot)
+            for iter47 in self.returns:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recalls is not None:
             oprot.writeFieldBegin('recalls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recalls))
-            for iter41 in self.recalls:
-                iter41.write(oprot)
+            for iter48 in self.recalls:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1095,22 +1114,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = QuotaLoan()
-                        _elem47.read(iprot)
-                        self.loans.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = QuotaLoan()
+                        _elem54.read(iprot)
+                        self.loans.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = QuotaReturn()
-                        _elem53.read(iprot)
-                        self.returns.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = QuotaReturn()
+                        _elem60.read(iprot)
+                        self.returns.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1141,15 +1160,15 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter54 in self.loans:
-                iter54.write(oprot)
+            for iter61 in self.loans:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter55 in self.returns:
-                iter55.write(oprot)
+            for iter62 in self.returns:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1295,6 +1314,7 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
     (3, TType.LIST, 'withdrawals', (TType.STRUCT, [Withdrawal, None], False), None, ),  # 3
+    (4, TType.LIST, 'changes', (TType.STRING, 'BINARY', False), None, ),  # 4
 )
 all_structs.append(QuotaDemand)
 QuotaDemand.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -44,6 +44,8 @@
   1: i64 version,
   2: binary document,
   3: list<Withdrawal> withdrawals,
+  // Changes that lead from the asker's base version to this one, instead of the document.
+  4: optional list<binary> changes,
 }
 
 // What a borrower of quota needs for one account.
@@ -111,8 +113,8 @@
   // True when this daemon can reach the target.
   bool probe_via(1: string host, 2: i32 peer_port),
   void withdraw(1: list<Withdrawal> withdrawals),
-  // Configuration of at least min_version, or the highest known one.
-  ConfigReply fetch_config(1: i64 min_version),
+  // Configuration of at least min_version; base_version is the one that the asker has.
+  ConfigReply fetch_config(1: i64 min_version, 2: i64 base_version),
   BorrowReply borrow(1: BorrowRequest request),
   // Online requests sent to the worker since the last notice; the answer is the number
   // of batch items that the worker's load reports count.
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
@@ -104,7 +104,8 @@
     withdrawn: tuple[Withdrawn, ...] = ()
 
 
-_SECTIONS: dict[str, Callable[..., Any]] = {
+# Kind of the entries of each section of the document.
+SECTIONS: dict[str, Callable[..., Any]] = {
     "classes": WorkClass,
     "accounts": Account,
     "keys": Key,
@@ -122,7 +123,7 @@
 def encode_config(document: ConfigDocument) -> bytes:
     """Encode a document as JSON."""
     fields: dict[str, Any] = {"version": document.version}
-    for name in _SECTIONS:
+    for name in SECTIONS:
         fields[name] = [entry._asdict() for entry in getattr(document, name)]
     return orjson.dumps(fields)
 
@@ -145,15 +146,19 @@
         plain = data if data.startswith(b"{") else zlib.decompress(data)
         fields = orjson.loads(plain)
         sections = {
-            name: tuple(_decode_entry(kind, entry) for entry in fields.get(name, ()))
-            for name, kind in _SECTIONS.items()
+            name: tuple(decode_entry(kind, entry) for entry in fields.get(name, ()))
+            for name, kind in SECTIONS.items()
         }
         return ConfigDocument(version=int(fields["version"]), **sections)
     except (zlib.error, orjson.JSONDecodeError, KeyError, TypeError, AttributeError) as error:
         raise ConfigError(f"configuration document cannot be decoded: {error}") from error
 
 
-def _decode_entry(kind: Callable[..., Any], entry: dict[str, Any]) -> Any:
+def decode_entry(kind: Callable[..., Any], entry: dict[str, Any]) -> Any:
+    """Decode one entry of a section.
+
+    :raises TypeError: when the fields are not those of the kind.
+    """
     return kind(**{key: _freeze(value) for key, value in entry.items()})
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
@@ -20,7 +20,7 @@
     probe: Callable[[ProbeRequest], ProbeReply]
     probe_via: Callable[[str, int], bool]
     withdraw: Callable[[list[Withdrawal]], None]
-    fetch_config: Callable[[int], ConfigReply]
+    fetch_config: Callable[[int, int | None], ConfigReply]
     borrow: Callable[[BorrowRequest], BorrowReply]
     online_started: Callable[[str, int], int]
     cancel_job: Callable[[str], None]
--- a/tests/unit/test_config_machine.py
+++ b/tests/unit/test_config_machine.py
@@ -1,18 +1,21 @@
 """Guards against a configuration that reverts, forks or loses a change or a withdrawal.
 
 Daemons with an in-memory store and network race, lose answers, restart and lose
-contact; a list of the versions that came into force is the oracle.
+contact, and differences between versions are lost or wrong; a list of the versions that
+came into force is the oracle.
 """
 
 import threading
+import zlib
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import orjson
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.config_store import HEAD_KEY
+from trefoilreach._internal.coordination.config_store import CHANGE_SUFFIX, HEAD_KEY
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
@@ -82,6 +85,27 @@
             super().commit(writes)
 
 
+def spoil_change(data: bytes) -> bytes:
+    """Return the change without its entries, but with the check sum of the right result."""
+    return zlib.compress(orjson.dumps({**orjson.loads(zlib.decompress(data)), "sections": {}}))
+
+
+class FaultyObjects(MemoryObjectStore):
+    """Refuses, loses or spoils changes, or takes one and loses the answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fault = ""
+
+    def put(self, name: str, data: bytes) -> Result[None, StoreError]:
+        fault = self.fault if name.endswith(CHANGE_SUFFIX) else ""
+        if fault == "refused":
+            return Err(StoreUnavailable(fault))
+        if fault != "missing":
+            super().put(name, spoil_change(data) if fault == "wrong" else data)
+        return Err(OutcomeUnknown(fault)) if fault == "lost" else Ok(None)
+
+
 class Node:
     """One daemon's configuration, and the network as it sees it."""
 
@@ -95,8 +119,8 @@
         self.sync._pushes = InlineExecutor()
 
     # The names of the thrift client.
-    def fetch_config(self, min_version: int) -> Any:
-        return self.sync.answer_fetch(min_version)
+    def fetch_config(self, min_version: int, base_version: int | None = None) -> Any:
+        return self.sync.answer_fetch(min_version, base_version)
 
     def withdraw(self, withdrawals: Any) -> None:
         self.sync.answer_withdraw(withdrawals)
@@ -129,7 +153,7 @@
     def start(self) -> None:
         self.clock = SteppedClock()
         self.table = FaultyTable()
-        self.objects = MemoryObjectStore()
+        self.objects = FaultyObjects()
         self.cut: set[str] = set()
         self.nodes: dict[str, Node] = {}
         self.refused: set[str] = set()
@@ -185,6 +209,15 @@
     def lose_answers(self, faults: list[str]) -> None:
         self.table.faults = faults
 
+    @rule(fault=st.sampled_from(["", "refused", "missing", "wrong", "lost"]))
+    def set_change_fault(self, fault: str) -> None:
+        self.objects.fault = fault
+
+    @rule(node=NODE)
+    def spoil_kept_changes(self, node: str) -> None:
+        kept = self.nodes[node].sync._copy.changes._changes
+        kept.update({version: spoil_change(data) for version, data in kept.items()})
+
     @rule()
     def toggle_store(self) -> None:
         self.table.down = not self.table.down
