--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -105,7 +105,7 @@
     sources = (
         "extrapolated from 239 peers",
         f"measured; {_ACTIVE_ACCOUNTS} accounts in use on a daemon assumed",
-        "measured size, whole compressed document for each change",
+        "measured size of a change; a whole document for each replaced VM",
         "assumed 0.13 KB an entry, poll stretched by n/30",
     )
     rows = [
@@ -134,8 +134,8 @@
 
 
 def _adoption_ms(slopes: Slopes, size: Size) -> float:
-    accounts = slopes.find("configuration", "adoption", "accounts")
-    workers = slopes.find("configuration", "adoption", "workers")
+    accounts = slopes.find("configuration", "adoption of a change", "accounts")
+    workers = slopes.find("configuration", "adoption of a change", "workers")
     return accounts.at(size.accounts) + workers.slope * size.workers
 
 
@@ -149,14 +149,20 @@
 def _traffic(slopes: Slopes, size: Size) -> tuple[float, float, float, float]:
     probes = slopes.find("membership", "messages").at(size.daemons - 1)
     loans = slopes.find("quota", "messages").slope * min(_ACTIVE_ACCOUNTS, size.accounts)
-    document = slopes.find("configuration", "compressed", "accounts").at(size.accounts)
-    document += slopes.find("configuration", "compressed", "workers").slope * size.workers
-    changes = document * size.changes_per_day / _SECONDS_PER_DAY
+    change = _configuration_kb(slopes, "change", size) * size.changes_per_day
+    whole = _configuration_kb(slopes, "compressed", size) * size.moved_vms_per_day / size.daemons
+    changes = (change + whole) / _SECONDS_PER_DAY
     interval = max(2.0, _LIST_SECONDS_PER_VM * size.daemons)
     listing = _VM_LIST_ENTRY_KB * size.daemons / interval
     return probes, loans, changes, listing
 
 
+def _configuration_kb(slopes: Slopes, cost: str, size: Size) -> float:
+    accounts = slopes.find("configuration", cost, "accounts")
+    workers = slopes.find("configuration", cost, "workers")
+    return accounts.at(size.accounts) + workers.slope * size.workers
+
+
 def _stores(slopes: Slopes) -> list[Estimate]:
     writes = [_writes(slopes, size) for size in (TODAY, TARGET)]
     reads = [_reads(slopes, size) for size in (TODAY, TARGET)]
@@ -192,7 +198,8 @@
     share = 1.0 if size is TARGET else 0.1
     keyed = _KEYED_REQUESTS_PER_SECOND * _WRITES_PER_KEYED_REQUEST * share
     segments = size.daemons / _SEGMENT_SECONDS
-    rare = (size.changes_per_day * 2 + size.moved_vms_per_day * _WRITES_PER_MOVED_VM) / (
+    # Document, change and head of a configuration.
+    rare = (size.changes_per_day * 3 + size.moved_vms_per_day * _WRITES_PER_MOVED_VM) / (
         _SECONDS_PER_DAY
     )
     return batch + keyed + segments + rare
@@ -201,7 +208,8 @@
 def _reads(slopes: Slopes, size: Size) -> float:
     idle = slopes.find("membership", "reads").at(size.daemons - 1) * size.daemons
     batch = slopes.find("batch", "reads").slope * size.batch_items
-    changes = size.daemons * size.changes_per_day / _SECONDS_PER_DAY
+    # A head and a change, or a document, for each daemon that hears of a change.
+    changes = 2 * size.daemons * size.changes_per_day / _SECONDS_PER_DAY
     return idle + batch + changes
 
 
