Share one load poll between routing and batch work

The load poller and the batch feed each read the load of the same workers. The poller now reads each worker once and passes reports and failures on to the feed. The processor time was not measured.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch.py
@@ -53,9 +53,7 @@
     batch = settings.batch
     store = ChunkStore(clock, table, f"{settings.daemon.name}/{uuid.uuid4().hex}")
     wake = threading.Event()
-    feed = BatchFeed(
-        clock, engine, config, settings.routing.load_interval, batch.yielding == "yes", wake.set
-    )
+    feed = BatchFeed(clock, engine, config, batch.yielding == "yes", wake.set)
     runner = BatchRunner(clock, store, objects, config, peers, feed, batch, wake)
     reader = BatchReader(table, objects)
     return Batches(
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -7,7 +7,7 @@
 from contextlib import ExitStack
 from typing import NamedTuple
 
-from result import Err
+from result import Err, Result
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.batch_held import (
@@ -37,7 +37,7 @@
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.jobs import OpenJob
-from trefoilreach._internal.transport.engine import Engine
+from trefoilreach._internal.transport.engine import Engine, EngineError, LoadReport
 
 _TICK_SECONDS = 0.1
 # Failed attempts that the item may have caused, after which it ends as an error.
@@ -68,7 +68,6 @@
         clock: Clock,
         engine: Engine,
         config: ConfigHolder,
-        load_interval: float,
         yielding: bool,
         on_change: Callable[[], None],
     ) -> None:
@@ -77,7 +76,6 @@
         self._clock = clock
         self._engine = engine
         self._config = config
-        self._load_interval = load_interval
         self._yielding = yielding
         self._on_change = on_change
         self._items = ItemRunner(clock, engine)
@@ -112,7 +110,6 @@
         """Run until the exit stack closes."""
         stack.callback(self._close)
         threading.Thread(target=self._run, name="batch-feed", daemon=True).start()
-        threading.Thread(target=self._poll_loads, name="batch-load", daemon=True).start()
 
     def set_workers(self, servers: Sequence[Server]) -> None:
         """Send batch work to these workers from now on; streams elsewhere run to their end."""
@@ -128,6 +125,24 @@
             self._shares = shares
             self._signal()
 
+    def watched_servers(self) -> list[Server]:
+        """Return the workers whose load reports the shares need."""
+        with self._changed:
+            return [share.server for share in self._shares.values()]
+
+    def note_load(self, server: Server, reply: Result[LoadReport, EngineError]) -> None:
+        """Take a load report of a worker, or that it gave none."""
+        now = self._clock.now()
+        with self._changed:
+            share = self._shares.get(server.name)
+            if share is None or share.server != server:
+                return
+            if isinstance(reply, Err):
+                share.note_down(now)
+            else:
+                share.note_report(reply.ok_value, now)
+            self._signal()
+
     def capacity(self) -> dict[str, int]:
         """Return the slots of the workers that are up, by model."""
         slots: dict[str, int] = {}
@@ -399,24 +414,6 @@
         for handle in handles:
             self._cancels.submit(self._engine.cancel, handle.server, handle.request_id)
 
-    def _poll_loads(self) -> None:
-        while not self._stopped.is_set():
-            with self._changed:
-                shares = list(self._shares.values())
-            for share in shares:
-                self._poll_load(share)
-            self._clock.wait(self._stopped, self._load_interval)
-
-    def _poll_load(self, share: WorkerShare) -> None:
-        report = self._engine.load(share.server)
-        now = self._clock.now()
-        with self._changed:
-            if isinstance(report, Err):
-                share.note_down(now)
-            else:
-                share.note_report(report.ok_value, now)
-            self._signal()
-
 
 def _refuse_attempt(error: Refusal | TrialBusy, task: ItemTask) -> Attempt:
     if isinstance(error, Refusal) and error.status in CLIENT_ERROR_STATUSES:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -79,6 +79,7 @@
         self.backends = backends
         self.guard = guard
         self.budget = RetryBudget(clock, settings.routing.retry_share / 100.0)
+        self.poller = LoadPoller(clock, engine, backends, settings.routing.load_interval)
         self._settings = settings
         self._config = config
         self._running = RunningRequests(clock, backends.health)
@@ -92,10 +93,7 @@
     def start(self, stack: ExitStack) -> None:
         """Watch servers and requests until the exit stack closes."""
         stack.callback(self._cancels.shutdown, wait=False, cancel_futures=True)
-        poller = LoadPoller(
-            self.clock, self.engine, self.backends, self._settings.routing.load_interval
-        )
-        poller.start(stack)
+        self.poller.start(stack)
         self._running.start(stack)
         self._config.add_listener(lambda view: self.backends.pump())
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -143,6 +143,8 @@
         guard = CrashGuard(self._clock, table, membership)
         dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
         batches.feed.guard = guard
+        if batches.enabled:
+            dispatcher.poller.add_watcher(batches.feed)
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
--- a/tests/unit/batch_fakes.py
+++ b/tests/unit/batch_fakes.py
@@ -178,6 +178,7 @@
         settings = settings._replace(daemon=settings.daemon._replace(name=name))
         peers = SoloPeers(settings.daemon)
         engine: Any = FakeEngine()
+        self.engine = engine
         self.parts: Batches = build_batches(settings, clock, table, objects, config, engine, peers)
         self.clock = clock
         self.paused = False
@@ -188,8 +189,8 @@
 
     def tick(self) -> None:
         self.parts.feed.set_workers(DOCUMENT.servers)
-        for share in self.parts.feed._shares.values():
-            self.parts.feed._poll_load(share)
+        for server in self.parts.feed.watched_servers():
+            self.parts.feed.note_load(server, self.engine.load(server))
         self.parts.runner.tick()
 
     def run_items(self, limit: int, rng: random.Random) -> list[tuple[str, str]]:
