--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_peers.py
@@ -0,0 +1,144 @@
+"""Exchanges the configuration and the withdrawals with other daemons."""
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from trefoilreach._internal.coordination.config_copy import NOT_READY_VERSION, ConfigCopy
+from trefoilreach._internal.coordination.peers import PeerError, Peers, PeerState
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
+from trefoilreach._internal.state.config import (
+    ConfigDocument,
+    ConfigError,
+    Withdrawn,
+    decode_config,
+    pack_config,
+)
+from trefoilreach._internal.state.config_change import apply_changes
+
+_FETCH_TIMEOUT_SECONDS = 2.0
+_FETCH_TRIES = 3
+# Base version in a request that only a whole document can answer.
+_NO_BASE = -1
+
+
+class ConfigPeers(Peers, Protocol):
+    """What the configuration needs of the fleet besides :class:`Peers`."""
+
+    def known_count(self) -> int:
+        """Return how many other VMs this daemon knows of."""
+
+    def push_state(self) -> dict[str, Result[PeerState, PeerError]]:
+        """Tell every live or leaving peer this daemon's state; return theirs."""
+
+
+class PeerExchange:
+    """Fetches from peers what this daemon lacks, and answers their fetches."""
+
+    def __init__(self, copy: ConfigCopy, peers: ConfigPeers | None) -> None:
+        self._copy = copy
+        self._peers = peers
+
+    def fetch(self, vm: str) -> Result[int, PeerError]:
+        """Merge the withdrawals of a peer and adopt its document if it is higher.
+
+        The peer heard of the difference too and does the same.
+
+        :returns: version in force there.
+        """
+        base = self._copy.document
+        fetched = self._ask(vm, base.version if self._copy.ready else _NO_BASE)
+        if isinstance(fetched, Ok) and fetched.ok_value.changes:
+            if self._adopt_changes(base, fetched.ok_value.changes):
+                return Ok(fetched.ok_value.version)
+            fetched = self._ask(vm, _NO_BASE)
+        if isinstance(fetched, Err):
+            return fetched
+        reply = fetched.ok_value
+        if reply.document:
+            self._adopt_encoded(reply.document)
+        return Ok(reply.version)
+
+    def fetch_from_any(self, version: int) -> bool:
+        """Fetch a version that the head names but the object store does not give."""
+        if self._peers is None:
+            return False
+        before = self._copy.version
+        members = self._peers.members()
+        for member in random.sample(members, min(_FETCH_TRIES, len(members))):
+            self.fetch(member.vm)
+            if self._copy.version >= version:
+                break
+        return self._copy.version > before
+
+    def start_from_peers(self) -> bool:
+        """Take the highest version that most of the known VMs hold; return whether they answered.
+
+        A daemon that starts while the stores are down serves only after this.
+        """
+        if self._peers is None:
+            return False
+        known = self._peers.known_count()
+        answers = 0
+        for member in self._peers.members():
+            outcome = self.fetch(member.vm)
+            if isinstance(outcome, Ok) and outcome.ok_value != NOT_READY_VERSION:
+                answers += 1
+        if known == 0 or 2 * answers <= known:
+            return False
+        self._copy.ready = True
+        log_event("config:from-peers", answers=answers, known=known)
+        return True
+
+    def answer_fetch(self, min_version: int, base_version: int | None) -> ConfigReply:
+        """Return the withdrawals, and the configuration when its version is not too low.
+
+        :param base_version: version that the asker has; the changes since then are returned
+            instead of the document when all of them are kept here.
+        """
+        version = self._copy.state().config_version
+        data, changes = b"", []
+        if version >= max(min_version, 0):
+            document = self._copy.document
+            version = document.version
+            if base_version is not None:
+                changes = self._copy.changes.find(base_version, version)
+            data = b"" if changes else pack_config(document)
+        withdrawals = [Withdrawal(*entry) for entry in self._copy.withdrawals.entries()]
+        return ConfigReply(version=version, document=data, withdrawals=withdrawals, changes=changes)
+
+    def answer_withdraw(self, withdrawals: list[Withdrawal]) -> None:
+        """Merge withdrawals that a peer pushed."""
+        self._copy.withdrawals.merge(
+            Withdrawn(entry.key_id, entry.wall_time) for entry in withdrawals
+        )
+
+    def _ask(self, vm: str, base_version: int) -> Result[ConfigReply, PeerError]:
+        assert self._peers is not None
+        wanted = self._copy.version + 1 if self._copy.ready else 0
+        fetched: Result[ConfigReply, PeerError] = self._peers.call(
+            vm, lambda client: client.fetch_config(wanted, base_version), _FETCH_TIMEOUT_SECONDS
+        )
+        if isinstance(fetched, Ok):
+            self.answer_withdraw(fetched.ok_value.withdrawals)
+        return fetched
+
+    def _adopt_changes(self, base: ConfigDocument, changes: Sequence[bytes]) -> bool:
+        """Return whether the changes could be applied."""
+        try:
+            document = apply_changes(base, changes)
+        except ConfigError as error:
+            log_event("config:change-unusable", error=str(error))
+            return False
+        self._copy.adopt(document, changes)
+        return True
+
+    def _adopt_encoded(self, data: bytes) -> bool:
+        try:
+            return self._copy.adopt(decode_config(data))
+        except ConfigError as error:
+            log_event("config:undecodable", error=str(error))
+            return False
