Keep identical requests together and judge crashes beside a trial

Requests with one fingerprint that several daemons received at the same moment ran on as many workers before the first crash was known. A trial whose worker died became poison even when a request beside it was at fault.

A run now asks the daemon that rendezvous hashing chooses for the fingerprint, and goes where an identical request runs until one of them has completed. A trial whose worker died is accused; the requests beside it get trials, and the accused is refused only when they are cleared. Batch items follow the same decision. crash_guard.py and batch_feed.py are split into modules with one job.

The test of an innocent request in flight at two crashes fails when the trial is blamed at once.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/backends.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/backends.py
@@ -30,6 +30,7 @@
     """A request that needs a place on a server.
 
     :param avoid: servers to use only when there is no other.
+    :param preferred: server to use when it has a place; empty for none.
     :param gone: whether the request should stop waiting.
     """
 
@@ -38,6 +39,7 @@
     route: Route
     prefixes: Sequence[Prefix] = ()
     avoid: Sequence[str] = ()
+    preferred: str = ""
     gone: Callable[[], bool] = lambda: False
 
 
@@ -119,6 +121,11 @@
         """Return the servers that can be given a request of a route."""
         return [server for server in self._subset(route) if self._can_serve(server, route)]
 
+    def find_instance(self, server: str) -> str:
+        """Return the process of an engine as last reported; empty when it is not known."""
+        report = self.load.last_report(server)
+        return "" if report is None else report.instance
+
     def engines(self) -> list[Server]:
         """Return the engines that this daemon uses."""
         chosen = {
@@ -130,18 +137,34 @@
         return list(chosen.values())
 
     def _try_place(self, request: PlaceRequest) -> Server | None:
-        servers = self.eligible(request.route)
+        servers = self._include(self.eligible(request.route), request)
         others = [server for server in servers if server.name not in request.avoid]
         candidates = self._compare(others or servers, request.prefixes)
         free = [entry for entry in candidates if self._policy.has_place(entry)]
         if not free:
             self._ask_to_yield(candidates)
             return None
-        chosen = self._policy.choose(free)
+        preferred = [entry for entry in free if entry.server.name == request.preferred]
+        chosen = self._policy.choose(preferred or free)
         self.load.started(chosen.server.name, request.request_id, online=True)
         self._log_choice(request, chosen, candidates)
         return chosen.server
 
+    def _include(self, servers: list[Server], request: PlaceRequest) -> list[Server]:
+        """Add the preferred server, which may be outside this daemon's subset."""
+        if not request.preferred or any(entry.name == request.preferred for entry in servers):
+            return servers
+        route = request.route
+        found = [
+            server
+            for server in self._config.view.document.servers
+            if server.name == request.preferred
+            and route.name in server.routes
+            and server.state == "live"
+            and self._can_serve(server, route)
+        ]
+        return servers + found
+
     def _compare(self, servers: list[Server], prefixes: Sequence[Prefix]) -> list[Candidate]:
         daemons = max(1, self._live_daemons())
         return [
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_attempts.py
@@ -0,0 +1,68 @@
+"""Runs attempts of batch items, as far as the crash guard allows them."""
+
+from result import Err
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.batch_held import ItemTask
+from trefoilreach._internal.coordination.batch_items import (
+    CLIENT_ERROR_STATUSES,
+    Attempt,
+    Ending,
+    ItemRunner,
+    Pace,
+    StreamHandle,
+)
+from trefoilreach._internal.coordination.batch_share import WorkerShare
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
+from trefoilreach._internal.coordination.crash_runs import Standing, TrialBusy, find_fingerprint
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.transport.engine import Engine
+
+_TOKEN_TIMEOUT_FACTOR = 10.0
+_SHORTEST_TOKEN_TIMEOUT_SECONDS = 2.0
+_LONGEST_TOKEN_TIMEOUT_SECONDS = 30.0
+
+
+class ItemAttempts:
+    """Runs one attempt at a time for each calling thread.
+
+    :ivar guard: set before the first attempt; None in tests of batch work alone.
+    """
+
+    def __init__(self, clock: Clock, engine: Engine) -> None:
+        self.guard: CrashGuard | None = None
+        self._items = ItemRunner(clock, engine)
+
+    def run(self, share: WorkerShare, handle: StreamHandle) -> Attempt:
+        """Run one attempt, unless the crash guard of the fleet stands against it."""
+        task, endpoint = handle.task, handle.task.held.job.endpoint
+        timeout = self._token_timeout(share)
+        pace = Pace(share.note_first_token, share.note_interval)
+        if self.guard is None:
+            attempt = self._items.run(handle, endpoint, share.instance, timeout, pace)
+            return attempt._replace(is_culprit=task.alone)
+        fingerprint = find_fingerprint(task.held.job.account, endpoint, task.item.body)
+        if not task.alone and self.guard.check(fingerprint) is Standing.SUSPECT:
+            task.alone = True
+            return Attempt(Ending.BUSY, task.text)
+        begun = self.guard.begin(fingerprint, share.server.name, share.instance)
+        if isinstance(begun, Err):
+            return _refuse_attempt(begun.err_value, task)
+        attempt = self._items.run(handle, endpoint, share.instance, timeout, pace)
+        if attempt.ending is Ending.CRASHED:
+            self.guard.worker_died(share.server.name)
+            is_culprit = self.guard.check(fingerprint) is Standing.POISON
+            attempt = attempt._replace(is_culprit=is_culprit)
+        self.guard.end(begun.ok_value, attempt.ending in (Ending.COMPLETED, Ending.REFUSED))
+        return attempt
+
+    def _token_timeout(self, share: WorkerShare) -> float:
+        seconds = share.targets.token_interval * _TOKEN_TIMEOUT_FACTOR
+        longest = min(seconds, _LONGEST_TOKEN_TIMEOUT_SECONDS)
+        return max(longest, _SHORTEST_TOKEN_TIMEOUT_SECONDS)
+
+
+def _refuse_attempt(error: Refusal | TrialBusy, task: ItemTask) -> Attempt:
+    if isinstance(error, Refusal) and error.status in CLIENT_ERROR_STATUSES:
+        return Attempt(Ending.REFUSED, task.text, status=error.status, message=error.message)
+    return Attempt(Ending.BUSY, task.text)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -10,44 +10,22 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_held import (
-    HeldChunk,
-    ItemTask,
-    error_line,
-    output_line,
-)
-from trefoilreach._internal.coordination.batch_items import (
-    CLIENT_ERROR_STATUSES,
-    Attempt,
-    Ending,
-    ItemRunner,
-    Pace,
-    StreamHandle,
-)
+from trefoilreach._internal.coordination.batch_attempts import ItemAttempts
+from trefoilreach._internal.coordination.batch_held import HeldChunk, ItemTask
+from trefoilreach._internal.coordination.batch_items import Attempt, Ending, StreamHandle
+from trefoilreach._internal.coordination.batch_settle import ItemSettler
 from trefoilreach._internal.coordination.batch_share import WorkerShare, find_targets
+from trefoilreach._internal.coordination.batch_trials import choose_trial_workers, take_trial
 from trefoilreach._internal.coordination.batch_turns import FairTurns
 from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.crash_guard import (
-    CrashGuard,
-    Standing,
-    TrialBusy,
-    find_fingerprint,
-)
 from trefoilreach._internal.logs import log_event
-from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.jobs import OpenJob
 from trefoilreach._internal.transport.engine import Engine
 
 _TICK_SECONDS = 0.1
-# Failed attempts that the item may have caused, after which it ends as an error.
-_ATTEMPT_LIMIT = 4
-_RETRY_SECONDS = 0.5
 _STREAM_THREADS = 512
 _CANCEL_THREADS = 8
-_TOKEN_TIMEOUT_FACTOR = 10.0
-_SHORTEST_TOKEN_TIMEOUT_SECONDS = 2.0
-_LONGEST_TOKEN_TIMEOUT_SECONDS = 30.0
 
 
 class OnlineNotice(NamedTuple):
@@ -72,7 +50,6 @@
         yielding: bool,
         on_change: Callable[[], None],
     ) -> None:
-        self.guard: CrashGuard | None = None
         self.note_batch: Callable[[str, int], None] = lambda worker, count: None
         self._clock = clock
         self._engine = engine
@@ -80,13 +57,13 @@
         self._load_interval = load_interval
         self._yielding = yielding
         self._on_change = on_change
-        self._items = ItemRunner(clock, engine)
+        self.attempts = ItemAttempts(clock, engine)
         self._turns = FairTurns()
         self._changed = threading.Condition()
         self._shares: dict[str, WorkerShare] = {}
         self._held: dict[str, HeldChunk] = {}
         self._handles: dict[str, StreamHandle] = {}
-        self._delayed: list[ItemTask] = []
+        self._settler = ItemSettler(clock)
         self._signalled = False
         self._notices: list[OnlineNotice] = []
         self._stopped = threading.Event()
@@ -231,14 +208,14 @@
 
     def _assign(self) -> list[tuple[WorkerShare, StreamHandle]]:
         now = self._clock.now()
-        self._requeue_delayed(now)
+        self._settler.requeue_delayed(now)
         started: list[tuple[WorkerShare, StreamHandle]] = []
         for share in self._shares.values():
             share.adjust(now)
             self.note_batch(share.server.name, share.reported_batch())
-        self._choose_trial_workers()
+        choose_trial_workers(self._shares.values(), self._held.values(), now)
         for share in self._shares.values():
-            task = self._start_trial(share, now)
+            task = take_trial(share, self._held.values(), now)
             while task is not None or share.room(now) > 0:
                 task = task or self._pick(share)
                 if task is None:
@@ -254,12 +231,6 @@
         task.held.running.add(task)
         return handle
 
-    def _requeue_delayed(self, now: float) -> None:
-        due = [task for task in self._delayed if task.not_before <= now]
-        for task in due:
-            self._delayed.remove(task)
-            task.held.put_back(task)
-
     def _pick(self, share: WorkerShare) -> ItemTask | None:
         """Take the next item that the worker can serve, fair between accounts."""
         ready: dict[str, list[HeldChunk]] = {}
@@ -277,116 +248,21 @@
         found = self._config.view.accounts.get(account)
         return found.rate if found is not None else 1.0
 
-    def _choose_trial_workers(self) -> None:
-        """Drain one worker for each model with suspects, which run alone."""
-        models = {held.model for held in self._held.values() if held.suspects and not held.ending}
-        now = self._clock.now()
-        for share in self._shares.values():
-            share.draining = share.draining and not models.isdisjoint(share.server.routes)
-        for model in models:
-            able = [share for share in self._shares.values() if model in share.server.routes]
-            if any(share.trial or share.draining for share in able):
-                continue
-            up = [share for share in able if share.is_up(now)]
-            if up:
-                min(up, key=lambda share: len(share.streams)).draining = True
-
-    def _start_trial(self, share: WorkerShare, now: float) -> ItemTask | None:
-        if not share.draining or share.streams or not share.is_up(now):
-            return None
-        for held in self._held.values():
-            if held.suspects and not held.ending and held.model in share.server.routes:
-                share.draining, share.trial = False, True
-                return held.suspects.popleft()
-        return None
-
     def _run_item(self, share: WorkerShare, handle: StreamHandle) -> None:
         held = handle.task.held
         try:
-            attempt = self._attempt(share, handle)
+            attempt = self.attempts.run(share, handle)
         except Exception as error:
             log_event("batch:item-error", chunk=held.key, error=repr(error))
             attempt = Attempt(Ending.FAILED, handle.task.text, message=repr(error))
         with self._changed:
-            self._settle(share, handle, attempt)
+            self._handles.pop(handle.request_id, None)
+            self._settler.settle(share, handle, attempt)
             wake = held.settled or bool(held.unsaved)
             self._signal()
         if wake:
             self._on_change()
 
-    def _attempt(self, share: WorkerShare, handle: StreamHandle) -> Attempt:
-        """Run one attempt, unless the crash guard of the fleet stands against it."""
-        task, endpoint = handle.task, handle.task.held.job.endpoint
-        timeout = self._token_timeout(share)
-        pace = Pace(share.note_first_token, share.note_interval)
-        if self.guard is None:
-            return self._items.run(handle, endpoint, share.instance, timeout, pace)
-        fingerprint = find_fingerprint(task.held.job.account, endpoint, task.item.body)
-        if not task.alone and self.guard.check(fingerprint) is Standing.SUSPECT:
-            task.alone = True
-            return Attempt(Ending.BUSY, task.text)
-        begun = self.guard.begin(fingerprint, share.server.name)
-        if isinstance(begun, Err):
-            return _refuse_attempt(begun.err_value, task)
-        attempt = self._items.run(handle, endpoint, share.instance, timeout, pace)
-        if attempt.ending is Ending.CRASHED:
-            self.guard.worker_died(share.server.name)
-        self.guard.end(begun.ok_value, attempt.ending in (Ending.COMPLETED, Ending.REFUSED))
-        return attempt
-
-    def _token_timeout(self, share: WorkerShare) -> float:
-        seconds = share.targets.token_interval * _TOKEN_TIMEOUT_FACTOR
-        longest = min(seconds, _LONGEST_TOKEN_TIMEOUT_SECONDS)
-        return max(longest, _SHORTEST_TOKEN_TIMEOUT_SECONDS)
-
-    def _settle(self, share: WorkerShare, handle: StreamHandle, attempt: Attempt) -> None:
-        task = handle.task
-        now = self._clock.now()
-        share.end(handle, now)
-        share.trial = False
-        self._handles.pop(handle.request_id, None)
-        task.held.running.discard(task)
-        if attempt.ending is Ending.COMPLETED and attempt.body is not None:
-            task.held.finish(task, output_line(task.item, handle.request_id, attempt.body))
-        elif attempt.ending is Ending.REFUSED:
-            line = error_line(task.item, attempt.status, "invalid_request", attempt.message)
-            task.held.finish(task, line)
-        elif attempt.ending is Ending.CRASHED:
-            self._settle_crash(share, task, now)
-        elif attempt.ending is Ending.FAILED:
-            self._settle_failure(task, attempt, now)
-        elif attempt.ending is Ending.LOST:
-            share.note_down(now)
-            task.alone = True
-            self._settle_failure(task, attempt, now)
-        else:
-            if attempt.ending is Ending.UNREACHABLE:
-                share.note_down(now)
-            self._put_back(task, attempt, now)
-
-    def _settle_crash(self, share: WorkerShare, task: ItemTask, now: float) -> None:
-        share.note_down(now)
-        task.held.note_crash(task)
-        log_event("batch:crash", chunk=task.held.key, item=task.index, crashes=task.crashes)
-
-    def _settle_failure(self, task: ItemTask, attempt: Attempt, now: float) -> None:
-        if len(attempt.text) > len(task.text):
-            task.attempts = 0
-        task.attempts += 1
-        if task.attempts < _ATTEMPT_LIMIT:
-            self._put_back(task, attempt, now)
-            return
-        message = f"{_ATTEMPT_LIMIT} attempts failed, the last with: {attempt.message}"
-        task.held.finish(task, error_line(task.item, 502, "server_failed", message))
-
-    def _put_back(self, task: ItemTask, attempt: Attempt, now: float) -> None:
-        task.text = attempt.text
-        if attempt.ending is Ending.YIELDED:
-            task.held.put_back(task)
-            return
-        task.not_before = now + _RETRY_SECONDS
-        self._delayed.append(task)
-
     def _handles_of(self, held: HeldChunk) -> list[StreamHandle]:
         handles = [handle for handle in self._handles.values() if handle.task.held is held]
         for handle in handles:
@@ -416,9 +292,3 @@
             else:
                 share.note_report(report.ok_value, now)
             self._signal()
-
-
-def _refuse_attempt(error: Refusal | TrialBusy, task: ItemTask) -> Attempt:
-    if isinstance(error, Refusal) and error.status in CLIENT_ERROR_STATUSES:
-        return Attempt(Ending.REFUSED, task.text, status=error.status, message=error.message)
-    return Attempt(Ending.BUSY, task.text)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_held.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_held.py
@@ -89,9 +89,12 @@
         if not line.failed:
             self.crash_counts.pop(task.index, None)
 
-    def note_crash(self, task: ItemTask) -> None:
-        """Count a crash; the item waits until the count is in the row."""
-        task.crashes += 1
+    def note_crash(self, task: ItemTask, is_culprit: bool) -> None:
+        """Count a crash; the item waits until the count is in the row.
+
+        An item that was merely in flight is a suspect, however often that happens.
+        """
+        task.crashes = CRASH_LIMIT if is_culprit else 1
         task.alone = True
         task.text = ""
         self.crash_counts[task.index] = task.crashes
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
@@ -39,13 +39,17 @@
 
 
 class Attempt(NamedTuple):
-    """Outcome of one attempt; ``text`` is what the engine has generated so far."""
+    """Outcome of one attempt; ``text`` is what the engine has generated so far.
+
+    :param is_culprit: whether the item is known to have crashed the worker.
+    """
 
     ending: Ending
     text: str = ""
     body: dict[str, Any] | None = None
     status: int = 0
     message: str = ""
+    is_culprit: bool = False
 
 
 class StreamHandle:
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_runs.py
@@ -0,0 +1,86 @@
+"""Attempts that the crash guard watches, and the refusals of requests that crash workers."""
+
+from enum import Enum
+from typing import Any, NamedTuple
+
+import orjson
+import xxhash
+
+from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
+
+_BUSY_RETRY_SECONDS = 0.5
+_STORE_RETRY_SECONDS = 2.0
+# Fields that do not change what the engine computes.
+_DELIVERY_FIELDS = {"stream", "stream_options"}
+
+
+class Standing(Enum):
+    """What is known of a request."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    POISON = "poison"
+
+
+class TrialBusy(Exception):
+    """The request cannot run on this worker yet: a trial, or a decision, is under way."""
+
+
+class RunsElsewhere(TrialBusy):
+    """An identical request, which no worker has completed yet, runs on another worker.
+
+    :param server: that worker.
+    """
+
+    def __init__(self, server: str) -> None:
+        super().__init__(f"an identical request runs on {server!r}")
+        self.server = server
+
+
+class GuardedRun(NamedTuple):
+    """One attempt.
+
+    :param instance: process of the worker; empty when it is not known.
+    :param writer: names the leases of a trial; empty when it is no trial.
+    :param claim: names the run at the daemon that keeps identical requests together;
+        empty when none was asked.
+    """
+
+    number: int
+    fingerprint: str
+    server: str
+    instance: str = ""
+    writer: str = ""
+    claim: str = ""
+
+    @property
+    def place(self) -> str:
+        """Name of the worker's process; empty when the process is not known."""
+        return f"{self.server}/{self.instance}" if self.instance else ""
+
+
+def find_fingerprint(account: str, path: str, body: dict[str, Any]) -> str:
+    """Return the hash that a resent request has again, on any daemon."""
+    kept = {name: value for name, value in body.items() if name not in _DELIVERY_FIELDS}
+    text = orjson.dumps([account, path, kept], option=orjson.OPT_SORT_KEYS)
+    return xxhash.xxh3_128_hexdigest(text)
+
+
+def refuse_poison() -> Refusal:
+    """Return the refusal of a request that crashed workers."""
+    message = "the request crashed the servers that ran it and is not run again"
+    return Refusal(422, "crashes_servers", message)
+
+
+def refuse_without_store() -> Refusal:
+    """Return the refusal of a suspect while the table is down."""
+    message = "the request was in flight when a server died and cannot be tried without the store"
+    return refuse_unavailable(message, _STORE_RETRY_SECONDS)
+
+
+def refuse_busy(error: TrialBusy) -> Refusal:
+    """Return the refusal of a request that found no worker on which it may run."""
+    message = "the request was in flight when a server died and waits for a trial"
+    if isinstance(error, RunsElsewhere):
+        message = "an identical request runs and has not completed yet"
+    return refuse_unavailable(message, _BUSY_RETRY_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -11,12 +11,9 @@
 from trefoilreach._internal.coordination.affinity import find_prefixes
 from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
 from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.crash_guard import (
-    CrashGuard,
-    GuardedRun,
-    enter_guarded,
-    find_fingerprint,
-)
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
+from trefoilreach._internal.coordination.crash_place import Entrance, enter_guarded
+from trefoilreach._internal.coordination.crash_runs import GuardedRun, find_fingerprint
 from trefoilreach._internal.coordination.fairness import CallerGone
 from trefoilreach._internal.coordination.load_poller import LoadPoller
 from trefoilreach._internal.coordination.load_view import LoadView
@@ -166,7 +163,7 @@
 
     def _start_attempt(self, number: int) -> _Attempt:
         """Return an attempt with a place; a suspect waits for its trial."""
-        job, request = self._job, self._request
+        job, backends = self._job, self._backends
         # Another attempt has another id, so that a late answer to the first cannot match.
         request_id = job.request_id if number == 0 else f"{job.request_id}-{number}"
         try:
@@ -174,27 +171,29 @@
                 self._dispatcher.clock,
                 self._dispatcher.guard,
                 self._fingerprint,
-                lambda: self._place(request_id),
-                lambda server: self._backends.release(server, request_id),
-                lambda: bool(request.stop_reason),
+                Entrance(
+                    enter=lambda preferred: self._place(request_id, preferred),
+                    release=lambda server: backends.release(server, request_id),
+                    instance=backends.find_instance,
+                    stopped=lambda: bool(self._request.stop_reason),
+                ),
             )
         except CallerGone:
-            raise self._refuse("stopped", request.stop_reason) from None
+            raise self._refuse("stopped", self._request.stop_reason) from None
         except Refusal as refusal:
             if self._may_have_run:
                 refusal.verdict = Verdict.MAY_HAVE_RUN
             raise
-        report = self._backends.load.last_report(place.server.name)
-        instance = "" if report is None else report.instance
-        return _Attempt(place.server, request_id, instance, place.run)
+        return _Attempt(place.server, request_id, place.run.instance, place.run)
 
-    def _place(self, request_id: str) -> Server:
+    def _place(self, request_id: str, preferred: str) -> Server:
         place = PlaceRequest(
             request_id=request_id,
             account=self._job.account,
             route=self._job.route,
             prefixes=self._prefixes,
             avoid=self._failed,
+            preferred=preferred,
             gone=lambda: bool(self._request.stop_reason),
         )
         return self._backends.enter(place)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/service_dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/service_dispatch.py
@@ -7,11 +7,12 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
-from trefoilreach._internal.coordination.crash_guard import (
+from trefoilreach._internal.coordination.crash_place import (
+    Entrance,
     GuardedPlace,
     enter_guarded,
-    find_fingerprint,
 )
+from trefoilreach._internal.coordination.crash_runs import find_fingerprint
 from trefoilreach._internal.coordination.dispatch import Dispatcher
 from trefoilreach._internal.coordination.fairness import CallerGone
 from trefoilreach._internal.coordination.running import RunningRequest
@@ -104,14 +105,15 @@
             avoid=failed,
             gone=lambda: bool(request.stop_reason),
         )
+        entrance = Entrance(
+            enter=lambda preferred: self._backends.enter(place._replace(preferred=preferred)),
+            release=lambda server: self._backends.release(server, request_id),
+            instance=lambda server: "",
+            stopped=lambda: bool(request.stop_reason),
+        )
         try:
             return enter_guarded(
-                self._clock,
-                self._dispatcher.guard,
-                _find_fingerprint(job),
-                lambda: self._backends.enter(place),
-                lambda server: self._backends.release(server, request_id),
-                lambda: bool(request.stop_reason),
+                self._clock, self._dispatcher.guard, _find_fingerprint(job), entrance
             )
         except CallerGone:
             raise _refuse(503, "stopped", request.stop_reason, may_have_run) from None
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -94,6 +94,8 @@
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
             suspects=parts.dispatcher.guard.hear,
+            claim_run=parts.dispatcher.guard.together.registry.claim,
+            end_run=parts.dispatcher.guard.together.registry.end,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -142,7 +144,7 @@
         batches.notices.pump = backends.pump
         guard = CrashGuard(self._clock, table, membership)
         dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
-        batches.feed.guard = guard
+        batches.feed.attempts.guard = guard
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -85,6 +85,23 @@
         """
         pass
 
+    def claim_run(self, claim):
+        """
+        Parameters:
+         - claim
+
+        """
+        pass
+
+    def end_run(self, claim, completed):
+        """
+        Parameters:
+         - claim
+         - completed
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -347,6 +364,70 @@
         iprot.readMessageEnd()
         return
 
+    def claim_run(self, claim):
+        """
+        Parameters:
+         - claim
+
+        """
+        self.send_claim_run(claim)
+        return self.recv_claim_run()
+
+    def send_claim_run(self, claim):
+        self._oprot.writeMessageBegin('claim_run', TMessageType.CALL, self._seqid)
+        args = claim_run_args()
+        args.claim = claim
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_claim_run(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = claim_run_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "claim_run failed: unknown result")
+
+    def end_run(self, claim, completed):
+        """
+        Parameters:
+         - claim
+         - completed
+
+        """
+        self.send_end_run(claim, completed)
+        self.recv_end_run()
+
+    def send_end_run(self, claim, completed):
+        self._oprot.writeMessageBegin('end_run', TMessageType.CALL, self._seqid)
+        args = end_run_args()
+        args.claim = claim
+        args.completed = completed
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_end_run(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = end_run_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        return
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -360,6 +441,8 @@
         self._processMap["online_started"] = Processor.process_online_started
         self._processMap["cancel_job"] = Processor.process_cancel_job
         self._processMap["suspects"] = Processor.process_suspects
+        self._processMap["claim_run"] = Processor.process_claim_run
+        self._processMap["end_run"] = Processor.process_end_run
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -566,6 +649,52 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_claim_run(self, seqid, iprot, oprot):
+        args = claim_run_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = claim_run_result()
+        try:
+            result.success = self._handler.claim_run(args.claim)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("claim_run", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_end_run(self, seqid, iprot, oprot):
+        args = end_run_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = end_run_result()
+        try:
+            self._handler.end_run(args.claim, args.completed)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("end_run", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1544,5 +1673,248 @@
 all_structs.append(suspects_result)
 suspects_result.thrift_spec = (
 )
+
+
+class claim_run_args(object):
+    """
+    Attributes:
+     - claim
+
+    """
+
+
+    def __init__(self, claim=None,):
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = RunClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_run_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_run_args)
+claim_run_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [RunClaim, None], None, ),  # 1
+)
+
+
+class claim_run_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = RunReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_run_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_run_result)
+claim_run_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RunReply, None], None, ),  # 0
+)
+
+
+class end_run_args(object):
+    """
+    Attributes:
+     - claim
+     - completed
+
+    """
+
+
+    def __init__(self, claim=None, completed=None,):
+        self.claim = claim
+        self.completed = completed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = RunClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.completed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('end_run_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.completed is not None:
+            oprot.writeFieldBegin('completed', TType.BOOL, 2)
+            oprot.writeBool(self.completed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(end_run_args)
+end_run_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [RunClaim, None], None, ),  # 1
+    (2, TType.BOOL, 'completed', None, None, ),  # 2
+)
+
+
+class end_run_result(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('end_run_result')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(end_run_result)
+end_run_result.thrift_spec = (
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -1255,6 +1255,153 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RunClaim(object):
+    """
+    Attributes:
+     - fingerprint
+     - server
+     - run
+
+    """
+
+
+    def __init__(self, fingerprint=None, server=None, run=None,):
+        self.fingerprint = fingerprint
+        self.server = server
+        self.run = run
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.run = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunClaim')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 2)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.STRING, 3)
+            oprot.writeString(self.run.encode('utf-8') if sys.version_info[0] == 2 else self.run)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunReply(object):
+    """
+    Attributes:
+     - server
+     - completed
+
+    """
+
+
+    def __init__(self, server=None, completed=None,):
+        self.server = server
+        self.completed = completed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.completed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunReply')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.completed is not None:
+            oprot.writeFieldBegin('completed', TType.BOOL, 2)
+            oprot.writeBool(self.completed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberUpdate)
 MemberUpdate.thrift_spec = (
     None,  # 0
@@ -1357,5 +1504,18 @@
     (2, TType.I32, 'crashes', None, None, ),  # 2
     (3, TType.BOOL, 'poison', None, None, ),  # 3
 )
+all_structs.append(RunClaim)
+RunClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'server', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'run', 'UTF8', None, ),  # 3
+)
+all_structs.append(RunReply)
+RunReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'completed', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -106,6 +106,18 @@
   3: bool poison,
 }
 
+// One run of a request on a worker. Identical requests share a fingerprint.
+struct RunClaim {
+  1: string fingerprint,
+  2: string server,
+  3: string run,       // unique name of the run
+}
+
+struct RunReply {
+  1: string server,    // worker on which an identical request runs; empty: go ahead
+  2: bool completed,   // whether an identical request has completed before
+}
+
 service Peer {
   ProbeReply probe(1: ProbeRequest request),
   // True when this daemon can reach the target.
@@ -119,4 +131,7 @@
   i32 online_started(1: string worker, 2: i32 count),
   void cancel_job(1: string job_id),
   void suspects(1: list<Suspect> suspects),
+  // Sent to the daemon that rendezvous hashing chooses for the fingerprint.
+  RunReply claim_run(1: RunClaim claim),
+  void end_run(1: RunClaim claim, 2: bool completed),
 }
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
@@ -9,6 +9,8 @@
     ConfigReply,
     ProbeReply,
     ProbeRequest,
+    RunClaim,
+    RunReply,
     Suspect,
     Withdrawal,
 )
@@ -25,3 +27,5 @@
     online_started: Callable[[str, int], int]
     cancel_job: Callable[[str], None]
     suspects: Callable[[list[Suspect]], None]
+    claim_run: Callable[[RunClaim], RunReply] = lambda claim: RunReply("", False)
+    end_run: Callable[[RunClaim, bool], None] = lambda claim, completed: None
--- a/tests/functional/test_crash_guard.py
+++ b/tests/functional/test_crash_guard.py
@@ -5,8 +5,9 @@
 from pathlib import Path
 from typing import Any
 
-from harness import Answer, Fleet, call, wait_until
+from harness import Answer, Fleet, call, publish, wait_until
 from test_online import KEY, Site
+from trefoilreach._internal.state.config import Route
 
 
 def crashed(site: Site) -> list[str]:
@@ -44,6 +45,74 @@
         assert site.ask("innocent 1", 2, max_tokens=3).status == 200
 
 
+def test_identical_crashing_requests_at_one_moment_cost_two_workers(tmp_path: Path) -> None:
+    """Without a common note of running requests, each daemon loses a worker at once."""
+    with Fleet(tmp_path) as fleet:
+        site = Site(fleet, daemons=4, engines=6, first_token="0.3")
+        answers: list[Any] = []
+
+        def send(daemon: int) -> None:
+            answers.append(site.ask("crash-the-engine", daemon, max_tokens=4))
+
+        threads = [threading.Thread(target=send, args=(number % 4,)) for number in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(60.0)
+        dead = [f"e{number}" for number in range(6) if not fleet.process(f"e{number}").alive]
+        assert len(dead) == 2, dead
+        assert {answer.status for answer in answers} == {422}
+        assert site.ask("innocent", 1).status == 200
+
+
+def test_innocent_in_flight_at_two_crashes_completes(tmp_path: Path) -> None:
+    """An innocent request is the trial when another one crashes its worker."""
+    with Fleet(tmp_path) as fleet:
+        site = Site(fleet, daemons=2, engines=3, token_interval="0.05", models="m,n0,n1,n2")
+        pin_models(site)
+        answers: list[Any] = []
+        thread = threading.Thread(
+            target=lambda: answers.append(site.ask("innocent", 0, max_tokens=120))
+        )
+        thread.start()
+        for text in ("crash-the-engine x", "crash-the-engine y"):
+            time.sleep(1.0)
+            busy = wait_until(lambda: [n for n in range(3) if loaded(site, n)], 10.0, "a worker")
+            site.ask(text, 1, model=f"n{busy[0]}")
+            assert not fleet.process(f"e{busy[0]}").alive
+            fleet.restart_emulator("engine", f"e{busy[0]}", *site.options)
+
+        def refused() -> bool:
+            if not fleet.process(f"e{busy[0]}").alive:
+                fleet.restart_emulator("engine", f"e{busy[0]}", *site.options)
+            return bool(site.ask(text, 1, model=f"n{busy[0]}").status == 422)
+
+        wait_until(refused, 20.0, "the request at fault to be refused")
+        thread.join(40.0)
+        assert [answer.status for answer in answers] == [200]
+        text = answers[0].json()["choices"][0]["message"]["content"]
+        assert len(text.split()) == 120
+
+
+def pin_models(site: Site) -> None:
+    """Let a model of its own lead to each worker."""
+    servers = [
+        server._replace(routes=("m", f"n{number}"))
+        for number, server in enumerate(site.document.servers[:3])
+    ]
+    routes = [Route(f"n{number}", work_class="counter") for number in range(3)]
+    document = site.document._replace(
+        version=2, routes=(*site.document.routes, *routes), servers=tuple(servers)
+    )
+    publish(site.fleet, document, expected=1)
+    for daemon in site.daemons:
+        wait_until(lambda d=daemon: call(d, "GET", "/healthz").json()["config_version"] == 2)
+
+
+def loaded(site: Site, number: int) -> bool:
+    return site.fleet.process(f"e{number}").alive and site.load(f"e{number}") > 0
+
+
 def test_suspects_are_refused_and_others_served_without_the_table(tmp_path: Path) -> None:
     """The table is down when the worker dies: the request must not take another one."""
     with Fleet(tmp_path) as fleet:
--- /dev/null
+++ b/tests/unit/test_crash_guard.py
@@ -0,0 +1,143 @@
+"""Guards against one request that crashes three workers, and innocent ones that are refused."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.crash_guard import CrashGuard
+from trefoilreach._internal.coordination.crash_runs import (
+    GuardedRun,
+    RunsElsewhere,
+    Standing,
+    TrialBusy,
+)
+from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.state.table import MemoryTable
+
+
+class Client:
+    """What a peer's guard answers to each message."""
+
+    def __init__(self, guard: CrashGuard) -> None:
+        self.suspects = guard.hear
+        self.claim_run = guard.together.registry.claim
+        self.end_run = guard.together.registry.end
+
+
+class FleetPeers:
+    """Daemons that reach each other without loss."""
+
+    def __init__(self, name: str, guards: dict[str, CrashGuard]) -> None:
+        self.self_member = Member(name, "127.0.0.1", 1, 2, "dc", "r", 1, LIVE)
+        self._guards = guards
+
+    def members(self) -> list[Member]:
+        return [entry for entry in self.live() if entry.vm != self.self_member.vm]
+
+    def live(self) -> list[Member]:
+        return [self.self_member._replace(vm=name) for name in sorted(self._guards)]
+
+    def call(self, vm: str, action: Any, timeout: float) -> Result[Any, PeerError]:
+        return Ok(action(Client(self._guards[vm])))
+
+    def broadcast(self, action: Any, timeout: float) -> dict[str, Result[Any, PeerError]]:
+        return {entry.vm: self.call(entry.vm, action, timeout) for entry in self.members()}
+
+
+class World:
+    """Three daemons that share a table."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        table = MemoryTable()
+        self.guards: dict[str, CrashGuard] = {}
+        for name in ("d1", "d2", "d3"):
+            peers: Any = FleetPeers(name, self.guards)
+            self.guards[name] = CrashGuard(self.clock, table, peers)
+
+    def begin(self, daemon: str, request: str, server: str) -> Result[GuardedRun, Any]:
+        return self.guards[daemon].begin(request, server, "i1")
+
+    def start(self, daemon: str, request: str, server: str) -> GuardedRun:
+        return self.begin(daemon, request, server).unwrap()
+
+    def crash(self, server: str) -> None:
+        for guard in self.guards.values():
+            guard.worker_died(server)
+
+    def decide(self, request: str, server: str = "w9") -> Any:
+        """Let the time for a decision pass; return why the request cannot run."""
+        assert isinstance(self.begin("d1", request, server), Err)
+        self.clock.advance(2.0)
+        return self.begin("d1", request, server).err()
+
+
+def test_identical_requests_run_on_one_worker_until_one_completed() -> None:
+    """Without it, each daemon would lose a worker before the first crash is known."""
+    world = World()
+    first = world.start("d1", "x", "w1")
+    for daemon in ("d2", "d3"):
+        refused = world.begin(daemon, "x", "w2").err()
+        assert isinstance(refused, RunsElsewhere) and refused.server == "w1"
+    second = world.start("d3", "x", "w1")
+    world.guards["d1"].end(first, succeeded=False)
+    assert isinstance(world.begin("d2", "x", "w2"), Err)
+    world.guards["d3"].end(second, succeeded=True)
+    world.guards["d3"].together._ends.shutdown(wait=True)
+    world.start("d2", "x", "w2")
+    world.start("d1", "x", "w3")
+
+
+def test_requests_that_wait_for_a_crashing_one_become_suspects() -> None:
+    world = World()
+    run = world.start("d1", "x", "w1")
+    world.crash("w1")
+    world.guards["d1"].end(run, succeeded=False)
+    trial = world.start("d2", "x", "w2")
+    assert isinstance(world.begin("d3", "x", "w3").err(), TrialBusy)
+    world.crash("w2")
+    world.guards["d2"].end(trial, succeeded=False)
+    error = world.decide("x")
+    assert isinstance(error, Refusal) and error.status == 422
+    assert {guard.check("x") for guard in world.guards.values()} <= {
+        Standing.SUSPECT,
+        Standing.POISON,
+    }
+    assert isinstance(world.begin("d3", "x", "w3").err(), Refusal)
+
+
+def test_innocent_trial_is_cleared_when_a_request_beside_it_was_at_fault() -> None:
+    """An innocent request is in flight at the crashes of two crashing requests."""
+    world = World()
+    for request, daemon in (("innocent", "d1"), ("x", "d2")):
+        world.start(daemon, request, "w1")
+    world.crash("w1")
+    world.start("d1", "innocent", "w2")
+    world.start("d3", "y", "w2")
+    world.crash("w2")
+    assert isinstance(world.decide("innocent"), TrialBusy)
+    for request, server in (("x", "w3"), ("y", "w4")):
+        world.start("d3", request, server)
+        world.crash(server)
+        error = world.decide(request)
+        assert isinstance(error, Refusal) and error.status == 422
+    assert isinstance(world.begin("d1", "innocent", "w5").err(), TrialBusy)
+    trial = world.start("d1", "innocent", "w5")
+    world.guards["d1"].end(trial, succeeded=True)
+    assert world.guards["d2"].check("innocent") is Standing.CLEAR
+
+
+def test_trial_beside_innocent_requests_is_refused_after_two_workers() -> None:
+    """A request at fault must not get a third worker because others ran beside its trial."""
+    world = World()
+    world.start("d1", "x", "w1")
+    world.crash("w1")
+    world.start("d1", "x", "w2")
+    world.start("d2", "innocent", "w2")
+    world.crash("w2")
+    assert isinstance(world.decide("x"), TrialBusy)
+    trial = world.start("d2", "innocent", "w3")
+    world.guards["d2"].end(trial, succeeded=True)
+    error = world.begin("d1", "x", "w4").err()
+    assert isinstance(error, Refusal) and error.status == 422
