--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/engine.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/engine.py
@@ -20,6 +20,8 @@
         option("token-interval", None, "Seconds per token.", flag=False, default="0.02"),
         option("first-token", None, "Seconds to the first token.", flag=False, default="0.05"),
         option("load-lag", None, "Age of load reports in seconds.", flag=False, default="0.5"),
+        option("silence", None, "Seconds of silence on demand.", flag=False, default="600"),
+        option("crossed", None, "Give two requests at once each other's answers."),
         option("check-fencing", None, "Refuse orders with an old fencing number."),
     ]
 
@@ -31,6 +33,8 @@
             token_interval=float(self.option("token-interval")),
             first_token=float(self.option("first-token")),
             load_lag=float(self.option("load-lag")),
+            silence=float(self.option("silence")),
+            crossed=bool(self.option("crossed")),
             check_fencing=bool(self.option("check-fencing")),
         )
         emulator = EngineEmulator(options)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
@@ -6,6 +6,7 @@
 import uuid
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from concurrent.futures import Future
 from typing import Any, NamedTuple
 
 import orjson
@@ -18,7 +19,7 @@
 IMPOSSIBLE_MARK = "impossible-item"
 SILENT_MARK = "go-silent"
 TRUNCATE_MARK = "cut-the-answer"
-_SILENCE_SECONDS = 600.0
+_CROSSING_SECONDS = 0.5
 _EVENT_HISTORY = 1000
 _LOAD_HISTORY_SECONDS = 30.0
 _DEFAULT_TOKENS = 16
@@ -30,6 +31,8 @@
 
     :param slots: requests at full speed; more slow all of them down.
     :param cache_entries: prompt prefixes kept.
+    :param silence: how long a prompt with the mark for it gets no token, after the second.
+    :param crossed: gives two requests that arrive together each other's answers.
     """
 
     models: tuple[str, ...] = ("m",)
@@ -39,6 +42,41 @@
     load_lag: float = 0.5
     cache_entries: int = 64
     check_fencing: bool = False
+    silence: float = 600.0
+    crossed: bool = False
+
+
+class _Answered(NamedTuple):
+    """The request that an answer is made for."""
+
+    request_id: str
+    text: str
+
+
+class _Crossing:
+    """Pairs requests that arrive together, so that each gets the other's answer."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._waiting: Future[_Answered] | None = None
+        self._first = _Answered("", "")
+
+    def exchange(self, own: _Answered) -> _Answered:
+        """Return the request whose answer to give: the other of the pair, or this one."""
+        with self._lock:
+            if self._waiting is not None:
+                waiting, self._waiting = self._waiting, None
+                waiting.set_result(own)
+                return self._first
+            waiting = self._waiting = Future()
+            self._first = own
+        try:
+            return waiting.result(_CROSSING_SECONDS)
+        except TimeoutError:
+            with self._lock:
+                if self._waiting is waiting:
+                    self._waiting = None
+            return waiting.result() if waiting.done() else own
 
 
 class EngineEmulator:
@@ -50,6 +88,7 @@
         self._lock = threading.Lock()
         self._running: dict[str, threading.Event] = {}
         self._models = list(options.models)
+        self._crossing = _Crossing()
         self._role = "mixed"
         self._fencing = 0
         self._orders: list[dict[str, Any]] = []
@@ -87,6 +126,8 @@
         if IMPOSSIBLE_MARK in text:
             exchange.reply({"error": {"message": "the prompt cannot be completed"}}, 400)
             return
+        if self._options.crossed:
+            request_id, text = self._crossing.exchange(_Answered(request_id, text))
         stopped = self._start(request_id)
         try:
             self._stream(exchange, body, request_id, text, stopped)
@@ -116,7 +157,7 @@
                 exchange.drop()
                 return
             if SILENT_MARK in text and index > 1:
-                time.sleep(_SILENCE_SECONDS)
+                time.sleep(self._options.silence)
             if TRUNCATE_MARK in text and index > 1:
                 exchange.drop()
                 return
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
@@ -297,14 +297,20 @@
         return Ok(None)
 
     def _give_back_unserved(self) -> Result[None, StoreError]:
-        """Give chunks back whose model none of this daemon's workers serves for a while."""
+        """Give chunks back whose model none of this daemon's workers serves for a while.
+
+        A daemon that is leaving gets no worker again, so it gives them back at once.
+        """
         capacity, now = self._feed.capacity(), self._clock.now()
         with self._feed.lock:
             models = {held.model for held in self._feed.held.values()}
         unserved = models - capacity.keys()
         since = {model: self._unserved_since.get(model, now) for model in unserved}
         self._unserved_since = since
-        late = {model for model, start in since.items() if now - start > _UNSERVED_SECONDS}
+        own = self._peers.self_member.vm
+        stays = any(member.vm == own for member in self._peers.live())
+        patience = _UNSERVED_SECONDS if stays else 0.0
+        late = {model for model, start in since.items() if now - start >= patience}
         if late:
             self._feed.stop_chunks(lambda held: held.model in late, FREE)
         return Ok(None)
--- a/tests/functional/test_batch_faults.py
+++ b/tests/functional/test_batch_faults.py
@@ -84,11 +84,14 @@
 
 
 def find_owner(fleet: Fleet, wanted: str = "") -> str:
+    return next((name for name in owner_names(fleet) if wanted in ("", name)), "")
+
+
+def owner_names(fleet: Fleet) -> set[str]:
     body = {"prefix": "chunk/", "after": "", "limit": 100}
     rows = call(fleet.addresses["platform"], "POST", "/table/scan", body).json()["rows"]
     owners = [row["value"]["owner"] for row in rows if row["value"]["state"] == "running"]
-    names = [owner.partition("/")[0] for owner in owners]
-    return next((name for name in names if wanted in ("", name)), "")
+    return {owner.partition("/")[0] for owner in owners}
 
 
 def test_results_are_held_while_the_store_is_down(tmp_path: Path) -> None:
@@ -129,3 +132,30 @@
         check_each_item_once(client, done, 60, Counter(["i30"]))
         alive = [fleet.process(f"engine{number}").alive for number in range(1, 5)]
         assert alive.count(False) == 2
+
+
+def test_chunks_are_handed_back_at_a_planned_stop(tmp_path: Path) -> None:
+    """The lease is far longer than the test, so only a hand-back lets another daemon go on."""
+    settings = {
+        **SETTINGS,
+        "batch": {**SETTINGS["batch"], "chunk_lease": "120s"},
+        "fleet": {"entry_keep": "500ms"},
+    }
+    with Fleet(tmp_path) as fleet:
+        engine = ("--token-interval", "0.05", "--first-token", "0.01")
+        daemons = dict(
+            zip(("vm1", "vm2"), start_fleet(fleet, 2, 1, settings, *engine), strict=True)
+        )
+        time.sleep(2.0)  # until the daemons agree who sends to the worker
+        job = submit(open_client(daemons["vm1"]), make_lines(120, tokens=20))
+        first = open_client(daemons["vm1"])
+        wait_until(lambda: first.batches.retrieve(job.id).request_counts.completed > 5)
+        owner = find_owner(fleet)
+        fleet.process(owner).signal(signal.SIGTERM)
+        begin = time.monotonic()
+        other = "vm2" if owner == "vm1" else "vm1"
+        wait_until(lambda: owner_names(fleet) == {other}, 10.0, "the chunks at the other daemon")
+        assert time.monotonic() - begin < 4.0
+        assert fleet.process(owner).wait(30) == 0
+        client = open_client(daemons[other])
+        check_each_item_once(client, wait_final(client, job.id), 120, Counter())
