Delete old history, jobs, files and audit segments

The stores grew without end: nothing removed configuration versions, the chunks and results of final jobs, uploads or audit segments.

Both new tests fail when the age of a version is taken from its own start, open jobs are taken or the parts of a job are left.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_accept.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_accept.py
@@ -28,6 +28,7 @@
     file_key,
     file_object,
     input_object,
+    inputs_prefix,
     job_key,
     open_job,
     open_key,
@@ -199,7 +200,7 @@
             deadline=now + self._limit_window(parse_window(request.window), chunks),
             total=sum(len(chunk.lines) for chunk in chunks),
             ranges=_count_ranges(chunks),
-            input_prefix=f"jobs/{job_id}/{writer}/",
+            input_prefix=f"{inputs_prefix(job_id)}{writer}/",
         )
 
     def _limit_window(self, seconds: float, chunks: list[ChunkInput]) -> float:
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -23,6 +23,7 @@
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
 from trefoilreach._internal.coordination.reporter import Reporter
+from trefoilreach._internal.coordination.retention import Retention
 from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
@@ -107,9 +108,16 @@
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.drain.add_hook("batch", parts.batches.runner.stop)
         parts.isolation.start(stack)
+        self._start_retention(parts, stack)
         reporter = Reporter(self._clock, parts.metrics, parts.config, membership, parts.streams)
         reporter.start(stack)
 
+    def _start_retention(self, parts: Parts, stack: ExitStack) -> None:
+        retention = Retention(
+            self._clock, parts.table, parts.objects, parts.membership, self._settings.retention
+        )
+        retention.start(stack)
+
     def _record_changes(self, parts: Parts, stack: ExitStack) -> None:
         """Tell the monitor when a withdrawal or a configuration is in force here."""
         audit = parts.audit
--- a/packages/trefoilreach/src/trefoilreach/_internal/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/settings.py
@@ -108,6 +108,10 @@
 HOST = Option(_parse_host, "an IP address")
 TEXT = Option(_parse_text, "any text")
 KEY_HASH = Option(_parse_key_hash, "the SHA-256 of a key as 64 lower-case hexadecimal digits")
+AGE = Option(
+    lambda text: _check_range(_parse_quantity(text, _UNITS_SECONDS), 1.0, 87_600.0 * 3600),
+    "a time of 1s to 87600h with a unit of ms, s, min or h",
+)
 PORT = integer(1, 65535)
 ENDPOINTS = Option(_parse_endpoints, "a comma-separated list of IP:PORT")
 
@@ -177,6 +181,15 @@
     scan_interval: Annotated[float, duration(0.1, 60)] = 2.0
 
 
+class RetentionSettings(NamedTuple):
+    """Section ``[retention]``: how long data is kept; equal on all VMs."""
+
+    history: Annotated[float, AGE] = 720.0 * 3600
+    batches: Annotated[float, AGE] = 720.0 * 3600
+    audit: Annotated[float, AGE] = 168.0 * 3600
+    interval: Annotated[float, duration(0.1, 24 * 3600)] = 600.0
+
+
 class LogSettings(NamedTuple):
     """Section ``[log]``: where the JSON log lines go; ``-`` is standard error."""
 
@@ -201,6 +214,7 @@
     quota: QuotaSettings = QuotaSettings()
     routing: RoutingSettings = RoutingSettings()
     batch: BatchSettings = BatchSettings()
+    retention: RetentionSettings = RetentionSettings()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/jobs.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/jobs.py
@@ -16,6 +16,8 @@
 
 # One row for each job that is not final; scans for work read no other job.
 OPEN_PREFIX = "open/"
+JOB_PREFIX = "job/"
+FILE_PREFIX = "file/"
 
 
 class FileRecord(NamedTuple):
@@ -125,12 +127,12 @@
 
 def file_key(account: str, file_id: str) -> str:
     """Return the key of a file's row."""
-    return f"file/{account}/{file_id}"
+    return f"{FILE_PREFIX}{account}/{file_id}"
 
 
 def job_key(account: str, job_id: str) -> str:
     """Return the key of a job's row."""
-    return f"job/{account}/{job_id}"
+    return f"{JOB_PREFIX}{account}/{job_id}"
 
 
 def open_key(job_id: str) -> str:
@@ -158,6 +160,16 @@
     return f"files/{account}/{file_id}"
 
 
+def inputs_prefix(job_id: str) -> str:
+    """Return the start of the names of all input objects of a job."""
+    return f"jobs/{job_id}/"
+
+
+def results_prefix(job_id: str) -> str:
+    """Return the start of the names of all result objects of a job."""
+    return f"results/{job_id}/"
+
+
 def input_object(prefix: str, index: int) -> str:
     """Return the name of a chunk's input object."""
     return f"{prefix}{index:06d}"
@@ -165,7 +177,7 @@
 
 def result_object(job_id: str, index: int, fencing: int, writer: str) -> str:
     """Return the name of a chunk's result object under one claim."""
-    return f"results/{job_id}/{index:06d}-{fencing}-{writer}"
+    return f"{results_prefix(job_id)}{index:06d}-{fencing}-{writer}"
 
 
 def encode_record(record: Any, writer: str = "") -> dict[str, Any]:
--- /dev/null
+++ b/tests/unit/test_retention.py
@@ -0,0 +1,86 @@
+"""Guards against stores that grow without end, and against data that is deleted too early."""
+
+import random
+from typing import Any
+
+from batch_fakes import DOCUMENT, ENDPOINT, Faults, FaultyObjects, FaultyTable, Runner, make_input
+from trefoilreach._internal.clock import ManualClock, SystemClock
+from trefoilreach._internal.coordination.audit import SEGMENT_PREFIX
+from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
+from trefoilreach._internal.coordination.config_store import ConfigStore
+from trefoilreach._internal.coordination.retention import Retention
+from trefoilreach._internal.settings import RetentionSettings
+from trefoilreach._internal.state.jobs import FINAL_STATUSES
+from trefoilreach._internal.state.objects import MemoryObjectStore
+from trefoilreach._internal.state.table import MemoryTable
+
+AGE = 1000.0
+
+
+class SetClock(SystemClock):
+    """Clock whose time of day the test sets."""
+
+    def __init__(self, wall_time: float) -> None:
+        self.set = wall_time
+
+    def wall_time(self) -> float:
+        return self.set
+
+
+def prune(wall_time: float, table: Any, objects: Any, peers: Any) -> None:
+    settings = RetentionSettings(history=AGE, batches=AGE, audit=AGE)
+    Retention(SetClock(wall_time), table, objects, peers, settings).prune()
+
+
+def names(objects: Any, prefix: str = "") -> list[str]:
+    return list(objects.list(prefix).unwrap())
+
+
+def versions_of(table: Any) -> list[int]:
+    return [row.value["version"] for row in table.scan("config/history/").unwrap()]
+
+
+def test_final_jobs_and_old_files_leave_nothing_behind() -> None:
+    clock, faults = ManualClock(), Faults()
+    table, objects = FaultyTable(faults), FaultyObjects(faults)
+    runner = Runner("vm1", clock, table, objects)
+    accept, account, peers = runner.parts.accept, DOCUMENT.accounts[0], runner.parts.runner._peers
+    file = accept.accept_file(account, Upload("f", "batch", make_input(4)))
+    done = accept.accept_job(account, JobRequest(file.id, ENDPOINT, "24h", {}), "done")
+    for _ in range(8):
+        clock.advance(3.0)
+        runner.tick()
+        runner.run_items(10, random.Random(1))
+    assert runner.parts.reader.find_job("a", done.id).status in FINAL_STATUSES
+    clock.advance(AGE - 100.0)
+    prune(clock.wall_time(), table, objects, peers)
+    assert names(objects, f"results/{done.id}/") and names(objects, f"jobs/{done.id}/")
+    running = accept.accept_job(account, JobRequest(file.id, ENDPOINT, "24h", {}), "open")
+    clock.advance(AGE)
+    prune(clock.wall_time(), table, objects, peers)
+    keys = [
+        row.key
+        for prefix in ("job/", "chunk/", "file/", "pruned/")
+        for row in table.scan(prefix).unwrap()
+    ]
+    assert keys == [f"job/a/{running.id}"]
+    assert {name.split("/")[1] for name in names(objects)} == {running.id}
+
+
+def test_old_versions_and_segments_are_deleted_and_the_head_stays() -> None:
+    clock, table, objects = SetClock(10_000.0), MemoryTable(), MemoryObjectStore()
+    peers: Any = Runner("vm1", ManualClock(), MemoryTable(), objects).parts.runner._peers
+    store = ConfigStore(clock, table, objects)
+    for version in range(1, 51):
+        clock.set += 10.0
+        store.write(DOCUMENT._replace(version=version), store.read_head().unwrap()).unwrap()
+        objects.put(f"{SEGMENT_PREFIX}{int(clock.set * 1000):015d}-vm1-x", b"{}")
+    # Version 10 went out of force, and its segment was written, AGE seconds ago or less.
+    prune(10_105.0 + AGE, table, objects, peers)
+    assert versions_of(table) == list(range(10, 51))
+    assert len(names(objects, "config/")) == 41
+    assert len(names(objects, SEGMENT_PREFIX)) == 40
+    prune(10_500.0 + 9 * AGE, table, objects, peers)
+    assert versions_of(table)[0] == 18
+    assert store.read_document(store.read_head().unwrap()).unwrap().version == 50
+    assert names(objects, SEGMENT_PREFIX) == []
