Prove that a job near its deadline gets a larger share

On a worker of 8 slots, a job that is due tomorrow ran 7 items at a time and a job that would miss its deadline 8. The test fails when an urgent share keeps the reserve for online requests.

--- a/tests/functional/test_batch.py
+++ b/tests/functional/test_batch.py
@@ -1,6 +1,8 @@
 """Guards against batch jobs that do not complete, leak to other accounts or half accept input."""
 
+import time
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -54,13 +56,13 @@
     )
 
 
-def submit(client: OpenAI, data: bytes, key: str = "") -> Any:
+def submit(client: OpenAI, data: bytes, key: str = "", window: str = "24h") -> Any:
     file = client.files.create(file=("in.jsonl", data), purpose="batch")
     headers = {"Idempotency-Key": key} if key else {}
     return client.batches.create(
         input_file_id=file.id,
         endpoint="/v1/chat/completions",
-        completion_window="24h",
+        completion_window=window,  # type: ignore[arg-type]
         extra_headers=headers,
     )
 
@@ -263,3 +265,27 @@
     (refused,) = wait_until(lambda: find("refused"), what="segment with the cut stream")
     assert completed["request_id"] != refused["request_id"]
     assert (refused["status"], refused["verdict"]) == (503, "may-have-run")
+
+
+def test_job_near_its_deadline_uses_the_slots_kept_for_online(tmp_path: Path) -> None:
+    """Otherwise a late job runs no faster than one that is due tomorrow."""
+    with Fleet(tmp_path) as fleet:
+        extra = {"batch": {"chunk_items": "4", "scan_interval": "300ms"}}
+        slow = ("--token-interval", "0.1", "--first-token", "0.01", "--load-lag", "0.1")
+        (daemon,) = start_fleet(fleet, 1, 1, extra, *slow)
+        client = open_client(daemon)
+        relaxed = submit(client, make_lines(200, tokens=100))
+        assert highest_load(fleet, 4.0) == 7
+        client.batches.cancel(relaxed.id)
+        wait_final(client, relaxed.id)
+        submit(client, make_lines(200, first=200, tokens=100), window="1m")
+        wait_until(lambda: highest_load(fleet, 0.1) == 8, 10.0, "the whole worker")
+
+
+def highest_load(fleet: Fleet, seconds: float) -> int:
+    """Return the most requests that the worker ran at a time."""
+    end, found = time.monotonic() + seconds, 0
+    while time.monotonic() < end:
+        found = max(found, call(fleet.addresses["engine1"], "GET", "/load").json()["running"])
+        time.sleep(0.05)
+    return found
