--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -23,6 +23,7 @@
 from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
 from trefoilreach._internal.coordination.reporter import Reporter
+from trefoilreach._internal.coordination.retention import Retention
 from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
@@ -94,6 +95,8 @@
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
             suspects=parts.dispatcher.guard.hear,
+            claim_run=parts.dispatcher.guard.together.registry.claim,
+            end_run=parts.dispatcher.guard.together.registry.end,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -105,9 +108,16 @@
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.drain.add_hook("batch", parts.batches.runner.stop)
         parts.isolation.start(stack)
+        self._start_retention(parts, stack)
         reporter = Reporter(self._clock, parts.metrics, parts.config, membership, parts.streams)
         reporter.start(stack)
 
+    def _start_retention(self, parts: Parts, stack: ExitStack) -> None:
+        retention = Retention(
+            self._clock, parts.table, parts.objects, parts.membership, self._settings.retention
+        )
+        retention.start(stack)
+
     def _record_changes(self, parts: Parts, stack: ExitStack) -> None:
         """Tell the monitor when a withdrawal or a configuration is in force here."""
         audit = parts.audit
@@ -142,7 +152,7 @@
         batches.notices.pump = backends.pump
         guard = CrashGuard(self._clock, table, membership)
         dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
-        batches.feed.guard = guard
+        batches.feed.attempts.guard = guard
         if batches.enabled:
             dispatcher.poller.add_watcher(batches.feed)
         service = HttpService(self._clock, settings.routing.connect_timeout)
