Read the list of VMs by conditional requests

The platform's list was sent whole at each poll. The adapter now keeps the list with its entity tag and sends If-None-Match; a 304 answer stands for the kept list. Only a complete answer replaces list and tag, so a lost or broken answer loses no change. The platform emulator gives tags.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
@@ -7,6 +7,7 @@
     membership,
     quota,
     routing,
+    vm_list,
 )
 
-__all__ = ["batch", "configuration", "entry", "membership", "quota", "routing"]
+__all__ = ["batch", "configuration", "entry", "membership", "quota", "routing", "vm_list"]
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/projection.py
@@ -1,5 +1,6 @@
 """Cost of each role at the sizes of today and of the target, worked out from slopes."""
 
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -14,8 +15,10 @@
 _SEGMENT_SECONDS = 5.0
 # Rows written while the slots of one lost or replaced VM move.
 _WRITES_PER_MOVED_VM = 4
-_VM_LIST_ENTRY_KB = 0.13
-_LIST_SECONDS_PER_VM = 2.0 / 30
+# A VM that is lost or replaced leaves, is dropped, and another one is added.
+_LIST_CHANGES_PER_MOVED_VM = 3
+_LIST_SECONDS = 2.0
+_LIST_SECONDS_PER_VM = _LIST_SECONDS / 30
 
 
 class Size(NamedTuple):
@@ -106,7 +109,7 @@
         "extrapolated from 239 peers",
         f"measured; {_ACTIVE_ACCOUNTS} accounts in use on a daemon assumed",
         "measured size of a change; a whole document for each replaced VM",
-        "assumed 0.13 KB an entry, poll stretched by n/30",
+        "measured answers, whole when the list changed; poll stretched by n/30",
     )
     rows = [
         Estimate(name, "control traffic", "KB/s", traffic[0][i], traffic[1][i], sources[i])
@@ -152,9 +155,17 @@
     change = _configuration_kb(slopes, "change", size) * size.changes_per_day
     whole = _configuration_kb(slopes, "compressed", size) * size.moved_vms_per_day / size.daemons
     changes = (change + whole) / _SECONDS_PER_DAY
-    interval = max(2.0, _LIST_SECONDS_PER_VM * size.daemons)
-    listing = _VM_LIST_ENTRY_KB * size.daemons / interval
-    return probes, loans, changes, listing
+    return probes, loans, changes, _listing(slopes, size)
+
+
+def _listing(slopes: Slopes, size: Size) -> float:
+    interval = max(_LIST_SECONDS, _LIST_SECONDS_PER_VM * size.daemons)
+    changes = size.moved_vms_per_day * _LIST_CHANGES_PER_MOVED_VM * interval / _SECONDS_PER_DAY
+    # Changes at random moments leave this share of the intervals without any.
+    unchanged = math.exp(-changes)
+    whole = slopes.find("VM list", "whole").at(size.daemons)
+    short = slopes.find("VM list", "unchanged").at(size.daemons)
+    return (unchanged * short + (1.0 - unchanged) * whole) / interval
 
 
 def _configuration_kb(slopes: Slopes, cost: str, size: Size) -> float:
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/platform.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/platform.py
@@ -123,7 +123,7 @@
     def _list_vms(self, exchange: Exchange) -> None:
         with self._lock:
             vms = list(self._vms.values())
-        exchange.reply({"vms": vms})
+        exchange.reply_tagged({"vms": vms})
 
     def _change_vm(self, exchange: Exchange) -> None:
         name = exchange.path[len("/vms/") :]
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/server.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/server.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import orjson
+import xxhash
 
 
 class Exchange:
@@ -39,6 +40,17 @@
         self._handler.end_headers()
         self._handler.wfile.write(data)
 
+    def reply_tagged(self, value: Any) -> None:
+        """Answer with a JSON value and its entity tag, or 304 when the caller has the value."""
+        data = orjson.dumps(value)
+        tag = f'"{xxhash.xxh3_64_hexdigest(data)}"'
+        if not _matches(self.headers.get("If-None-Match", ""), tag):
+            self.reply(data, headers={"ETag": tag})
+            return
+        self._handler.send_response(304)
+        self._handler.send_header("ETag", tag)
+        self._handler.end_headers()
+
     def start_events(self) -> None:
         """Begin a stream of server-sent events in chunked encoding."""
         self._handler.send_response(200)
@@ -62,6 +74,12 @@
         self._handler.close_connection = True
 
 
+def _matches(condition: str, tag: str) -> bool:
+    """Return whether an If-None-Match condition names the tag, by weak comparison."""
+    named = [entry.strip().removeprefix("W/") for entry in condition.split(",")]
+    return condition.strip() == "*" or tag in named
+
+
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 512
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/platform_http.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/platform_http.py
@@ -1,7 +1,7 @@
 """Adapters for a platform whose services are reached over HTTP with JSON bodies."""
 
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode, urlsplit
 
 import orjson
@@ -24,14 +24,17 @@
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
 
 _DEFAULT_TIMEOUT_SECONDS = 2.0
+_OK = 200
+_NOT_MODIFIED = 304
 
 
 class _Reply:
-    """Status and body of one answer of the platform."""
+    """Status, body and entity tag of one answer of the platform."""
 
-    def __init__(self, status: int, data: bytes) -> None:
+    def __init__(self, status: int, data: bytes, tag: str = "") -> None:
         self.status = status
         self.data = data
+        self.tag = tag
 
     def decode(self) -> Any:
         """Decode the JSON body."""
@@ -50,9 +53,17 @@
         self._pool = HttpPool(parts.hostname or "", parts.port or 80, SystemClock(), timeout)
         self._timeout = timeout
 
-    def read(self, method: str, path: str, body: Any = None) -> Result[_Reply, StoreError]:
-        """Send a request that changes nothing."""
-        outcome = self._send(method, path, b"" if body is None else orjson.dumps(body))
+    def read(
+        self, method: str, path: str, body: Any = None, known_tag: str = ""
+    ) -> Result[_Reply, StoreError]:
+        """Send a request that changes nothing.
+
+        :param known_tag: entity tag of an earlier answer; the platform may answer 304 and
+            no body when that answer still holds.
+        """
+        data = b"" if body is None else orjson.dumps(body)
+        headers = {"If-None-Match": known_tag} if known_tag else None
+        outcome = self._send(method, path, data, headers)
         if isinstance(outcome, Err):
             return Err(StoreUnavailable(str(outcome.err_value)))
         return Ok(outcome.ok_value)
@@ -67,11 +78,14 @@
             return Err(StoreUnavailable(str(failure)))
         return Err(OutcomeUnknown(str(failure)))
 
-    def _send(self, method: str, path: str, data: bytes) -> Result[_Reply, HttpFailure]:
+    def _send(
+        self, method: str, path: str, data: bytes, headers: dict[str, str] | None = None
+    ) -> Result[_Reply, HttpFailure]:
         try:
-            exchange = self._pool.request(method, path, data, timeout=self._timeout)
+            exchange = self._pool.request(method, path, data, headers, self._timeout)
             try:
-                reply = _Reply(exchange.status, exchange.read())
+                tag = exchange.response.getheader("ETag") or ""
+                reply = _Reply(exchange.status, exchange.read(), tag)
             finally:
                 exchange.close()
         except HttpFailure as failure:
@@ -149,17 +163,39 @@
         return reply.map(lambda _: None)
 
 
+class _KnownList(NamedTuple):
+    """The last list and its entity tag; empty when the platform sent none."""
+
+    tag: str
+    vms: tuple[Vm, ...]
+
+
 @vm_lists.register("http")
 class HttpVmList:
-    """VM list over HTTP."""
+    """VM list over HTTP; a list that did not change is not sent again."""
 
     def __init__(self, url: str, timeout: float = _DEFAULT_TIMEOUT_SECONDS) -> None:
         self._client = PlatformClient(url, timeout)
+        # Replaced only by a complete answer, so that the tag always belongs to the list.
+        self._known = _KnownList("", ())
 
     def list(self) -> Result[list[Vm], StoreError]:
         """Read the list."""
-        reply = self._client.read("GET", "/vms")
-        return reply.map(lambda found: [Vm(**vm) for vm in found.decode()["vms"]])
+        known = self._known
+        reply = self._client.read("GET", "/vms", known_tag=known.tag)
+        if isinstance(reply, Err):
+            return reply
+        found = reply.ok_value
+        if found.status == _NOT_MODIFIED and known.tag:
+            return Ok([*known.vms])
+        if found.status != _OK:
+            return Err(StoreUnavailable(f"VM list answered {found.status}"))
+        try:
+            vms = tuple(Vm(**vm) for vm in found.decode()["vms"])
+        except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+            return Err(StoreUnavailable(f"VM list cannot be decoded: {error}"))
+        self._known = _KnownList(found.tag, vms)
+        return Ok([*vms])
 
 
 @weight_stores.register("http")
