Split the membership module by job

It now assembles member_table, member_wire, peer_calls, probe_messages and probing. Tests that reach into the parts name their new places; unit tests of membership and the functional tests of peers, withdrawal and planned stops pass.

--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
@@ -0,0 +1,52 @@
+"""Makes and reads probes, with the state and the news that ride on them."""
+
+from collections.abc import Callable
+
+from trefoilreach._internal.coordination.member_table import MemberTable
+from trefoilreach._internal.coordination.member_wire import from_update, to_update
+from trefoilreach._internal.coordination.peers import PeerState
+from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply, ProbeRequest
+
+
+class ProbeMessages:
+    """Probes of this daemon and answers to those of peers.
+
+    ``own_state`` gives what rides on probes; ``heard`` is told what rode on those of a peer.
+    """
+
+    def __init__(self, table: MemberTable) -> None:
+        self.own_state: Callable[[], PeerState] = lambda: PeerState(0, 0)
+        self.heard: Callable[[str, PeerState], None] = lambda vm, state: None
+        self._table = table
+
+    def make_request(self, receiver: str | None) -> ProbeRequest:
+        """Return a probe for a member, or for an address whose VM is not known."""
+        own = self.own_state()
+        return ProbeRequest(
+            sender=to_update(self._table.own),
+            config_version=own.config_version,
+            withdrawals_digest=own.withdrawals_digest,
+            updates=self._table.take_updates(receiver),
+        )
+
+    def take_reply(self, reply: ProbeReply) -> PeerState:
+        """Take the news of an answer; return the state that rode on it."""
+        sender = from_update(reply.sender)
+        self._table.merge([sender, *map(from_update, reply.updates)])
+        state = PeerState(reply.config_version, reply.withdrawals_digest)
+        self.heard(sender.vm, state)
+        return state
+
+    def answer(self, request: ProbeRequest) -> ProbeReply:
+        """Answer the probe of a peer."""
+        sender = from_update(request.sender)
+        self._table.merge([sender, *map(from_update, request.updates)])
+        state = PeerState(request.config_version, request.withdrawals_digest)
+        self.heard(sender.vm, state)
+        own = self.own_state()
+        return ProbeReply(
+            sender=to_update(self._table.own),
+            config_version=own.config_version,
+            withdrawals_digest=own.withdrawals_digest,
+            updates=self._table.take_updates(sender.vm),
+        )
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -11,7 +11,9 @@
 from result import Err, Ok
 from trefoilreach._internal.clock import ManualClock, SystemClock
 from trefoilreach._internal.coordination.entrypoints import EntryPoints
-from trefoilreach._internal.coordination.membership import MAX_UPDATES, Membership, to_update
+from trefoilreach._internal.coordination.member_table import MAX_UPDATES
+from trefoilreach._internal.coordination.member_wire import to_update
+from trefoilreach._internal.coordination.membership import Membership
 from trefoilreach._internal.coordination.peers import (
     LEAVING,
     LIVE,
@@ -91,10 +93,10 @@
     reply = tell(membership, make_member("sender", 1, SUSPECT))
     assert [update.vm for update in reply.updates] == ["sender"]
     clock.advance(2.9)
-    membership._expire_suspicions()
+    membership._prober._expire_suspicions()
     assert membership.members()[0].state == SUSPECT
     clock.advance(0.2)
-    membership._expire_suspicions()
+    membership._prober._expire_suspicions()
     assert membership.members()[0].state == UNREACHABLE
     tell(membership, make_member("sender", 2))
     assert membership.members()[0].state == LIVE
@@ -200,14 +202,14 @@
             stack.callback(server.close)
             stack.callback(node._close)
             nodes[vm.name] = node
-        direct = nodes["n0"]._send_probe
+        direct = nodes["n0"]._prober._send_probe
         broken = ("127.0.0.1", vms[2].peer_port)
-        nodes["n0"]._send_probe = lambda address, receiver: (  # type: ignore[method-assign]
+        nodes["n0"]._prober._send_probe = lambda address, receiver: (  # type: ignore[method-assign]
             Err("cut") if address == broken else direct(address, receiver)
         )
-        nodes["n0"]._probe_member("n2")
+        nodes["n0"]._prober._probe_member("n2")
         assert {member.vm: member.state for member in nodes["n0"].members()}["n2"] == LIVE
         nodes["n1"].answer_probe_via = lambda host, port: False  # type: ignore[method-assign]
         server.close()
-        nodes["n0"]._probe_member("n2")
+        nodes["n0"]._prober._probe_member("n2")
         wait_until(lambda: {m.vm: m.state for m in nodes["n0"].members()}["n2"] == SUSPECT, 2)
