--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/__init__.py
@@ -8,6 +8,16 @@
     membership,
     quota,
     routing,
+    vm_list,
 )
 
-__all__ = ["audit", "batch", "configuration", "entry", "membership", "quota", "routing"]
+__all__ = [
+    "audit",
+    "batch",
+    "configuration",
+    "entry",
+    "membership",
+    "quota",
+    "routing",
+    "vm_list",
+]
