--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/isolation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/isolation.py
@@ -7,7 +7,7 @@
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.config_sync import ConfigSync
 from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.peers import Member
+from trefoilreach._internal.coordination.peers import UNREACHABLE, Member
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal
 
@@ -56,9 +56,14 @@
         """Whether neither the table service nor most peers answered lately."""
         if self._sync.store_age() <= self._limit:
             return False
-        peers = len(self._contacts.members())
+        members = self._contacts.members()
+        peers = len(members)
         if peers == 0:
             return False
+        # Few probes end in a short time, so their share alone would come and go.
+        unreachable = sum(member.state == UNREACHABLE for member in members)
+        if 2 * unreachable > peers:
+            return True
         asked, answered = self._contacts.contact_share(self._limit)
         if answered == 0:
             return True
--- /dev/null
+++ b/tests/unit/test_isolation.py
@@ -0,0 +1,39 @@
+"""Guards against a daemon that serves now and then although it cannot learn of withdrawals."""
+
+from typing import Any, NamedTuple
+
+import pytest
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.isolation import Isolation
+from trefoilreach._internal.coordination.keys import Streams
+from trefoilreach._internal.coordination.peers import LIVE, UNREACHABLE, Member
+
+
+class Sync(NamedTuple):
+    age: float
+
+    def store_age(self) -> float:
+        return self.age
+
+
+class Contacts(NamedTuple):
+    unreachable: int
+
+    def members(self) -> list[Member]:
+        states = [UNREACHABLE if n < self.unreachable else LIVE for n in range(3)]
+        return [Member(f"vm{n}", "h", 1, 2, "dc", "r", 1, s) for n, s in enumerate(states)]
+
+    def contact_share(self, seconds: float) -> tuple[int, int]:
+        # By chance, half of the few recent probes went to the only peer that answers.
+        return 4, 2
+
+
+@pytest.mark.parametrize(
+    ("age", "unreachable", "isolated"), [(5.0, 2, True), (5.0, 1, False), (1.0, 3, False)]
+)
+def test_most_peers_unreachable_isolates_whatever_the_last_probes_say(
+    age: float, unreachable: int, isolated: bool
+) -> None:
+    sync: Any = Sync(age)
+    found = Isolation(ManualClock(), sync, Contacts(unreachable), Streams(), 3.0)
+    assert found.isolated is isolated
