Split the store side of batch work into modules with one job

Claims are in batch_claim.py and the ends of jobs in batch_finish.py; the functions moved whole. The one change in behaviour: a job that became final has the open jobs read at once, not at the next pass.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
@@ -1,4 +1,4 @@
-"""Claims chunks for this daemon's workers, keeps their leases and stores their results."""
+"""Runs the store side of batch work: leases on chunks, their results, and what is due."""
 
 import threading
 import uuid
@@ -8,39 +8,25 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.batch_board import JobBoard
-from trefoilreach._internal.coordination.batch_chunks import (
-    Chunk,
-    ChunkStore,
-    ClaimLost,
-    JobClosed,
-)
+from trefoilreach._internal.coordination.batch_chunks import ChunkStore, ClaimLost
+from trefoilreach._internal.coordination.batch_claim import ChunkClaimer
 from trefoilreach._internal.coordination.batch_feed import BatchFeed
+from trefoilreach._internal.coordination.batch_finish import JobFinisher
 from trefoilreach._internal.coordination.batch_held import HeldChunk
-from trefoilreach._internal.coordination.batch_input import decode_items
 from trefoilreach._internal.coordination.batch_share import find_sender
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.settings import BatchSettings
 from trefoilreach._internal.state.config import Server
-from trefoilreach._internal.state.jobs import (
-    DONE,
-    FREE,
-    ChunkRecord,
-    OpenJob,
-    input_object,
-    result_object,
-)
+from trefoilreach._internal.state.jobs import DONE, FREE, ChunkRecord, result_object
 from trefoilreach._internal.state.objects import ObjectStore
-from trefoilreach._internal.state.table import RevisionConflict, StoreError
+from trefoilreach._internal.state.table import StoreError
 
 _TICK_SECONDS = 0.25
 _RENEW_SHARE = 0.3  # 6 s of a lease of 20 s
 # Up to this many daemons the open jobs are read once per interval, then less often.
 _FLEET_PER_INTERVAL = 24
-_AHEAD_FACTOR = 2
-_HELD_LIMIT = 16
-_SCANS_PER_TICK = 4
 _STORE_RETRY_SECONDS = 1.0
 _STOP_WAIT_SECONDS = 5.0
 _UNSERVED_SECONDS = 5.0
@@ -68,14 +54,14 @@
         self._feed = feed
         self._settings = settings
         self._board = JobBoard(clock, store, settings.chunk_lease)
+        self._finisher = JobFinisher(store, self._board, peers, self.refresh_soon)
+        self._claimer = ChunkClaimer(store, objects, feed, self._board, self._finisher, wake.set)
         self._wake = wake
         self._stopped = threading.Event()
         self._handed_back = threading.Event()
         self._next_refresh = 0.0
         self._next_renewal = 0.0
         self._retry_at = 0.0
-        self._finalise_due: dict[str, OpenJob] = {}
-        self._check_due: dict[str, OpenJob] = {}
         self._unserved_since: dict[str, float] = {}
 
     def start(self, stack: ExitStack) -> None:
@@ -84,7 +70,7 @@
         threading.Thread(target=self._run, name="batch-store", daemon=True).start()
 
     def refresh_soon(self) -> None:
-        """Read the open jobs soon, as a job was accepted here."""
+        """Read the open jobs soon, as one was accepted or became final here."""
         self._next_refresh = 0.0
         self._wake.set()
 
@@ -133,11 +119,11 @@
         if now >= self._next_refresh:
             steps.append(self._refresh)
         steps += [
-            self._check_done,
-            self._end_cancelled,
-            self._finalise,
+            self._finisher.check_ended,
+            self._finisher.end_cancelled,
+            self._finisher.finalise,
             self._give_back_unserved,
-            self._claim_needed,
+            self._claimer.claim_needed,
         ]
         for step in steps:
             done = step()
@@ -228,22 +214,9 @@
             if isinstance(done, Err):
                 return done
             self._board.note_change(held.job.id)
-            self._check_due[held.job.id] = held.job
+            self._finisher.note_ended(held.job)
         return Ok(None)
 
-    def _check_done(self) -> Result[None, StoreError]:
-        for job_id, job in list(self._check_due.items()):
-            done = self._board.check_done(job)
-            if isinstance(done, Err):
-                return Err(done.err_value)
-            self._check_due.pop(job_id)
-            if done.ok_value or job_id in self._cancelling_ids():
-                self._finalise_due[job_id] = job
-        return Ok(None)
-
-    def _cancelling_ids(self) -> set[str]:
-        return {job.id for job in self._board.jobs if job.cancelling}
-
     def _store_result(self, held: HeldChunk) -> Result[None, StoreError]:
         """Write the result object, then the row that names it, then forget the chunk."""
         if held.stored is None:
@@ -266,36 +239,6 @@
         name = result_object(claim.job_id, claim.number, claim.record.fencing, uuid.uuid4().hex)
         return name, held.encode_result()
 
-    def _end_cancelled(self) -> Result[None, StoreError]:
-        """End the chunks of cancelled jobs that nobody runs, then the jobs themselves."""
-        for job in self._board.jobs:
-            if not job.cancelling or not self._board.may_claim(job) or not self._is_ender(job):
-                continue
-            orphans = self._board.find_orphans(job)
-            if isinstance(orphans, Err):
-                return Err(orphans.err_value)
-            for chunk in orphans.ok_value:
-                ended = self._store.end_chunk(chunk)
-                if isinstance(ended, Err) and not isinstance(ended.err_value, RevisionConflict):
-                    return Err(ended.err_value)
-            self._finalise_due[job.id] = job
-        return Ok(None)
-
-    def _is_ender(self, job: OpenJob) -> bool:
-        """Return whether this daemon is the one to end a cancelled job."""
-        return find_sender(job.id, self._peers.live()) == self._peers.self_member.vm
-
-    def _finalise(self) -> Result[None, StoreError]:
-        for job_id, job in list(self._finalise_due.items()):
-            done = self._store.finalise(job.account, job_id)
-            if isinstance(done, Err):
-                return Err(done.err_value)
-            self._finalise_due.pop(job_id)
-            if done.ok_value is not None:
-                log_event("batch:final", job=job_id, status=done.ok_value.status)
-                self._next_refresh = 0.0
-        return Ok(None)
-
     def _give_back_unserved(self) -> Result[None, StoreError]:
         """Give chunks back whose model none of this daemon's workers serves for a while.
 
@@ -315,87 +258,6 @@
             self._feed.stop_chunks(lambda held: held.model in late, FREE)
         return Ok(None)
 
-    def _claim_needed(self) -> Result[None, StoreError]:
-        capacity = self._feed.capacity()
-        scans = 0
-        for job in self._order_jobs():
-            models = self._wanted_models(job, capacity)
-            if not models or not self._board.may_claim(job):
-                continue
-            claimed = self._claim_from(job, models)
-            if isinstance(claimed, Err):
-                return claimed
-            scans += 1
-            if scans >= _SCANS_PER_TICK:
-                self._wake.set()
-                break
-        return Ok(None)
-
-    def _order_jobs(self) -> list[OpenJob]:
-        jobs = [job for job in self._board.jobs if not job.cancelling]
-        with self._feed.lock:
-            turns = self._feed.turns.order(job.account for job in jobs)
-        return sorted(jobs, key=lambda job: turns.index(job.account))
-
-    def _wanted_models(self, job: OpenJob, capacity: dict[str, int]) -> list[str]:
-        """Return the models of a job for which this daemon should claim a chunk now."""
-        with self._feed.lock:
-            held = list(self._feed.held.values())
-            todo: dict[tuple[str, str], int] = {}
-            for entry in held:
-                key = (entry.model, entry.job.account)
-                todo[key] = todo.get(key, 0) + len(entry.todo)
-        if len(held) >= _HELD_LIMIT:
-            return []
-        wanted = []
-        for model in {entry.model for entry in job.ranges} & capacity.keys():
-            pending = sum(count for (name, _), count in todo.items() if name == model)
-            own = todo.get((model, job.account), 0)
-            if pending < capacity[model] * _AHEAD_FACTOR or own == 0:
-                wanted.append(model)
-        return wanted
-
-    def _claim_from(self, job: OpenJob, models: list[str]) -> Result[None, StoreError]:
-        with self._feed.lock:
-            keys = set(self._feed.held)
-        found = self._board.find_claimable(job, models, keys.__contains__)
-        if isinstance(found, Err):
-            return Err(found.err_value)
-        if found.ok_value is None:
-            if self._board.is_done(job):
-                self._finalise_due[job.id] = job
-            return Ok(None)
-        return self._claim(job, found.ok_value)
-
-    def _claim(self, job: OpenJob, chunk: Chunk) -> Result[None, StoreError]:
-        claimed = self._store.claim(chunk)
-        if isinstance(claimed, Err):
-            if isinstance(claimed.err_value, RevisionConflict | JobClosed):
-                return Ok(None)
-            return Err(claimed.err_value)
-        held = self._read_chunk(job, claimed.ok_value)
-        if isinstance(held, Err):
-            return Err(held.err_value)
-        self._feed.add(held.ok_value)
-        return Ok(None)
-
-    def _read_chunk(self, job: OpenJob, claim: Chunk) -> Result[HeldChunk, StoreError]:
-        names = [input_object(job.input_prefix, claim.number), claim.record.result]
-        data: list[bytes] = []
-        for name in names:
-            found = self._objects.get(name) if name else Ok(b"")
-            if isinstance(found, Err) or found.ok_value is None:
-                self._store.release(claim)
-                missing = StoreError(f"object {name!r} cannot be read")
-                return Err(found.err_value if isinstance(found, Err) else missing)
-            data.append(found.ok_value)
-        model = next(
-            entry.model
-            for entry in job.ranges
-            if entry.first <= claim.number < entry.first + entry.size
-        )
-        return Ok(HeldChunk(job, model, claim, decode_items(data[0]), data[1]))
-
     def _hand_back(self) -> None:
         end = self._clock.now() + _STOP_WAIT_SECONDS
         while self._clock.now() < end:
