Build the commands of configuration entries in one place

Cause: the account, class, route, key and server modules repeated set, list and delete; a command without work failed only when it was called; and the console library's bash template takes one word for the command, so that "trefoilctl account <TAB>" offered nothing.

Change: entry_commands builds the list, set and delete commands from the kind of entry, ApiCommand.run_command is abstract, and completions renders a bash script that knows commands of two words and options with values. It needs no bash-completion package.

--- a/packages/trefoilctl/src/trefoilctl/_internal/command.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/command.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
@@ -45,7 +46,7 @@
     return api_options(*own, version)
 
 
-class ApiCommand(Command):
+class ApiCommand(Command, ABC):
     """A command that calls the daemons."""
 
     def handle(self) -> int:
@@ -57,9 +58,9 @@
             return FAILURE_EXIT_CODE
         return 0
 
+    @abstractmethod
     def run_command(self, client: Client) -> None:
         """Do the work of the command."""
-        raise NotImplementedError
 
     def _open_client(self) -> Client:
         urls = self.option("url") or split_urls(os.environ.get(URL_VARIABLE, DEFAULT_URL))
--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/key.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/key.py
@@ -5,13 +5,16 @@
 from cleo.helpers import argument, option
 
 from trefoilctl._internal.client import Client
-from trefoilctl._internal.command import ApiCommand, api_options, change_options, register
+from trefoilctl._internal.command import ApiCommand, change_options, register
 from trefoilctl._internal.entries import Section, read_if_version
+from trefoilctl._internal.entry_commands import EntryKind, add_list_command
 
-_SECTION = "keys"
+_KEY = EntryKind("key", "keys", "key", "keys", ("id", "role", "account", "state"))
 # A withdrawal holds whatever version is in force, so it loses no race.
 _ANY_VERSION = "*"
 
+add_list_command(_KEY, ", without the secrets")
+
 
 @register
 class KeyGrantCommand(ApiCommand):
@@ -28,7 +31,7 @@
 
     def run_command(self, client: Client) -> None:
         """Send the change."""
-        section = Section(client, _SECTION)
+        section = Section(client, _KEY.section)
         body = {"role": self.option("role"), "account": self.argument("account") or ""}
         granted = section.change("POST", "", section.base(read_if_version(self)), body)
         entry = granted["entry"]
@@ -36,20 +39,6 @@
         self.print_result(granted, text)
 
 
-@register
-class KeyListCommand(ApiCommand):
-    """Lists the keys without their secrets."""
-
-    name = "key list"
-    description = "List the keys, without the secrets."
-    options = api_options()
-
-    def run_command(self, client: Client) -> None:
-        """Print the list."""
-        listed = Section(client, _SECTION).list()
-        self.print_rows(listed, listed["data"], ("id", "role", "account", "state"))
-
-
 @register
 class KeyWithdrawCommand(ApiCommand):
     """Withdraws a key."""
@@ -62,7 +51,7 @@
     def run_command(self, client: Client) -> None:
         """Send the withdrawal."""
         key_id, version = self.argument("id"), read_if_version(self)
-        section, path = Section(client, _SECTION), f"/{quote(self.argument('id'), safe='')}"
+        section, path = Section(client, _KEY.section), f"/{quote(self.argument('id'), safe='')}"
         base = _ANY_VERSION if version is None else version
         report = section.change("DELETE", path, base)
         text = f"{key_id} withdrawn, in force on {', '.join(report['in_force'])}"
--- a/packages/trefoilctl/src/trefoilctl/_internal/main.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/main.py
@@ -9,6 +9,7 @@
 from trefoilctl import __version__
 from trefoilctl._internal.command import commands
 from trefoilctl._internal.commands import load_commands
+from trefoilctl._internal.completions import CtlCompletionsCommand
 
 
 class CtlApplication(Application):
@@ -28,4 +29,6 @@
     application.auto_exits(False)
     for command in commands:
         application.add(command())
+    # Replaces the console library's command of that name.
+    application.add(CtlCompletionsCommand())
     return application.run(ArgvInput(["trefoilctl", *arguments]))
