--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
@@ -4,8 +4,12 @@
 
 from trefoilreach._internal.coordination.member_table import MemberTable
 from trefoilreach._internal.coordination.member_wire import from_update, to_update
-from trefoilreach._internal.coordination.peers import PeerState
+from trefoilreach._internal.coordination.peers import PeerState, RouteLoad
 from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply, ProbeRequest
+from trefoilreach._internal.protocol.gen.peer.ttypes import RouteLoad as RouteLoadMessage
+
+# Per message, so that its size does not grow with the number of routes.
+MAX_ROUTES = 32
 
 
 class ProbeMessages:
@@ -27,13 +31,14 @@
             config_version=own.config_version,
             withdrawals_digest=own.withdrawals_digest,
             updates=self._table.take_updates(receiver),
+            routes=to_route_loads(own),
         )
 
     def take_reply(self, reply: ProbeReply) -> PeerState:
         """Take the news of an answer; return the state that rode on it."""
         sender = from_update(reply.sender)
         self._table.merge([sender, *map(from_update, reply.updates)])
-        state = PeerState(reply.config_version, reply.withdrawals_digest)
+        state = to_state(reply)
         self.heard(sender.vm, state)
         return state
 
@@ -41,7 +46,7 @@
         """Answer the probe of a peer."""
         sender = from_update(request.sender)
         self._table.merge([sender, *map(from_update, request.updates)])
-        state = PeerState(request.config_version, request.withdrawals_digest)
+        state = to_state(request)
         self.heard(sender.vm, state)
         own = self.own_state()
         return ProbeReply(
@@ -49,4 +54,20 @@
             config_version=own.config_version,
             withdrawals_digest=own.withdrawals_digest,
             updates=self._table.take_updates(sender.vm),
+            routes=to_route_loads(own),
         )
+
+
+def to_route_loads(state: PeerState) -> list[RouteLoadMessage]:
+    """Encode the load of a daemon, of the routes with the most waiting weight."""
+    loads = sorted(state.routes.items(), key=lambda entry: entry[1], reverse=True)
+    return [
+        RouteLoadMessage(route, load.weight, int(load.running))
+        for route, load in loads[:MAX_ROUTES]
+    ]
+
+
+def to_state(message: ProbeRequest | ProbeReply) -> PeerState:
+    """Decode what a peer says about itself; earlier versions state no load."""
+    routes = {entry.route: RouteLoad(entry.weight, entry.running) for entry in message.routes or ()}
+    return PeerState(message.config_version, message.withdrawals_digest, routes)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
@@ -35,6 +35,9 @@
     def admit(self, account: Account) -> Result[None, Shortage]:
         """Spend one token."""
 
+    def held_rate(self, account: Account) -> float:
+        """Return the part of an account's rate that is in use here, in requests a second."""
+
     def borrow(self, request: BorrowRequest) -> BorrowReply:
         """Answer a peer that needs quota."""
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -984,11 +984,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Withdrawal()
-                        _elem75.read(iprot)
-                        self.withdrawals.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Withdrawal()
+                        _elem89.read(iprot)
+                        self.withdrawals.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1005,8 +1005,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter76 in self.withdrawals:
-                iter76.write(oprot)
+            for iter90 in self.withdrawals:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1599,11 +1599,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Suspect()
-                        _elem82.read(iprot)
-                        self.suspects.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Suspect()
+                        _elem96.read(iprot)
+                        self.suspects.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1620,8 +1620,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter83 in self.suspects:
-                iter83.write(oprot)
+            for iter97 in self.suspects:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -171,6 +171,85 @@
         return not (self == other)
 
 
+class RouteLoad(object):
+    """
+    Attributes:
+     - route
+     - weight
+     - running
+
+    """
+
+
+    def __init__(self, route=None, weight=None, running=None,):
+        self.route = route
+        self.weight = weight
+        self.running = running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteLoad')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 2)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 3)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProbeRequest(object):
     """
     Attributes:
@@ -178,15 +257,17 @@
      - config_version
      - withdrawals_digest
      - updates
+     - routes
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
+        self.routes = routes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -224,6 +305,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = RouteLoad()
+                        _elem11.read(iprot)
+                        self.routes.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -249,8 +341,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter6 in self.updates:
-                iter6.write(oprot)
+            for iter12 in self.updates:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter13 in self.routes:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -278,15 +377,17 @@
      - config_version
      - withdrawals_digest
      - updates
+     - routes
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
+        self.routes = routes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -316,11 +417,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = MemberUpdate()
-                        _elem12.read(iprot)
-                        self.updates.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = MemberUpdate()
+                        _elem19.read(iprot)
+                        self.updates.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = RouteLoad()
+                        _elem25.read(iprot)
+                        self.routes.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -349,8 +461,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter13 in self.updates:
-                iter13.write(oprot)
+            for iter26 in self.updates:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter27 in self.routes:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -478,21 +597,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Withdrawal()
-                        _elem19.read(iprot)
-                        self.withdrawals.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Withdrawal()
+                        _elem33.read(iprot)
+                        self.withdrawals.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readBinary()
-                        self.changes.append(_elem25)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readBinary()
+                        self.changes.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -517,15 +636,15 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter26 in self.withdrawals:
-                iter26.write(oprot)
+            for iter40 in self.withdrawals:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.changes))
-            for iter27 in self.changes:
-                oprot.writeBinary(iter27)
+            for iter41 in self.changes:
+                oprot.writeBinary(iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -931,33 +1050,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = QuotaDemand()
-                        _elem33.read(iprot)
-                        self.demands.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = QuotaDemand()
+                        _elem47.read(iprot)
+                        self.demands.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = QuotaReturn()
-                        _elem39.read(iprot)
-                        self.returns.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = QuotaReturn()
+                        _elem53.read(iprot)
+                        self.returns.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recalls = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = QuotaRecall()
-                        _elem45.read(iprot)
-                        self.recalls.append(_elem45)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = QuotaRecall()
+                        _elem59.read(iprot)
+                        self.recalls.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -974,11 +1093,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.passed = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = QuotaTokens()
-                        _elem51.read(iprot)
-                        self.passed.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = QuotaTokens()
+                        _elem65.read(iprot)
+                        self.passed.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1003,22 +1122,22 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter52 in self.demands:
-                iter52.write(oprot)
+            for iter66 in self.demands:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter53 in self.returns:
-                iter53.write(oprot)
+            for iter67 in self.returns:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recalls is not None:
             oprot.writeFieldBegin('recalls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recalls))
-            for iter54 in self.recalls:
-                iter54.write(oprot)
+            for iter68 in self.recalls:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1032,8 +1151,8 @@
         if self.passed is not None:
             oprot.writeFieldBegin('passed', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.passed))
-            for iter55 in self.passed:
-                iter55.write(oprot)
+            for iter69 in self.passed:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1202,22 +1321,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = QuotaLoan()
-                        _elem61.read(iprot)
-                        self.loans.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = QuotaLoan()
+                        _elem75.read(iprot)
+                        self.loans.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = QuotaReturn()
-                        _elem67.read(iprot)
-                        self.returns.append(_elem67)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = QuotaReturn()
+                        _elem81.read(iprot)
+                        self.returns.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1248,15 +1367,15 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter68 in self.loans:
-                iter68.write(oprot)
+            for iter82 in self.loans:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter69 in self.returns:
-                iter69.write(oprot)
+            for iter83 in self.returns:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1521,6 +1640,13 @@
     (7, TType.I64, 'incarnation', None, None, ),  # 7
     (8, TType.I32, 'state', None, None, ),  # 8
 )
+all_structs.append(RouteLoad)
+RouteLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'weight', None, None, ),  # 2
+    (3, TType.I32, 'running', None, None, ),  # 3
+)
 all_structs.append(ProbeRequest)
 ProbeRequest.thrift_spec = (
     None,  # 0
@@ -1528,6 +1654,7 @@
     (2, TType.I64, 'config_version', None, None, ),  # 2
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
+    (5, TType.LIST, 'routes', (TType.STRUCT, [RouteLoad, None], False), None, ),  # 5
 )
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
@@ -1536,6 +1663,7 @@
     (2, TType.I64, 'config_version', None, None, ),  # 2
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
+    (5, TType.LIST, 'routes', (TType.STRUCT, [RouteLoad, None], False), None, ),  # 5
 )
 all_structs.append(Withdrawal)
 Withdrawal.thrift_spec = (
