State model versions, model limits and roles

Placement needs to know which version of a model an engine has loaded, how many models it can hold and which role it should have. Routes get a version, servers a model limit and a role; the defaults ask for nothing. Load reports state the version of each model and what is being loaded; an order may be accepted before it is done, and has a connection and a time limit of its own. The emulated engine takes time to load, refuses a model over its limit and reports its models as late as its load.

--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/route.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/route.py
@@ -22,6 +22,7 @@
     "accounts",
     "idempotent",
     "fencing_checked",
+    "version",
 )
 _FIELDS: dict[str, tuple[str, Parser]] = {
     "kind": ("kind", keep_text),
@@ -30,6 +31,7 @@
     "account": ("accounts", keep_text),
     "idempotent": ("idempotent", parse_flag),
     "fencing-checked": ("fencing_checked", parse_flag),
+    "model-version": ("version", keep_text),
 }
 
 
@@ -48,6 +50,7 @@
         option("every-account", None, "Allow every client account."),
         option("idempotent", None, "yes: may be sent again; or no.", flag=False),
         option("fencing-checked", None, "yes: servers check fencing numbers; or no.", flag=False),
+        option("model-version", None, "Version that engines load; empty: any.", flag=False),
     )
 
     def run_command(self, client: Client) -> None:
--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/server.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/server.py
@@ -17,12 +17,25 @@
 from trefoilctl._internal.errors import CtlError
 
 _SECTION = "servers"
-_COLUMNS = ("name", "kind", "host", "port", "routes", "data_centre", "slots", "state")
+_COLUMNS = (
+    "name",
+    "kind",
+    "host",
+    "port",
+    "routes",
+    "data_centre",
+    "slots",
+    "model_limit",
+    "role",
+    "state",
+)
 _FIELDS: dict[str, tuple[str, Parser]] = {
     "kind": ("kind", keep_text),
     "route": ("routes", keep_text),
     "data-centre": ("data_centre", keep_text),
     "slots": ("slots", parse_whole),
+    "model-limit": ("model_limit", parse_whole),
+    "role": ("role", keep_text),
 }
 
 
@@ -41,6 +54,8 @@
         option("route", None, "Route that it serves; may be repeated.", flag=False, multiple=True),
         option("data-centre", None, "Data centre that it is in.", flag=False),
         option("slots", None, "Requests that it runs at once.", flag=False),
+        option("model-limit", None, "Models that it can hold at once; 0: all.", flag=False),
+        option("role", None, "Role that the engine should have; empty: any.", flag=False),
     )
 
     def run_command(self, client: Client) -> None:
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/engine.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/engine.py
@@ -15,7 +15,9 @@
     options = [  # noqa: RUF012 - the library reads a class attribute
         option("host", None, "Address to listen on.", flag=False, default="127.0.0.1"),
         option("port", None, "Port to listen on.", flag=False, default="9000"),
-        option("models", None, "Comma-separated models it has loaded.", flag=False, default="m"),
+        option("models", None, "Loaded models: NAME[=VERSION],...", flag=False, default="m"),
+        option("model-limit", None, "Models held at once; 0: any.", flag=False, default="0"),
+        option("load-time", None, "Seconds that a load takes.", flag=False, default="0"),
         option("slots", None, "Requests that run at once.", flag=False, default="8"),
         option("token-interval", None, "Seconds per token.", flag=False, default="0.02"),
         option("first-token", None, "Seconds to the first token.", flag=False, default="0.05"),
@@ -32,6 +34,8 @@
             first_token=float(self.option("first-token")),
             load_lag=float(self.option("load-lag")),
             check_fencing=bool(self.option("check-fencing")),
+            model_limit=int(self.option("model-limit")),
+            load_seconds=float(self.option("load-time")),
         )
         emulator = EngineEmulator(options)
         serve_until_signal(self.option("host"), int(self.option("port")), emulator.handle)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
@@ -11,6 +11,7 @@
 import orjson
 import xxhash
 
+from trefoilreach_emulator._internal.engine_models import EngineModels, ModelOptions
 from trefoilreach_emulator._internal.server import Exchange
 
 # Prompts that contain these words change what the emulator does with them.
@@ -30,6 +31,7 @@
 
     :param slots: requests at full speed; more slow all of them down.
     :param cache_entries: prompt prefixes kept.
+    :param models: see :class:`ModelOptions`, as for the last three.
     """
 
     models: tuple[str, ...] = ("m",)
@@ -39,6 +41,8 @@
     load_lag: float = 0.5
     cache_entries: int = 64
     check_fencing: bool = False
+    model_limit: int = 0
+    load_seconds: float = 0.0
 
 
 class EngineEmulator:
@@ -49,10 +53,11 @@
         self._instance = uuid.uuid4().hex
         self._lock = threading.Lock()
         self._running: dict[str, threading.Event] = {}
-        self._models = list(options.models)
-        self._role = "mixed"
-        self._fencing = 0
-        self._orders: list[dict[str, Any]] = []
+        self._models = EngineModels(
+            ModelOptions(
+                options.models, options.model_limit, options.load_seconds, options.check_fencing
+            )
+        )
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._events: deque[dict[str, Any]] = deque(maxlen=_EVENT_HISTORY)
         self._event_sequence = 0
@@ -81,7 +86,7 @@
         request_id = exchange.headers.get("X-Request-Id") or f"cmpl-{uuid.uuid4().hex}"
         text = _read_prompt(body)
         self._record(request_id, exchange)
-        if body.get("model") not in self._models:
+        if not self._models.has(body.get("model")):
             exchange.reply({"error": {"message": f"no model {body.get('model')!r}"}}, 404)
             return
         if IMPOSSIBLE_MARK in text:
@@ -210,8 +215,7 @@
                 "waiting": max(0, total - self._options.slots),
                 "slots": self._options.slots,
                 "age_seconds": self._options.load_lag,
-                "models": list(self._models),
-                "state": self._role,
+                **self._models.report(moment),
             }
         exchange.reply(report)
 
@@ -222,30 +226,11 @@
         exchange.reply({"events": events})
 
     def _take_order(self, exchange: Exchange) -> None:
-        order = exchange.json()
-        with self._lock:
-            stale = order["fencing"] < self._fencing
-            if stale and self._options.check_fencing:
-                status = "stale"
-            else:
-                status = "done"
-                self._fencing = max(self._fencing, order["fencing"])
-                self._apply_order(order)
-            self._orders.append({**order, "status": status})
-            reply = {"status": status, "fencing": self._fencing}
-        exchange.reply(reply)
-
-    def _apply_order(self, order: dict[str, Any]) -> None:
-        if order["action"] == "load" and order["model"] not in self._models:
-            self._models.append(order["model"])
-        elif order["action"] == "unload" and order["model"] in self._models:
-            self._models.remove(order["model"])
-        elif order["action"] == "role":
-            self._role = order["model"]
+        exchange.reply(self._models.take_order(exchange.json()))
 
     def _report_seen(self, exchange: Exchange) -> None:
         with self._lock:
-            seen = {"requests": list(self._seen), "orders": list(self._orders)}
+            seen = {"requests": list(self._seen), "orders": self._models.orders()}
         exchange.reply(seen)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config.py
@@ -56,7 +56,8 @@
     """A model or plain service that callers can name.
 
     ``accounts`` lists who may use it; empty means every account. A route that is
-    ``open_to_all`` needs no key.
+    ``open_to_all`` needs no key. ``version`` names the version of a model's weights or
+    the adapter that engines should have loaded; empty means any.
     """
 
     name: str
@@ -66,13 +67,16 @@
     accounts: tuple[str, ...] = ()
     idempotent: bool = True
     fencing_checked: bool = False
+    version: str = ""
 
 
 class Server(NamedTuple):
     """A backend server; ``kind`` is ``engine`` or ``service``, ``state`` ``live`` or ``leaving``.
 
     ``routes`` are the model or service routes that it can serve, ``slots`` the
-    requests that it runs at once without queuing.
+    requests that it runs at once without queuing. ``model_limit`` is the number of
+    models that an engine can hold at once, 0 for all of its routes; ``role`` is the role
+    that an engine should have, empty to leave it.
     """
 
     name: str
@@ -83,6 +87,8 @@
     data_centre: str = ""
     slots: int = 8
     state: str = "live"
+    model_limit: int = 0
+    role: str = ""
 
 
 class Withdrawn(NamedTuple):
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
@@ -22,6 +22,7 @@
 _MAX_SECONDS = 30 * 86400.0
 _MAX_RATE = 1_000_000.0
 _MAX_SLOTS = 10_000
+_MAX_MODELS = 1_000
 
 
 class FieldError(ConfigError):
@@ -135,6 +136,7 @@
         "accounts": _NAMES,
         "idempotent": _FLAG,
         "fencing_checked": _FLAG,
+        "version": _OPTIONAL_NAME,
     },
     Server: {
         "name": _NAME,
@@ -145,6 +147,8 @@
         "data_centre": _OPTIONAL_NAME,
         "slots": _whole(1, _MAX_SLOTS),
         "state": _one_of("live", "leaving"),
+        "model_limit": _whole(0, _MAX_MODELS),
+        "role": _OPTIONAL_NAME,
     },
 }
 
@@ -223,11 +227,18 @@
     if route.open_to_all and route.accounts:
         message = f"route {route.name!r} is open to all and cannot list client accounts as well"
         raise FieldError("accounts", message)
+    if route.kind != "model" and route.version:
+        message = f"route {route.name!r} of kind {route.kind!r} has no model version"
+        raise FieldError("version", message)
 
 
 def _check_server(server: Server, document: ConfigDocument) -> None:
     routes = {entry.name: entry for entry in document.routes}
     wanted = "model" if server.kind == "engine" else "service"
+    for field in ("model_limit", "role"):
+        if server.kind != "engine" and getattr(server, field):
+            message = f"backend server {server.name!r} of kind {server.kind!r} has no {field!r}"
+            raise FieldError(field, message)
     for index, name in enumerate(server.routes):
         if name not in routes:
             message = f"backend server {server.name!r}: route {name!r} does not exist"
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
@@ -21,6 +21,9 @@
 
 DONE = b"[DONE]"
 _CONTROL_TIMEOUT_SECONDS = 1.0
+# Both together end before the quiet 8 s of an order's lease do.
+ORDER_TIMEOUT_SECONDS = 5.0
+_ORDER_CONNECT_SECONDS = 2.0
 _DATA_PREFIX = b"data:"
 _EVENT_END = b"\n\n"
 _READ_BYTES = 65536
@@ -73,6 +76,8 @@
 
     :param sequence: grows with each report of one instance.
     :param age_seconds: how old the figures are.
+    :param versions: version of each loaded model, or None from an engine that states none.
+    :param loading: models that are being loaded, with the version.
     """
 
     instance: str
@@ -83,6 +88,14 @@
     age_seconds: float
     models: tuple[str, ...]
     state: str
+    versions: dict[str, str] | None = None
+    loading: dict[str, str] = {}  # noqa: RUF012 - reports are never changed
+
+    def can_serve(self, model: str) -> bool:
+        """Return whether the engine serves a model; one that states none may serve any."""
+        if not self.models and self.versions is None:
+            return True
+        return model in self.models and model not in self.loading
 
 
 class CacheEvent(NamedTuple):
@@ -94,7 +107,10 @@
 
 
 class Order(NamedTuple):
-    """An order to an engine: ``load``, ``unload`` or ``role``."""
+    """An order to an engine: ``load``, ``unload`` or ``role``, which ``model`` names then.
+
+    A load of a loaded model replaces its version.
+    """
 
     fencing: int
     action: str
@@ -103,7 +119,11 @@
 
 
 class OrderOutcome(NamedTuple):
-    """Answer to an order; ``status`` is ``done``, ``stale`` or ``refused``."""
+    """Answer to an order.
+
+    :param status: ``done``, ``accepted`` (the load reports say when it is done), ``stale``
+        or ``refused``.
+    """
 
     status: str
     fencing: int
@@ -150,6 +170,7 @@
 
     def __init__(self, clock: Clock, connect_timeout: float) -> None:
         self._pools = HttpPools(clock, connect_timeout)
+        self._order_pools = HttpPools(clock, min(connect_timeout, _ORDER_CONNECT_SECONDS))
 
     def open(self, server: Server, request: EngineRequest) -> Result[EngineStream, EngineError]:
         """Start a completion.
@@ -192,12 +213,15 @@
 
     def order(self, server: Server, order: Order) -> Result[OrderOutcome, EngineError]:
         """Give an order."""
-        reply = self._call(server, "POST", "/orders", order._asdict(), fresh=True)
+        pool = self._order_pools.get(server.host, server.port)
+        data = orjson.dumps(order._asdict())
+        reply = _exchange(pool, "POST", "/orders", data, ORDER_TIMEOUT_SECONDS, fresh=True)
         return reply.map(lambda found: OrderOutcome(found["status"], found["fencing"]))
 
     def close(self) -> None:
         """Close the kept connections."""
         self._pools.close()
+        self._order_pools.close()
 
     def _pool(self, server: Server) -> HttpPool:
         return self._pools.get(server.host, server.port)
@@ -214,20 +238,25 @@
         self, server: Server, method: str, path: str, body: Any = None, fresh: bool = False
     ) -> Result[Any, EngineError]:
         data = b"" if body is None else orjson.dumps(body)
+        return _exchange(self._pool(server), method, path, data, _CONTROL_TIMEOUT_SECONDS, fresh)
+
+
+def _exchange(
+    pool: HttpPool, method: str, path: str, data: bytes, timeout: float, fresh: bool
+) -> Result[Any, EngineError]:
+    """Send a control request and decode its JSON answer."""
+    try:
+        exchange = pool.request(method, path, data, timeout=timeout, fresh=fresh)
         try:
-            exchange = self._pool(server).request(
-                method, path, data, timeout=_CONTROL_TIMEOUT_SECONDS, fresh=fresh
-            )
-            try:
-                if exchange.status != 200:
-                    return Err(_read_error(exchange))
-                return Ok(orjson.loads(exchange.read()))
-            finally:
-                exchange.close()
-        except HttpFailure as failure:
-            return Err(_translate(failure))
-        except orjson.JSONDecodeError as error:
-            return Err(EngineError(f"answer is not JSON: {error}", Verdict.MAY_HAVE_RUN))
+            if exchange.status != 200:
+                return Err(_read_error(exchange))
+            return Ok(orjson.loads(exchange.read()))
+        finally:
+            exchange.close()
+    except HttpFailure as failure:
+        return Err(_translate(failure))
+    except orjson.JSONDecodeError as error:
+        return Err(EngineError(f"answer is not JSON: {error}", Verdict.MAY_HAVE_RUN))
 
 
 def _translate(failure: HttpFailure) -> EngineError:
@@ -322,4 +351,6 @@
         age_seconds=found["age_seconds"],
         models=tuple(found["models"]),
         state=found["state"],
+        versions=found.get("versions"),
+        loading=found.get("loading") or {},
     )
