--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/peers.py
@@ -70,6 +70,7 @@
             online_started=lambda worker, count: 0,
             cancel_job=lambda job: None,
             suspects=lambda suspects: None,
+            hold_back=lambda worker, models, seconds: 0.0,
         )
         self._server = PeerServer(handlers, place.host, _PEER_PORT)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/parts.py
@@ -14,6 +14,7 @@
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.placement import Placement
 from trefoilreach._internal.coordination.quota import Quota
 from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.metrics import Metrics
@@ -42,4 +43,5 @@
     isolation: Isolation
     drain: Drain
     batches: Batches
+    placement: Placement
     audit: Audit
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/backends.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/backends.py
@@ -10,6 +10,8 @@
 from trefoilreach._internal.coordination.fairness import Claim, FairQueue
 from trefoilreach._internal.coordination.health import WorkerHealth
 from trefoilreach._internal.coordination.load_view import LoadView
+from trefoilreach._internal.coordination.placement_demand import Demand
+from trefoilreach._internal.coordination.placement_holds import Holds
 from trefoilreach._internal.coordination.routing import Candidate, choose_subset, policies
 from trefoilreach._internal.logs import log_decision
 from trefoilreach._internal.protocol.verdict import refuse_unavailable
@@ -63,6 +65,9 @@
         self.load = LoadView(clock)
         self.prefixes = PrefixView(clock)
         self.health = WorkerHealth(clock)
+        self.holds = Holds(clock)
+        self.demand = Demand(clock, live_daemons)
+        self.also_polled: Callable[[], list[Server]] = list
         self._clock = clock
         self._settings = settings
         self._config = config
@@ -127,6 +132,7 @@
             if route.kind == "model"
             for server in self._subset(route)
         }
+        chosen.update((server.name, server) for server in self.also_polled())
         return list(chosen.values())
 
     def _try_place(self, request: PlaceRequest) -> Server | None:
@@ -203,7 +209,7 @@
         return chosen
 
     def _can_serve(self, server: Server, route: Route) -> bool:
-        if not self.health.is_usable(server.name):
+        if not self.health.is_usable(server.name) or self.holds.is_held(server.name, route.name):
             return False
         report = self.load.last_report(server.name)
-        return report is None or not report.models or route.name in report.models
+        return report is None or report.can_serve(route.name)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -74,6 +74,7 @@
     ) -> None:
         self.guard: CrashGuard | None = None
         self.note_batch: Callable[[str, int], None] = lambda worker, count: None
+        self.is_held: Callable[[str, str], bool] = lambda worker, model: False
         self._clock = clock
         self._engine = engine
         self._config = config
@@ -135,7 +136,8 @@
         with self._changed:
             for share in self._shares.values():
                 for model in share.server.routes if share.is_up(now) else ():
-                    slots[model] = slots.get(model, 0) + share.server.slots
+                    if self._can_run(share, model):
+                        slots[model] = slots.get(model, 0) + share.server.slots
         return slots
 
     def add(self, held: HeldChunk) -> None:
@@ -264,7 +266,7 @@
         """Take the next item that the worker can serve, fair between accounts."""
         ready: dict[str, list[HeldChunk]] = {}
         for held in self._held.values():
-            if held.todo and not held.ending and held.model in share.server.routes:
+            if held.todo and not held.ending and self._can_run(share, held.model):
                 ready.setdefault(held.job.account, []).append(held)
         if not ready:
             return None
@@ -273,6 +275,9 @@
         self._turns.charge(account, 1, self._rate(account))
         return held.todo.popleft()
 
+    def _can_run(self, share: WorkerShare, model: str) -> bool:
+        return share.carries(model) and not self.is_held(share.server.name, model)
+
     def _rate(self, account: str) -> float:
         found = self._config.view.accounts.get(account)
         return found.rate if found is not None else 1.0
@@ -282,9 +287,10 @@
         models = {held.model for held in self._held.values() if held.suspects and not held.ending}
         now = self._clock.now()
         for share in self._shares.values():
-            share.draining = share.draining and not models.isdisjoint(share.server.routes)
+            able_to_try = any(self._can_run(share, model) for model in models)
+            share.draining = share.draining and able_to_try
         for model in models:
-            able = [share for share in self._shares.values() if model in share.server.routes]
+            able = [share for share in self._shares.values() if self._can_run(share, model)]
             if any(share.trial or share.draining for share in able):
                 continue
             up = [share for share in able if share.is_up(now)]
@@ -295,7 +301,7 @@
         if not share.draining or share.streams or not share.is_up(now):
             return None
         for held in self._held.values():
-            if held.suspects and not held.ending and held.model in share.server.routes:
+            if held.suspects and not held.ending and self._can_run(share, held.model):
                 share.draining, share.trial = False, True
                 return held.suspects.popleft()
         return None
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
@@ -78,6 +78,7 @@
         self.trial = False
         self.urgent = False
         self.instance = ""
+        self._report: LoadReport | None = None
         self._yielding = yielding
         self._cap = float(server.slots)
         self._grown_at = now
@@ -104,6 +105,12 @@
         """Return whether the worker answered lately."""
         return bool(self.instance) and now >= self._down_until
 
+    def carries(self, model: str) -> bool:
+        """Return whether the worker serves a model, by its last load report."""
+        if model not in self.server.routes:
+            return False
+        return self._report is None or self._report.can_serve(model)
+
     def room(self, now: float) -> int:
         """Return how many more streams may start."""
         if not self.is_up(now) or self.trial or self.draining:
@@ -148,6 +155,7 @@
     def note_report(self, report: LoadReport, now: float) -> None:
         """Take a load report; its figures are ``age_seconds`` old."""
         self.instance = report.instance
+        self._report = report
         self._down_until = 0.0
         moment = now - report.age_seconds
         self._reported_online = max(0, report.running + report.waiting - self._own_at(moment))
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
@@ -106,6 +106,7 @@
         """
         request = RunningRequest(job.request_id, job.gone)
         self.budget.note_request()
+        self.backends.demand.note_arrival(job.route.name)
         with self.watch(request):
             yield from _Run(self, job, request).relay()
 
@@ -208,6 +209,7 @@
             yield from self._relay_events(attempt)
             succeeded = True
             backends.note_service_time(self._job.route, clock.now() - started)
+            backends.demand.note_duration(self._job.route.name, clock.now() - started)
             backends.prefixes.learn(attempt.server.name, self._prefixes)
         except EngineError as error:
             if self._has_died(attempt, error):
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/load_view.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/load_view.py
@@ -81,6 +81,11 @@
         with self._lock:
             return self._load(server).report
 
+    def taken_at(self, server: str) -> float:
+        """Return when the figures of the last report were taken, by this daemon's clock."""
+        with self._lock:
+            return self._load(server).taken_at
+
     def note_batch(self, server: str, count: int) -> None:
         """Take the number of batch items that run on a server, known for a few seconds."""
         with self._lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
@@ -29,6 +29,7 @@
 from trefoilreach._internal.protocol.gen.peer.ttypes import (
     MemberState,
     MemberUpdate,
+    ModelDemand,
     ProbeReply,
     ProbeRequest,
 )
@@ -142,6 +143,8 @@
         self._contacts: deque[_Contact] = deque(maxlen=256)
         self._own_state: Callable[[], PeerState] = lambda: PeerState(0, 0)
         self._heard: Callable[[str, PeerState], None] = lambda vm, state: None
+        self._own_demands: Callable[[], list[ModelDemand]] = list
+        self._heard_demands: Callable[[str, list[ModelDemand]], None] = lambda vm, demands: None
         self._store_silent: Callable[[], bool] = lambda: False
         self._stop = threading.Event()
         self._probes = ThreadPoolExecutor(_PROBE_THREADS, "probe")
@@ -194,6 +197,15 @@
         self._own_state = own_state
         self._heard = heard
 
+    def set_demand_exchange(
+        self,
+        own: Callable[[], list[ModelDemand]],
+        heard: Callable[[str, list[ModelDemand]], None],
+    ) -> None:
+        """Set what probes say of this daemon's demand, and who takes that of peers."""
+        self._own_demands = own
+        self._heard_demands = heard
+
     def set_store_silent(self, silent: Callable[[], bool]) -> None:
         """Set how to tell that the table service does not answer."""
         self._store_silent = silent
@@ -250,12 +262,14 @@
         self._merge([sender, *map(from_update, request.updates)])
         state = PeerState(request.config_version, request.withdrawals_digest)
         self._heard(sender.vm, state)
+        self._heard_demands(sender.vm, request.demands or [])
         own = self._own_state()
         return ProbeReply(
             sender=to_update(self.self_member),
             config_version=own.config_version,
             withdrawals_digest=own.withdrawals_digest,
             updates=self._take_updates(sender.vm),
+            demands=self._own_demands(),
         )
 
     def answer_probe_via(self, host: str, peer_port: int) -> bool:
@@ -446,6 +460,7 @@
             config_version=own.config_version,
             withdrawals_digest=own.withdrawals_digest,
             updates=self._take_updates(receiver),
+            demands=self._own_demands(),
         )
 
     def _take_reply(self, reply: ProbeReply) -> PeerState:
@@ -453,6 +468,7 @@
         self._merge([sender, *map(from_update, reply.updates)])
         state = PeerState(reply.config_version, reply.withdrawals_digest)
         self._heard(sender.vm, state)
+        self._heard_demands(sender.vm, reply.demands or [])
         return state
 
     def _send_probe(
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement_holds.py
@@ -0,0 +1,30 @@
+"""Models that get no new request on a worker because an order is about to change them."""
+
+import threading
+from collections.abc import Iterable
+
+from trefoilreach._internal.clock import Clock
+
+
+class Holds:
+    """Holds by worker and model; each ends by itself if nobody ends it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._ends: dict[tuple[str, str], float] = {}
+
+    def hold(self, worker: str, models: Iterable[str], seconds: float) -> None:
+        """Hold requests back for a time, which replaces an earlier one."""
+        with self._lock:
+            now = self._clock.now()
+            self._ends = {place: end for place, end in self._ends.items() if end > now}
+            for model in models:
+                self._ends[worker, model] = now + seconds
+
+    def is_held(self, worker: str, model: str) -> bool:
+        """Return whether a worker gets no new request for a model."""
+        if not self._ends:
+            return False
+        with self._lock:
+            return self._ends.get((worker, model), float("-inf")) > self._clock.now()
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -21,6 +21,7 @@
 from trefoilreach._internal.coordination.isolation import Isolation
 from trefoilreach._internal.coordination.keys import Streams
 from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.placement import Placement, PlacementTools
 from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
 from trefoilreach._internal.coordination.reporter import Reporter
 from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
@@ -31,6 +32,7 @@
 from trefoilreach._internal.state.objects import object_stores
 from trefoilreach._internal.state.table import tables
 from trefoilreach._internal.state.vms import vm_lists
+from trefoilreach._internal.state.weights import weight_stores
 from trefoilreach._internal.transport.engine import HttpEngine
 from trefoilreach._internal.transport.http_server import HttpServer
 from trefoilreach._internal.transport.peer_handler import PeerHandlers
@@ -64,6 +66,7 @@
         self._start_fleet(parts, stack)
         parts.dispatcher.start(stack)
         parts.dispatcher.guard.start(stack)
+        parts.placement.start(stack)
         parts.idempotency.start(stack)
         server = HttpServer(
             Application(parts),
@@ -83,6 +86,8 @@
         daemon, sync, membership = self._settings.daemon, parts.config_sync, parts.membership
         membership.set_exchange(sync.state, sync.hear)
         membership.set_store_silent(sync.store_silent)
+        demand = parts.dispatcher.backends.demand
+        membership.set_demand_exchange(demand.own, demand.hear)
         sync.withdrawals.add_listener(parts.streams.close_keys)
         self._record_changes(parts, stack)
         handlers = PeerHandlers(
@@ -94,6 +99,7 @@
             online_started=parts.batches.feed.note_online,
             cancel_job=parts.batches.runner.cancel_job,
             suspects=parts.dispatcher.guard.hear,
+            hold_back=parts.placement.holds.answer,
         )
         peer_server = PeerServer(handlers, daemon.host, daemon.peer_port, membership.traffic)
         stack.callback(peer_server.close)
@@ -104,6 +110,7 @@
         parts.batches.start(stack)
         parts.drain.add_hook("quota", parts.quota.hand_back)
         parts.drain.add_hook("batch", parts.batches.runner.stop)
+        parts.drain.add_hook("placement", parts.placement.stop)
         parts.isolation.start(stack)
         reporter = Reporter(self._clock, parts.metrics, parts.config, membership, parts.streams)
         reporter.start(stack)
@@ -133,7 +140,7 @@
         vm_list = vm_lists.get(platform.kind)(platform.url, platform.timeout)
         membership = Membership(self._clock, settings.daemon, fleet, vm_list)
         sync = ConfigSync(self._clock, table, objects, config, fleet.poll_interval, membership)
-        tools = QuotaTools(settings.quota, self._clock, config, membership, table)
+        quota_tools = QuotaTools(settings.quota, self._clock, config, membership, table)
         streams = Streams()
         batches = build_batches(settings, self._clock, table, objects, config, engine, membership)
         backends = Backends(self._clock, settings, config, lambda: len(membership.live()))
@@ -143,11 +150,17 @@
         guard = CrashGuard(self._clock, table, membership)
         dispatcher = Dispatcher(self._clock, settings, config, engine, backends, guard)
         batches.feed.guard = guard
+        batches.feed.is_held = backends.holds.is_held
+        metrics = open_metrics(settings.metrics, stack)
+        weights = weight_stores.get(platform.kind)(platform.url, platform.timeout)
+        tools = PlacementTools(self._clock, table, engine, weights, metrics)
+        placement = Placement(tools, settings, config, backends, membership)
+        backends.also_polled = placement.own_workers
         service = HttpService(self._clock, settings.routing.connect_timeout)
         return Parts(
             settings=settings,
             clock=self._clock,
-            metrics=open_metrics(settings.metrics, stack),
+            metrics=metrics,
             table=table,
             objects=objects,
             config=config,
@@ -156,12 +169,13 @@
             idempotency=Idempotency(self._clock, table, objects, membership),
             services=ServiceDispatcher(self._clock, service, backends, dispatcher),
             membership=membership,
-            quota=quota_policies.get(settings.quota.policy)(tools),
+            quota=quota_policies.get(settings.quota.policy)(quota_tools),
             entrypoints=EntryPoints(membership),
             streams=streams,
             isolation=Isolation(self._clock, sync, membership, streams, fleet.isolation),
             drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
             batches=batches,
+            placement=placement,
             audit=Audit(self._clock, objects, settings.daemon.name, lambda: len(membership.live())),
         )
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -85,6 +85,16 @@
         """
         pass
 
+    def hold_back(self, worker, models, seconds):
+        """
+        Parameters:
+         - worker
+         - models
+         - seconds
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -347,6 +357,42 @@
         iprot.readMessageEnd()
         return
 
+    def hold_back(self, worker, models, seconds):
+        """
+        Parameters:
+         - worker
+         - models
+         - seconds
+
+        """
+        self.send_hold_back(worker, models, seconds)
+        return self.recv_hold_back()
+
+    def send_hold_back(self, worker, models, seconds):
+        self._oprot.writeMessageBegin('hold_back', TMessageType.CALL, self._seqid)
+        args = hold_back_args()
+        args.worker = worker
+        args.models = models
+        args.seconds = seconds
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hold_back(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hold_back_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hold_back failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -360,6 +406,7 @@
         self._processMap["online_started"] = Processor.process_online_started
         self._processMap["cancel_job"] = Processor.process_cancel_job
         self._processMap["suspects"] = Processor.process_suspects
+        self._processMap["hold_back"] = Processor.process_hold_back
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -566,6 +613,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_hold_back(self, seqid, iprot, oprot):
+        args = hold_back_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hold_back_result()
+        try:
+            result.success = self._handler.hold_back(args.worker, args.models, args.seconds)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hold_back", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -852,11 +922,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Withdrawal()
-                        _elem61.read(iprot)
-                        self.withdrawals.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Withdrawal()
+                        _elem75.read(iprot)
+                        self.withdrawals.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -873,8 +943,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter62 in self.withdrawals:
-                iter62.write(oprot)
+            for iter76 in self.withdrawals:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1455,11 +1525,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Suspect()
-                        _elem68.read(iprot)
-                        self.suspects.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Suspect()
+                        _elem82.read(iprot)
+                        self.suspects.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1476,8 +1546,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter69 in self.suspects:
-                iter69.write(oprot)
+            for iter83 in self.suspects:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1544,5 +1614,160 @@
 all_structs.append(suspects_result)
 suspects_result.thrift_spec = (
 )
+
+
+class hold_back_args(object):
+    """
+    Attributes:
+     - worker
+     - models
+     - seconds
+
+    """
+
+
+    def __init__(self, worker=None, models=None, seconds=None,):
+        self.worker = worker
+        self.models = models
+        self.seconds = seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.models = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_back_args')
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 1)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.models is not None:
+            oprot.writeFieldBegin('models', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.models))
+            for iter90 in self.models:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_back_args)
+hold_back_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.DOUBLE, 'seconds', None, None, ),  # 3
+)
+
+
+class hold_back_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.DOUBLE:
+                    self.success = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_back_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.DOUBLE, 0)
+            oprot.writeDouble(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_back_result)
+hold_back_result.thrift_spec = (
+    (0, TType.DOUBLE, 'success', None, None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -171,6 +171,85 @@
         return not (self == other)
 
 
+class ModelDemand(object):
+    """
+    Attributes:
+     - model
+     - requests
+     - traffic_age
+
+    """
+
+
+    def __init__(self, model=None, requests=None, traffic_age=None,):
+        self.model = model
+        self.requests = requests
+        self.traffic_age = traffic_age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.requests = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.traffic_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ModelDemand')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.DOUBLE, 2)
+            oprot.writeDouble(self.requests)
+            oprot.writeFieldEnd()
+        if self.traffic_age is not None:
+            oprot.writeFieldBegin('traffic_age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.traffic_age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProbeRequest(object):
     """
     Attributes:
@@ -178,15 +257,17 @@
      - config_version
      - withdrawals_digest
      - updates
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, demands=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -224,6 +305,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = ModelDemand()
+                        _elem11.read(iprot)
+                        self.demands.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -249,8 +341,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter6 in self.updates:
-                iter6.write(oprot)
+            for iter12 in self.updates:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter13 in self.demands:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -278,15 +377,17 @@
      - config_version
      - withdrawals_digest
      - updates
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, demands=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -316,11 +417,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = MemberUpdate()
-                        _elem12.read(iprot)
-                        self.updates.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = MemberUpdate()
+                        _elem19.read(iprot)
+                        self.updates.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = ModelDemand()
+                        _elem25.read(iprot)
+                        self.demands.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -349,8 +461,15 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter13 in self.updates:
-                iter13.write(oprot)
+            for iter26 in self.updates:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter27 in self.demands:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -476,11 +595,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Withdrawal()
-                        _elem19.read(iprot)
-                        self.withdrawals.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Withdrawal()
+                        _elem33.read(iprot)
+                        self.withdrawals.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -505,8 +624,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter20 in self.withdrawals:
-                iter20.write(oprot)
+            for iter34 in self.withdrawals:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -842,33 +961,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = QuotaDemand()
-                        _elem26.read(iprot)
-                        self.demands.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = QuotaDemand()
+                        _elem40.read(iprot)
+                        self.demands.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = QuotaReturn()
-                        _elem32.read(iprot)
-                        self.returns.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = QuotaReturn()
+                        _elem46.read(iprot)
+                        self.returns.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recalls = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = QuotaRecall()
-                        _elem38.read(iprot)
-                        self.recalls.append(_elem38)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = QuotaRecall()
+                        _elem52.read(iprot)
+                        self.recalls.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -903,22 +1022,22 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter39 in self.demands:
-                iter39.write(oprot)
+            for iter53 in self.demands:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter40 in self.returns:
-                iter40.write(oprot)
+            for iter54 in self.returns:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recalls is not None:
             oprot.writeFieldBegin('recalls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recalls))
-            for iter41 in self.recalls:
-                iter41.write(oprot)
+            for iter55 in self.recalls:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1095,22 +1214,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = QuotaLoan()
-                        _elem47.read(iprot)
-                        self.loans.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = QuotaLoan()
+                        _elem61.read(iprot)
+                        self.loans.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = QuotaReturn()
-                        _elem53.read(iprot)
-                        self.returns.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = QuotaReturn()
+                        _elem67.read(iprot)
+                        self.returns.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1141,15 +1260,15 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter54 in self.loans:
-                iter54.write(oprot)
+            for iter68 in self.loans:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter55 in self.returns:
-                iter55.write(oprot)
+            for iter69 in self.returns:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1267,6 +1386,13 @@
     (7, TType.I64, 'incarnation', None, None, ),  # 7
     (8, TType.I32, 'state', None, None, ),  # 8
 )
+all_structs.append(ModelDemand)
+ModelDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'requests', None, None, ),  # 2
+    (3, TType.DOUBLE, 'traffic_age', None, None, ),  # 3
+)
 all_structs.append(ProbeRequest)
 ProbeRequest.thrift_spec = (
     None,  # 0
@@ -1274,6 +1400,7 @@
     (2, TType.I64, 'config_version', None, None, ),  # 2
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
+    (5, TType.LIST, 'demands', (TType.STRUCT, [ModelDemand, None], False), None, ),  # 5
 )
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
@@ -1282,6 +1409,7 @@
     (2, TType.I64, 'config_version', None, None, ),  # 2
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
+    (5, TType.LIST, 'demands', (TType.STRUCT, [ModelDemand, None], False), None, ),  # 5
 )
 all_structs.append(Withdrawal)
 Withdrawal.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -21,11 +21,19 @@
   8: MemberState state,
 }
 
+// Online demand for one model.
+struct ModelDemand {
+  1: string model,
+  2: double requests,     // requests at a time that the sender's callers want
+  3: double traffic_age,  // since the last request that the sender knows of, on any daemon
+}
+
 struct ProbeRequest {
   1: MemberUpdate sender,
   2: i64 config_version,
   3: i64 withdrawals_digest,
   4: list<MemberUpdate> updates,
+  5: optional list<ModelDemand> demands,
 }
 
 struct ProbeReply {
@@ -33,6 +41,7 @@
   2: i64 config_version,
   3: i64 withdrawals_digest,
   4: list<MemberUpdate> updates,
+  5: optional list<ModelDemand> demands,
 }
 
 struct Withdrawal {
@@ -119,4 +128,7 @@
   i32 online_started(1: string worker, 2: i32 count),
   void cancel_job(1: string job_id),
   void suspects(1: list<Suspect> suspects),
+  // Sends the worker no new request for the models during the given time, which replaces
+  // an earlier one; the answer is the time since the receiver's last request for one of them.
+  double hold_back(1: string worker, 2: list<string> models, 3: double seconds),
 }
--- a/packages/trefoilreach/src/trefoilreach/_internal/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/settings.py
@@ -177,6 +177,16 @@
     scan_interval: Annotated[float, duration(0.1, 60)] = 2.0
 
 
+class PlacementSettings(NamedTuple):
+    """Section ``[placement]``: orders to engines; equal on all VMs."""
+
+    enabled: Annotated[str, choice("yes", "no")] = "yes"
+    interval: Annotated[float, duration(0.1, 60)] = 1.0
+    lease: Annotated[float, duration(14, 600)] = 20.0
+    drain: Annotated[float, duration(0.1, 5)] = 5.0
+    patience: Annotated[float, duration(1, 600)] = 10.0
+
+
 class LogSettings(NamedTuple):
     """Section ``[log]``: where the JSON log lines go; ``-`` is standard error."""
 
@@ -201,6 +211,7 @@
     quota: QuotaSettings = QuotaSettings()
     routing: RoutingSettings = RoutingSettings()
     batch: BatchSettings = BatchSettings()
+    placement: PlacementSettings = PlacementSettings()
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
@@ -25,3 +25,4 @@
     online_started: Callable[[str, int], int]
     cancel_job: Callable[[str], None]
     suspects: Callable[[list[Suspect]], None]
+    hold_back: Callable[[str, list[str], float], float]
--- /dev/null
+++ b/tests/unit/placement_world.py
@@ -0,0 +1,305 @@
+"""Workers, a weight store, a table and daemons that place models, all on manual time."""
+
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.backends import Backends
+from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.peers import LIVE, UNREACHABLE, Member, PeerError
+from trefoilreach._internal.coordination.placement import Placement, PlacementTools
+from trefoilreach._internal.metrics import NoMetrics
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.settings import Settings
+from trefoilreach._internal.state.config import ConfigDocument, Route, Server
+from trefoilreach._internal.state.table import (
+    MemoryTable,
+    OutcomeUnknown,
+    StoreUnavailable,
+    Write,
+)
+from trefoilreach._internal.transport.engine import EngineError, LoadReport, Order, OrderOutcome
+
+MODELS = ("a", "b", "c")
+LEASE_SECONDS, QUIET_SECONDS, TRAFFIC_SECONDS = 20.0, 8.0, 60.0
+LOAD_SECONDS, PERMIT_SECONDS = 3.0, 4.0
+DRIFT = 1.01
+# A daemon may count a worker that went away as serving until its last report is too old.
+GRACE_SECONDS = 14.0
+
+
+class Sent(NamedTuple):
+    """An order on its way: when it was sent and when it is carried out."""
+
+    node: str
+    server: str
+    order: Order
+    sent: float
+    ends: float
+    traffic: frozenset[str]
+
+
+class FakeWorker:
+    def __init__(self, models: dict[str, str], check_fencing: bool) -> None:
+        self.versions, self.check_fencing = dict(models), check_fencing
+        self.loading: dict[str, tuple[str, float]] = {}
+        self.fencing = 0
+        self.gone_at = float("inf")
+        self.states: list[tuple[float, dict[str, str], dict[str, str]]] = []
+
+    def note(self, now: float) -> None:
+        for model, (version, end) in list(self.loading.items()):
+            if end <= now:
+                del self.loading[model]
+                self.versions[model] = version
+        loading = {model: version for model, (version, _) in self.loading.items()}
+        self.states.append((now, dict(self.versions), loading))
+        del self.states[:-100]
+
+    def report(self, now: float, lag: float) -> LoadReport:
+        seen = [state for state in self.states if state[0] <= now - lag]
+        _, versions, loading = seen[-1] if seen else self.states[0]
+        return LoadReport(
+            "i", int(now * 1e3), 0, 0, 4, lag, tuple(versions), "mixed", versions, loading
+        )
+
+
+class World:
+    """Checks each order when it is sent and when it is carried out."""
+
+    def __init__(self, checking: bool, lag: float) -> None:
+        self.now, self.lag = 0.0, lag
+        self.failures: list[AssertionError] = []
+        self.table = MemoryTable()
+        self.table_fault = ""
+        self.held_back: list[list[Write]] = []
+        self.grants: dict[tuple[str, str], float] = {}
+        self.order_fault: tuple[str, float] = ("", 0.0)
+        self.orders: list[Sent] = []
+        self.under_way: list[Sent] = []
+        self.applied: dict[str, int] = {}
+        self.traffic: dict[str, float] = {}
+        # Requests a second, each of 1 s, by model and daemon.
+        self.callers: dict[str, tuple[int, int]] = {}
+        self.permits: list[tuple[str, str, str]] = []
+        self.permit_free, self.permit_lost = 0.0, False
+        self.told_to_wait: dict[str, float] = {}
+        loaded = ("ab", "ac", "ab")
+        self.workers = {
+            f"w{n}": FakeWorker(dict.fromkeys(models, "1"), checking)
+            for n, models in enumerate(loaded)
+        }
+        self.document = ConfigDocument(
+            version=1,
+            routes=tuple(Route(model, version="1") for model in MODELS),
+            servers=tuple(
+                Server(name, "engine", "127.0.0.1", n + 1, MODELS, slots=4, model_limit=2)
+                for n, name in enumerate(self.workers)
+            ),
+        )
+        self.nodes = [Node(self, f"vm{n}", 1.0 + 0.003 * (n - 1)) for n in range(3)]
+        self.advance(1.0)
+
+    def configure(self, **changed: Any) -> None:
+        self.document = self.document._replace(version=self.document.version + 1, **changed)
+        for node in self.nodes:
+            node.config.adopt(self.document)
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for node in self.nodes:
+            node.clock.advance(seconds * node.speed)
+        for sent in [entry for entry in self.under_way if entry.ends <= self.now]:
+            self.under_way.remove(sent)
+            self.apply(sent)
+        for worker in self.workers.values():
+            worker.note(self.now)
+
+    def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            self.advance(1.0)
+            for model, (at, count) in self.callers.items():
+                self.ask(self.nodes[at], model, count)
+            for node in self.nodes:
+                if self.now >= node.frozen_until:
+                    node.tick()
+            # Placement logs any error and goes on, so failed checks are raised here.
+            if self.failures:
+                raise self.failures[0]
+
+    def ask(self, node: "Node", model: str, count: int) -> None:
+        if count and self.now >= node.frozen_until:
+            self.traffic[model] = self.now
+            for _ in range(count):
+                node.backends.demand.note_arrival(model)
+
+    def commit(self, node: str, writes: list[Write]) -> Any:
+        fault, self.table_fault = self.table_fault, ""
+        if fault == "down":
+            return Err(StoreUnavailable("down"))
+        if fault == "late":
+            self.held_back.append(writes)
+            return Err(OutcomeUnknown("late"))
+        done = self.table.commit(writes)
+        if isinstance(done, Ok) and writes[0].value and writes[0].value["holder"]:
+            self.grants[node, writes[0].key] = self.now
+        return Err(OutcomeUnknown("lost")) if fault == "lost" else done
+
+    def send(self, node: str, server: str, order: Order) -> Result[OrderOutcome, EngineError]:
+        kind, delay = self.order_fault
+        self.order_fault = ("", 0.0)
+        if kind == "refused":
+            return Err(EngineError("refused", Verdict.NOT_RUN, gone=True))
+        recent = frozenset(
+            model for model, at in self.traffic.items() if self.now - at < TRAFFIC_SECONDS
+        )
+        sent = Sent(node, server, order, self.now, self.now + delay, recent)
+        self.check_leases(sent)
+        self.check_overlap(sent)
+        self.check_permit(sent)
+        self.orders.append(sent)
+        if kind == "lost":
+            self.under_way.append(sent)
+            return Err(EngineError("no answer", Verdict.MAY_HAVE_RUN, silent=True))
+        return Ok(OrderOutcome(self.apply(sent), order.fencing))
+
+    def check_leases(self, sent: Sent) -> None:
+        for key in (f"order/{sent.server}", f"order/model/{sent.order.model}"):
+            granted = self.grants.get((sent.node, key), float("-inf"))
+            left = granted + LEASE_SECONDS * DRIFT - self.now
+            assert left > QUIET_SECONDS, f"{sent} with {left} s left of {key}"
+
+    def check_overlap(self, sent: Sent) -> None:
+        for other in self.orders:
+            same = sent.server == other.server or sent.order.model == other.order.model
+            if same and other.node != sent.node:
+                assert other.ends <= sent.sent, f"{other} overlaps {sent}"
+
+    def check_permit(self, sent: Sent) -> None:
+        if sent.order.action == "load":
+            permit = (sent.node, sent.order.model, sent.server)
+            assert permit in self.permits, f"{sent} has no permit"
+            self.permits.remove(permit)
+
+    def request_permit(self, node: str, model: str, server: str) -> Result[float, Any]:
+        assert self.now * DRIFT >= self.told_to_wait.get(node, 0.0), "the wait is not obeyed"
+        lost, self.permit_lost = self.permit_lost, False
+        wait = max(0.0, self.permit_free - self.now)
+        if wait == 0.0:
+            self.permit_free = self.now + PERMIT_SECONDS
+        if lost:
+            return Err(OutcomeUnknown("lost"))
+        if wait == 0.0:
+            self.permits.append((node, model, server))
+        self.told_to_wait[node] = self.now + wait
+        return Ok(wait)
+
+    def apply(self, sent: Sent) -> str:
+        worker, order = self.workers[sent.server], sent.order
+        if worker.check_fencing and order.fencing < worker.fencing:
+            return "stale"
+        assert order.fencing >= worker.fencing, f"{sent} after {worker.fencing}"
+        worker.fencing = order.fencing
+        if order.model in worker.versions:
+            self.check_last(sent)
+            del worker.versions[order.model]
+        if order.action == "unload":
+            return "done"
+        held = {*worker.versions, *worker.loading, order.model}
+        if worker.loading or len(held) > 2:
+            return "refused"
+        worker.loading[order.model] = (order.version, self.now + LOAD_SECONDS)
+        return "accepted"
+
+    def check_last(self, sent: Sent) -> None:
+        """A model with traffic is never stopped on the only worker that serves it."""
+        others = [
+            name
+            for name, worker in self.workers.items()
+            if name != sent.server
+            and sent.order.model in worker.versions
+            and self.now - worker.gone_at < GRACE_SECONDS
+        ]
+        assert others or sent.order.model not in sent.traffic, f"{sent} stops the last replica"
+
+
+class _Link:
+    """What one daemon has of the outside: table, engine, weights, peers."""
+
+    def __init__(self, world: World, vm: str) -> None:
+        self.world, self.vm = world, vm
+        self.hidden: set[str] = set()
+
+    def get(self, key: str) -> Any:
+        return self.world.table.get(key)
+
+    def commit(self, writes: list[Write]) -> Any:
+        return self.world.commit(self.vm, writes)
+
+    def order(self, server: Server, order: Order) -> Any:
+        return self.checked(lambda: self.world.send(self.vm, server.name, order))
+
+    def request_permit(self, model: str, worker: str) -> Any:
+        return self.checked(lambda: self.world.request_permit(self.vm, model, worker))
+
+    def checked(self, action: Any) -> Any:
+        try:
+            return action()
+        except AssertionError as failure:
+            self.world.failures.append(failure)
+            raise
+
+    def member(self, vm: str) -> Member:
+        state = UNREACHABLE if vm in self.hidden else LIVE
+        return Member(vm, "127.0.0.1", 1, 2, "d", "r", 1, state)
+
+    @property
+    def self_member(self) -> Member:
+        return self.member(self.vm)
+
+    def members(self) -> list[Member]:
+        return [self.member(node.vm) for node in self.world.nodes if node.vm != self.vm]
+
+    def live(self) -> list[Member]:
+        others = [member for member in self.members() if member.state == LIVE]
+        return [self.self_member, *others]
+
+    def broadcast(self, action: Any, timeout: float) -> dict[str, Result[Any, PeerError]]:
+        answers: dict[str, Result[Any, PeerError]] = {}
+        for node in self.world.nodes:
+            if node.vm != self.vm and node.vm not in self.hidden:
+                frozen = self.world.now < node.frozen_until
+                answers[node.vm] = Err(PeerError("frozen")) if frozen else Ok(action(node))
+        return answers
+
+
+class Node:
+    """One daemon's placement, ticked by the world."""
+
+    def __init__(self, world: World, vm: str, speed: float) -> None:
+        self.world, self.vm, self.speed = world, vm, speed
+        self.clock, self.config = ManualClock(), ConfigHolder()
+        self.config.adopt(world.document)
+        self.frozen_until = float("-inf")
+        self.link = _Link(world, vm)
+        settings = Settings()
+        settings = settings._replace(daemon=settings.daemon._replace(name=vm))
+        self.backends = Backends(self.clock, settings, self.config, lambda: len(self.link.live()))
+        link: Any = self.link
+        tools = PlacementTools(self.clock, link, link, link, NoMetrics())
+        self.placement = Placement(tools, settings, self.config, self.backends, link)
+
+    def hold_back(self, server: str, models: list[str], seconds: float) -> float:
+        return self.placement.holds.answer(server, models, seconds)
+
+    def tick(self) -> None:
+        for name, worker in self.world.workers.items():
+            if self.world.now < worker.gone_at:
+                self.backends.health.mark_alive(name)
+                self.backends.load.report(name, worker.report(self.world.now, self.world.lag))
+            else:
+                self.backends.health.mark_silent(name)
+        for node in self.world.nodes:
+            if node is not self and node.vm not in self.link.hidden:
+                self.backends.demand.hear(node.vm, node.backends.demand.own())
+        self.placement.tick()
