--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/engine.py
@@ -12,6 +12,7 @@
 import orjson
 import xxhash
 
+from trefoilreach_emulator._internal.engine_models import EngineModels, ModelOptions
 from trefoilreach_emulator._internal.server import Exchange
 
 # Prompts that contain these words change what the emulator does with them.
@@ -33,6 +34,7 @@
     :param cache_entries: prompt prefixes kept.
     :param silence: how long a prompt with the mark for it gets no token, after the second.
     :param crossed: gives two requests that arrive together each other's answers.
+    :param models: see :class:`ModelOptions`, as for the last three.
     """
 
     models: tuple[str, ...] = ("m",)
@@ -44,6 +46,8 @@
     check_fencing: bool = False
     silence: float = 600.0
     crossed: bool = False
+    model_limit: int = 0
+    load_seconds: float = 0.0
 
 
 class _Answered(NamedTuple):
@@ -87,11 +91,12 @@
         self._instance = uuid.uuid4().hex
         self._lock = threading.Lock()
         self._running: dict[str, threading.Event] = {}
-        self._models = list(options.models)
+        self._models = EngineModels(
+            ModelOptions(
+                options.models, options.model_limit, options.load_seconds, options.check_fencing
+            )
+        )
         self._crossing = _Crossing()
-        self._role = "mixed"
-        self._fencing = 0
-        self._orders: list[dict[str, Any]] = []
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._events: deque[dict[str, Any]] = deque(maxlen=_EVENT_HISTORY)
         self._event_sequence = 0
@@ -120,7 +125,7 @@
         request_id = exchange.headers.get("X-Request-Id") or f"cmpl-{uuid.uuid4().hex}"
         text = _read_prompt(body)
         self._record(request_id, exchange)
-        if body.get("model") not in self._models:
+        if not self._models.has(body.get("model")):
             exchange.reply({"error": {"message": f"no model {body.get('model')!r}"}}, 404)
             return
         if IMPOSSIBLE_MARK in text:
@@ -251,8 +256,7 @@
                 "waiting": max(0, total - self._options.slots),
                 "slots": self._options.slots,
                 "age_seconds": self._options.load_lag,
-                "models": list(self._models),
-                "state": self._role,
+                **self._models.report(moment),
             }
         exchange.reply(report)
 
@@ -263,30 +267,11 @@
         exchange.reply({"events": events})
 
     def _take_order(self, exchange: Exchange) -> None:
-        order = exchange.json()
-        with self._lock:
-            stale = order["fencing"] < self._fencing
-            if stale and self._options.check_fencing:
-                status = "stale"
-            else:
-                status = "done"
-                self._fencing = max(self._fencing, order["fencing"])
-                self._apply_order(order)
-            self._orders.append({**order, "status": status})
-            reply = {"status": status, "fencing": self._fencing}
-        exchange.reply(reply)
-
-    def _apply_order(self, order: dict[str, Any]) -> None:
-        if order["action"] == "load" and order["model"] not in self._models:
-            self._models.append(order["model"])
-        elif order["action"] == "unload" and order["model"] in self._models:
-            self._models.remove(order["model"])
-        elif order["action"] == "role":
-            self._role = order["model"]
+        exchange.reply(self._models.take_order(exchange.json()))
 
     def _report_seen(self, exchange: Exchange) -> None:
         with self._lock:
-            seen = {"requests": list(self._seen), "orders": list(self._orders)}
+            seen = {"requests": list(self._seen), "orders": self._models.orders()}
         exchange.reply(seen)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
@@ -50,6 +50,7 @@
         on_change: Callable[[], None],
     ) -> None:
         self.note_batch: Callable[[str, int], None] = lambda worker, count: None
+        self.is_held: Callable[[str, str], bool] = lambda worker, model: False
         self._clock = clock
         self._engine = engine
         self._config = config
@@ -127,7 +128,8 @@
         with self._changed:
             for share in self._shares.values():
                 for model in share.server.routes if share.is_up(now) else ():
-                    slots[model] = slots.get(model, 0) + share.server.slots
+                    if self._can_run(share, model):
+                        slots[model] = slots.get(model, 0) + share.server.slots
         return slots
 
     def add(self, held: HeldChunk) -> None:
@@ -230,9 +232,9 @@
         for share in self._shares.values():
             share.adjust(now)
             self.note_batch(share.server.name, share.reported_batch())
-        choose_trial_workers(self._shares.values(), self._held.values(), now)
+        choose_trial_workers(self._shares.values(), self._held.values(), self._can_run, now)
         for share in self._shares.values():
-            task = take_trial(share, self._held.values(), now)
+            task = take_trial(share, self._held.values(), self._can_run, now)
             while task is not None or share.room(now) > 0:
                 task = task or self._pick(share)
                 if task is None:
@@ -252,7 +254,7 @@
         """Take the next item that the worker can serve, fair between accounts."""
         ready: dict[str, list[HeldChunk]] = {}
         for held in self._held.values():
-            if held.todo and not held.ending and held.model in share.server.routes:
+            if held.todo and not held.ending and self._can_run(share, held.model):
                 ready.setdefault(held.job.account, []).append(held)
         if not ready:
             return None
@@ -261,6 +263,9 @@
         self._turns.charge(account, 1, self._rate(account))
         return held.todo.popleft()
 
+    def _can_run(self, share: WorkerShare, model: str) -> bool:
+        return share.carries(model) and not self.is_held(share.server.name, model)
+
     def _rate(self, account: str) -> float:
         found = self._config.view.accounts.get(account)
         return found.rate if found is not None else 1.0
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
@@ -25,7 +25,7 @@
 )
 from trefoilreach._internal.coordination.probe_messages import ProbeMessages
 from trefoilreach._internal.coordination.probing import Prober
-from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply, ProbeRequest
+from trefoilreach._internal.protocol.gen.peer.ttypes import ModelDemand, ProbeReply, ProbeRequest
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings
 from trefoilreach._internal.state.vms import Vm, VmList
 from trefoilreach._internal.transport.peer_traffic import PeerTraffic
@@ -100,6 +100,15 @@
         self._messages.own_state = own_state
         self._messages.heard = heard
 
+    def set_demand_exchange(
+        self,
+        own: Callable[[], list[ModelDemand]],
+        heard: Callable[[str, list[ModelDemand]], None],
+    ) -> None:
+        """Set what probes say of this daemon's demand, and who takes that of peers."""
+        self._messages.own_demands = own
+        self._messages.heard_demands = heard
+
     def set_store_silent(self, silent: Callable[[], bool]) -> None:
         """Set how to tell that the table service does not answer."""
         self._prober.store_silent = silent
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
@@ -5,7 +5,7 @@
 from trefoilreach._internal.coordination.member_table import MemberTable
 from trefoilreach._internal.coordination.member_wire import from_update, to_update
 from trefoilreach._internal.coordination.peers import PeerState, RouteLoad
-from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply, ProbeRequest
+from trefoilreach._internal.protocol.gen.peer.ttypes import ModelDemand, ProbeReply, ProbeRequest
 from trefoilreach._internal.protocol.gen.peer.ttypes import RouteLoad as RouteLoadMessage
 
 # Per message, so that its size does not grow with the number of routes.
@@ -21,6 +21,8 @@
     def __init__(self, table: MemberTable) -> None:
         self.own_state: Callable[[], PeerState] = lambda: PeerState(0, 0)
         self.heard: Callable[[str, PeerState], None] = lambda vm, state: None
+        self.own_demands: Callable[[], list[ModelDemand]] = list
+        self.heard_demands: Callable[[str, list[ModelDemand]], None] = lambda vm, demands: None
         self._table = table
 
     def make_request(self, receiver: str | None) -> ProbeRequest:
@@ -32,6 +34,7 @@
             withdrawals_digest=own.withdrawals_digest,
             updates=self._table.take_updates(receiver),
             routes=to_route_loads(own),
+            demands=self.own_demands(),
         )
 
     def take_reply(self, reply: ProbeReply) -> PeerState:
@@ -40,6 +43,7 @@
         self._table.merge([sender, *map(from_update, reply.updates)])
         state = to_state(reply)
         self.heard(sender.vm, state)
+        self.heard_demands(sender.vm, reply.demands or [])
         return state
 
     def answer(self, request: ProbeRequest) -> ProbeReply:
@@ -48,6 +52,7 @@
         self._table.merge([sender, *map(from_update, request.updates)])
         state = to_state(request)
         self.heard(sender.vm, state)
+        self.heard_demands(sender.vm, request.demands or [])
         own = self.own_state()
         return ProbeReply(
             sender=to_update(self._table.own),
@@ -55,6 +60,7 @@
             withdrawals_digest=own.withdrawals_digest,
             updates=self._table.take_updates(sender.vm),
             routes=to_route_loads(own),
+            demands=self.own_demands(),
         )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer.py
@@ -103,6 +103,16 @@
         """
         pass
 
+    def hold_back(self, worker, models, seconds):
+        """
+        Parameters:
+         - worker
+         - models
+         - seconds
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -431,6 +441,42 @@
         iprot.readMessageEnd()
         return
 
+    def hold_back(self, worker, models, seconds):
+        """
+        Parameters:
+         - worker
+         - models
+         - seconds
+
+        """
+        self.send_hold_back(worker, models, seconds)
+        return self.recv_hold_back()
+
+    def send_hold_back(self, worker, models, seconds):
+        self._oprot.writeMessageBegin('hold_back', TMessageType.CALL, self._seqid)
+        args = hold_back_args()
+        args.worker = worker
+        args.models = models
+        args.seconds = seconds
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hold_back(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hold_back_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hold_back failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -446,6 +492,7 @@
         self._processMap["suspects"] = Processor.process_suspects
         self._processMap["claim_run"] = Processor.process_claim_run
         self._processMap["end_run"] = Processor.process_end_run
+        self._processMap["hold_back"] = Processor.process_hold_back
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -698,6 +745,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_hold_back(self, seqid, iprot, oprot):
+        args = hold_back_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hold_back_result()
+        try:
+            result.success = self._handler.hold_back(args.worker, args.models, args.seconds)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hold_back", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -984,11 +1054,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Withdrawal()
-                        _elem89.read(iprot)
-                        self.withdrawals.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Withdrawal()
+                        _elem103.read(iprot)
+                        self.withdrawals.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1005,8 +1075,8 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter90 in self.withdrawals:
-                iter90.write(oprot)
+            for iter104 in self.withdrawals:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1599,11 +1669,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Suspect()
-                        _elem96.read(iprot)
-                        self.suspects.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Suspect()
+                        _elem110.read(iprot)
+                        self.suspects.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1620,8 +1690,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter97 in self.suspects:
-                iter97.write(oprot)
+            for iter111 in self.suspects:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1931,5 +2001,160 @@
 all_structs.append(end_run_result)
 end_run_result.thrift_spec = (
 )
+
+
+class hold_back_args(object):
+    """
+    Attributes:
+     - worker
+     - models
+     - seconds
+
+    """
+
+
+    def __init__(self, worker=None, models=None, seconds=None,):
+        self.worker = worker
+        self.models = models
+        self.seconds = seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.models = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_back_args')
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 1)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.models is not None:
+            oprot.writeFieldBegin('models', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.models))
+            for iter118 in self.models:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_back_args)
+hold_back_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.DOUBLE, 'seconds', None, None, ),  # 3
+)
+
+
+class hold_back_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.DOUBLE:
+                    self.success = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hold_back_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.DOUBLE, 0)
+            oprot.writeDouble(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hold_back_result)
+hold_back_result.thrift_spec = (
+    (0, TType.DOUBLE, 'success', None, None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/ttypes.py
@@ -250,6 +250,85 @@
         return not (self == other)
 
 
+class ModelDemand(object):
+    """
+    Attributes:
+     - model
+     - requests
+     - traffic_age
+
+    """
+
+
+    def __init__(self, model=None, requests=None, traffic_age=None,):
+        self.model = model
+        self.requests = requests
+        self.traffic_age = traffic_age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.requests = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.traffic_age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ModelDemand')
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 1)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.DOUBLE, 2)
+            oprot.writeDouble(self.requests)
+            oprot.writeFieldEnd()
+        if self.traffic_age is not None:
+            oprot.writeFieldBegin('traffic_age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.traffic_age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProbeRequest(object):
     """
     Attributes:
@@ -258,16 +337,18 @@
      - withdrawals_digest
      - updates
      - routes
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None, demands=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
         self.routes = routes
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -316,6 +397,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = ModelDemand()
+                        _elem17.read(iprot)
+                        self.demands.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -341,15 +433,22 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter12 in self.updates:
-                iter12.write(oprot)
+            for iter18 in self.updates:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter13 in self.routes:
-                iter13.write(oprot)
+            for iter19 in self.routes:
+                iter19.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter20 in self.demands:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -378,16 +477,18 @@
      - withdrawals_digest
      - updates
      - routes
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None,):
+    def __init__(self, sender=None, config_version=None, withdrawals_digest=None, updates=None, routes=None, demands=None,):
         self.sender = sender
         self.config_version = config_version
         self.withdrawals_digest = withdrawals_digest
         self.updates = updates
         self.routes = routes
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -417,22 +518,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = MemberUpdate()
-                        _elem19.read(iprot)
-                        self.updates.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = MemberUpdate()
+                        _elem26.read(iprot)
+                        self.updates.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = RouteLoad()
-                        _elem25.read(iprot)
-                        self.routes.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = RouteLoad()
+                        _elem32.read(iprot)
+                        self.routes.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = ModelDemand()
+                        _elem38.read(iprot)
+                        self.demands.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -461,15 +573,22 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter26 in self.updates:
-                iter26.write(oprot)
+            for iter39 in self.updates:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter27 in self.routes:
-                iter27.write(oprot)
+            for iter40 in self.routes:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter41 in self.demands:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -597,21 +716,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.withdrawals = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Withdrawal()
-                        _elem33.read(iprot)
-                        self.withdrawals.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Withdrawal()
+                        _elem47.read(iprot)
+                        self.withdrawals.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = iprot.readBinary()
-                        self.changes.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readBinary()
+                        self.changes.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -636,15 +755,15 @@
         if self.withdrawals is not None:
             oprot.writeFieldBegin('withdrawals', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.withdrawals))
-            for iter40 in self.withdrawals:
-                iter40.write(oprot)
+            for iter54 in self.withdrawals:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.changes))
-            for iter41 in self.changes:
-                oprot.writeBinary(iter41)
+            for iter55 in self.changes:
+                oprot.writeBinary(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1050,33 +1169,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = QuotaDemand()
-                        _elem47.read(iprot)
-                        self.demands.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = QuotaDemand()
+                        _elem61.read(iprot)
+                        self.demands.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = QuotaReturn()
-                        _elem53.read(iprot)
-                        self.returns.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = QuotaReturn()
+                        _elem67.read(iprot)
+                        self.returns.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.recalls = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = QuotaRecall()
-                        _elem59.read(iprot)
-                        self.recalls.append(_elem59)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = QuotaRecall()
+                        _elem73.read(iprot)
+                        self.recalls.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1093,11 +1212,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.passed = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = QuotaTokens()
-                        _elem65.read(iprot)
-                        self.passed.append(_elem65)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = QuotaTokens()
+                        _elem79.read(iprot)
+                        self.passed.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1122,22 +1241,22 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter66 in self.demands:
-                iter66.write(oprot)
+            for iter80 in self.demands:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter67 in self.returns:
-                iter67.write(oprot)
+            for iter81 in self.returns:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.recalls is not None:
             oprot.writeFieldBegin('recalls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.recalls))
-            for iter68 in self.recalls:
-                iter68.write(oprot)
+            for iter82 in self.recalls:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1151,8 +1270,8 @@
         if self.passed is not None:
             oprot.writeFieldBegin('passed', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.passed))
-            for iter69 in self.passed:
-                iter69.write(oprot)
+            for iter83 in self.passed:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1321,22 +1440,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loans = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = QuotaLoan()
-                        _elem75.read(iprot)
-                        self.loans.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = QuotaLoan()
+                        _elem89.read(iprot)
+                        self.loans.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = QuotaReturn()
-                        _elem81.read(iprot)
-                        self.returns.append(_elem81)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = QuotaReturn()
+                        _elem95.read(iprot)
+                        self.returns.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1367,15 +1486,15 @@
         if self.loans is not None:
             oprot.writeFieldBegin('loans', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loans))
-            for iter82 in self.loans:
-                iter82.write(oprot)
+            for iter96 in self.loans:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter83 in self.returns:
-                iter83.write(oprot)
+            for iter97 in self.returns:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots_revision is not None:
@@ -1647,6 +1766,13 @@
     (2, TType.DOUBLE, 'weight', None, None, ),  # 2
     (3, TType.I32, 'running', None, None, ),  # 3
 )
+all_structs.append(ModelDemand)
+ModelDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'requests', None, None, ),  # 2
+    (3, TType.DOUBLE, 'traffic_age', None, None, ),  # 3
+)
 all_structs.append(ProbeRequest)
 ProbeRequest.thrift_spec = (
     None,  # 0
@@ -1655,6 +1781,7 @@
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
     (5, TType.LIST, 'routes', (TType.STRUCT, [RouteLoad, None], False), None, ),  # 5
+    (6, TType.LIST, 'demands', (TType.STRUCT, [ModelDemand, None], False), None, ),  # 6
 )
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
@@ -1664,6 +1791,7 @@
     (3, TType.I64, 'withdrawals_digest', None, None, ),  # 3
     (4, TType.LIST, 'updates', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 4
     (5, TType.LIST, 'routes', (TType.STRUCT, [RouteLoad, None], False), None, ),  # 5
+    (6, TType.LIST, 'demands', (TType.STRUCT, [ModelDemand, None], False), None, ),  # 6
 )
 all_structs.append(Withdrawal)
 Withdrawal.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
@@ -28,12 +28,20 @@
   3: i32 running,
 }
 
+// Online demand for one model.
+struct ModelDemand {
+  1: string model,
+  2: double requests,     // requests at a time that the sender's callers want
+  3: double traffic_age,  // since the last request that the sender knows of, on any daemon
+}
+
 struct ProbeRequest {
   1: MemberUpdate sender,
   2: i64 config_version,
   3: i64 withdrawals_digest,
   4: list<MemberUpdate> updates,
   5: list<RouteLoad> routes,
+  6: optional list<ModelDemand> demands,
 }
 
 struct ProbeReply {
@@ -42,6 +50,7 @@
   3: i64 withdrawals_digest,
   4: list<MemberUpdate> updates,
   5: list<RouteLoad> routes,
+  6: optional list<ModelDemand> demands,
 }
 
 struct Withdrawal {
@@ -152,4 +161,7 @@
   // Sent to the daemon that rendezvous hashing chooses for the fingerprint.
   RunReply claim_run(1: RunClaim claim),
   void end_run(1: RunClaim claim, 2: bool completed),
+  // Sends the worker no new request for the models during the given time, which replaces
+  // an earlier one; the answer is the time since the receiver's last request for one of them.
+  double hold_back(1: string worker, 2: list<string> models, 3: double seconds),
 }
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/peer_handler.py
@@ -27,5 +27,6 @@
     online_started: Callable[[str, int], int]
     cancel_job: Callable[[str], None]
     suspects: Callable[[list[Suspect]], None]
+    hold_back: Callable[[str, list[str], float], float]
     claim_run: Callable[[RunClaim], RunReply] = lambda claim: RunReply("", False)
     end_run: Callable[[RunClaim, bool], None] = lambda claim, completed: None
