Keep the choice of a daemon's own workers between looks

Cause: batch work hashed every worker with every daemon at each look (2 s), and placement at each configuration change.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
@@ -13,9 +13,9 @@
 from trefoilreach._internal.coordination.batch_feed import BatchFeed
 from trefoilreach._internal.coordination.batch_finish import JobFinisher
 from trefoilreach._internal.coordination.batch_held import HeldChunk
-from trefoilreach._internal.coordination.batch_share import find_sender
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.worker_owners import WorkerOwners
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.settings import BatchSettings
 from trefoilreach._internal.state.config import Server
@@ -49,6 +49,7 @@
         self._clock = clock
         self._store = store
         self._objects = objects
+        self._owners = WorkerOwners()
         self._config = config
         self._peers = peers
         self._feed = feed
@@ -132,14 +133,8 @@
         return Ok(None)
 
     def _own_workers(self) -> list[Server]:
-        live, own = self._peers.live(), self._peers.self_member.vm
-        return [
-            server
-            for server in self._config.view.document.servers
-            if server.kind == "engine"
-            and server.state == "live"
-            and find_sender(server.name, live) == own
-        ]
+        servers = self._config.view.document.servers
+        return self._owners.owned(servers, self._peers.live(), self._peers.self_member.vm)
 
     def _refresh(self) -> Result[None, StoreError]:
         done = self._board.refresh()
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement.py
@@ -12,7 +12,6 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.backends import Backends
-from trefoilreach._internal.coordination.batch_share import find_sender
 from trefoilreach._internal.coordination.config_view import ConfigHolder
 from trefoilreach._internal.coordination.leases import Leases
 from trefoilreach._internal.coordination.peers import LIVE, SUSPECT, UNREACHABLE, Peers
@@ -27,10 +26,11 @@
     OrderTools,
     Steps,
 )
+from trefoilreach._internal.coordination.worker_owners import WorkerOwners
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
-from trefoilreach._internal.state.config import ConfigDocument, Server
+from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.table import TableService
 from trefoilreach._internal.state.weights import WeightStore
 from trefoilreach._internal.transport.engine import Engine
@@ -136,14 +136,6 @@
     repeats: int
 
 
-class _OwnWorkers(NamedTuple):
-    """Workers by configuration and live daemons; hashing all of them takes long."""
-
-    document: ConfigDocument
-    live: frozenset[str]
-    servers: list[Server]
-
-
 class Placement:
     """Decides for this daemon's workers and drives the orders to them."""
 
@@ -180,7 +172,7 @@
         self._sent: dict[str, _Sent] = {}
         self._permit_at = float("-inf")
         self._seen: dict[str, float] = {}
-        self._own: _OwnWorkers | None = None
+        self._owners = WorkerOwners()
 
     @property
     def enabled(self) -> bool:
@@ -205,20 +197,8 @@
         """Return the workers that this daemon decides for."""
         if not self.enabled:
             return []
-        live, own = self._peers.live(), self._peers.self_member.vm
-        document, names = self._config.view.document, frozenset(member.vm for member in live)
-        cached = self._own
-        if cached is not None and cached.document is document and cached.live == names:
-            return cached.servers
-        servers = [
-            server
-            for server in document.servers
-            if server.kind == "engine"
-            and server.state == "live"
-            and find_sender(server.name, live) == own
-        ]
-        self._own = _OwnWorkers(document, names, servers)
-        return servers
+        servers = self._config.view.document.servers
+        return self._owners.owned(servers, self._peers.live(), self._peers.self_member.vm)
 
     def tick(self) -> None:
         """Drive the orders and begin new ones."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement_decision.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement_decision.py
@@ -113,6 +113,9 @@
 def _find_places(fleet: Fleet, model: str) -> list[_Place]:
     """Return the workers that can take a model: free room first, then the largest surplus."""
     places = []
+    # Computed once: for each worker anew, the cost grows with the square of the workers.
+    loaded = {name for entry in fleet.workers for name in entry.loaded}
+    surplus = {name: fleet.surplus(name) for name in loaded}
     for worker in fleet.workers:
         able = worker.takes_orders and not worker.loading and model in worker.server.routes
         if not able or model in worker.loaded:
@@ -120,12 +123,12 @@
         if worker.has_room:
             places.append(_Place(worker, "", -len(worker.loaded)))
         else:
-            places += _find_victim(fleet, worker, model)
+            places += _find_victim(fleet, worker, model, surplus)
     return sorted(places, key=lambda place: (bool(place.victim), -place.spare, _mix(place, model)))
 
 
-def _find_victim(fleet: Fleet, worker: Worker, model: str) -> list[_Place]:
-    spares = [(fleet.surplus(name), name) for name in worker.loaded]
+def _find_victim(fleet: Fleet, worker: Worker, model: str, surplus: dict[str, int]) -> list[_Place]:
+    spares = [(surplus[name], name) for name in worker.loaded]
     urgent = not fleet.serving(model) and not fleet.loading(model) and model in fleet.active
     able = [
         (spare, name)
