Keep the drift of clocks and the weight of a VM in one place each

The leases and the quota each had the constant for drift, and the kept choice of a worker's daemon repeated the hash of find_sender; a change of one alone would have let a notice and its receiver disagree. Behaviour is unchanged.

--- a/packages/trefoilreach/src/trefoilreach/_internal/clock.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/clock.py
@@ -7,6 +7,9 @@
 
 from trefoilreach._internal.registry import Registry
 
+# Most that the clocks of two VMs may drift apart, as a factor on intervals.
+DRIFT_MARGIN = 1.01
+
 
 class Clock(Protocol):
     """Source of time for everything that waits or expires."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
@@ -5,11 +5,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import xxhash
-
 from trefoilreach._internal.coordination.batch_items import StreamHandle
 from trefoilreach._internal.coordination.config_view import ConfigView
 from trefoilreach._internal.coordination.peers import Member
+from trefoilreach._internal.coordination.worker_owners import weigh
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.transport.engine import LoadReport
 
@@ -36,9 +35,7 @@
     """Return the VM that sends batch work to a worker, by rendezvous hashing; empty for none."""
     if not live:
         return ""
-    return max(
-        live, key=lambda member: xxhash.xxh64_intdigest(f"{worker}\n{member.vm}".encode())
-    ).vm
+    return max(live, key=lambda member: weigh(worker, member.vm)).vm
 
 
 def find_targets(server: Server, view: ConfigView) -> Targets:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/leases.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/leases.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.clock import DRIFT_MARGIN, Clock
 from trefoilreach._internal.state.table import (
     OutcomeUnknown,
     Row,
@@ -19,9 +19,6 @@
     Write,
 )
 
-# Most that two clocks may drift apart, as a factor on intervals.
-DRIFT_MARGIN = 1.01
-
 
 class Lease(NamedTuple):
     """A lease as its holder knows it.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
@@ -7,7 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.clock import DRIFT_MARGIN, Clock
 from trefoilreach._internal.coordination.peers import Peers
 from trefoilreach._internal.coordination.quota_borrower import Borrower
 from trefoilreach._internal.coordination.quota_ledger import Ledger
@@ -22,7 +22,7 @@
     make_row,
     vm_of,
 )
-from trefoilreach._internal.coordination.quota_slots import DRIFT_MARGIN, VALID_SECONDS
+from trefoilreach._internal.coordination.quota_slots import VALID_SECONDS
 from trefoilreach._internal.logs import log_decision
 from trefoilreach._internal.settings import QuotaSettings
 from trefoilreach._internal.state.table import StoreError, TableService, Write
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_lender.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_lender.py
@@ -2,10 +2,9 @@
 
 from typing import NamedTuple
 
-from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.clock import DRIFT_MARGIN, Clock
 from trefoilreach._internal.coordination.quota_buckets import Terms
 from trefoilreach._internal.coordination.quota_ledger import Entry, Ledger
-from trefoilreach._internal.coordination.quota_slots import DRIFT_MARGIN
 from trefoilreach._internal.protocol.gen.peer.ttypes import (
     BorrowRequest,
     QuotaDemand,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from trefoilreach._internal.clock import DRIFT_MARGIN
 from trefoilreach._internal.coordination.quota_row import (
     NEW,
     SLOTS_PER_SHARD,
@@ -23,9 +24,6 @@
 # A confirmation is refreshed every second; five seconds outlast a slow table answer.
 VALID_SECONDS = 5.0
 
-# Most that two clocks may drift apart, as a factor on intervals.
-DRIFT_MARGIN = 1.01
-
 # Number of voters before the platform's list was consulted.
 _UNKNOWN = -1
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/worker_owners.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/worker_owners.py
@@ -56,9 +56,11 @@
         return max(best, _find_heaviest(worker, joined)) if joined else best
 
 
-def _find_heaviest(worker: str, vms: frozenset[str]) -> _Best:
-    def weigh(vm: str) -> int:
-        return xxhash.xxh64_intdigest(f"{worker}\n{vm}".encode())
+def weigh(item: str, vm: str) -> int:
+    """Return the weight of a VM for an item; the heaviest VM is responsible for it."""
+    return xxhash.xxh64_intdigest(f"{item}\n{vm}".encode())
+
 
-    vm = max(vms, key=weigh, default="")
-    return _Best(weigh(vm), vm) if vm else _Best(-1, "")
+def _find_heaviest(worker: str, vms: frozenset[str]) -> _Best:
+    vm = max(vms, key=lambda name: weigh(worker, name), default="")
+    return _Best(weigh(worker, vm), vm) if vm else _Best(-1, "")
--- a/tests/unit/test_quota_machine.py
+++ b/tests/unit/test_quota_machine.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from quota_oracle import Limit, find_excess
 from quota_world import Node, World
-from trefoilreach._internal.coordination.quota_slots import DRIFT_MARGIN
+from trefoilreach._internal.clock import DRIFT_MARGIN
 from trefoilreach._internal.state.config import Account, ConfigDocument
 
 FASTEST = 1.004
