--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/audit.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/audit.py
@@ -3,7 +3,7 @@
 import time
 
 from trefoilreach._internal.clock import SystemClock
-from trefoilreach._internal.coordination.audit import COMPLETED, SEGMENT_PREFIX, Audit
+from trefoilreach._internal.coordination.audit.audit import COMPLETED, SEGMENT_PREFIX, Audit
 from trefoilreach._internal.state.objects import MemoryObjectStore
 
 from trefoilreach_emulator._internal.capacity.memory import measure_resident
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/configuration.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/configuration.py
@@ -10,7 +10,7 @@
 from statistics import mean
 from typing import Any
 
-from trefoilreach._internal.coordination.config_view import ConfigView, build_view
+from trefoilreach._internal.coordination.config.view import ConfigView, build_view
 from trefoilreach._internal.state.config import (
     Account,
     ConfigDocument,
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/placement.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/capacity/probes/placement.py
@@ -3,10 +3,10 @@
 import time
 from collections.abc import Callable
 
-from trefoilreach._internal.coordination.peers import LIVE, Member
-from trefoilreach._internal.coordination.placement_decision import propose
-from trefoilreach._internal.coordination.placement_fleet import Fleet, Worker
-from trefoilreach._internal.coordination.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.batch.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member
+from trefoilreach._internal.coordination.placement.decision import propose
+from trefoilreach._internal.coordination.placement.fleet import Fleet, Worker
 from trefoilreach._internal.state.config import Route, Server
 from trefoilreach._internal.transport.engine import LoadReport
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/admin_config.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_config.py
@@ -8,7 +8,7 @@
 from trefoilreach._internal.api.admin_change import require_operator, respond_version
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.config_store import HISTORY_PREFIX, format_history_key
+from trefoilreach._internal.coordination.config.store import HISTORY_PREFIX, format_history_key
 from trefoilreach._internal.protocol.verdict import (
     Refusal,
     refuse_bad_request,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/admin_keys.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/admin_keys.py
@@ -16,7 +16,7 @@
 )
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.config_store import refuse_stale
+from trefoilreach._internal.coordination.config.store import refuse_stale
 from trefoilreach._internal.state.config import ConfigDocument, Key, hash_key
 from trefoilreach._internal.state.config_check import FieldError, parse_fields
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -6,7 +6,7 @@
 
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest
-from trefoilreach._internal.coordination.quota import refuse
+from trefoilreach._internal.coordination.quota.quota import refuse
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.config import (
     BOOTSTRAP_KEY_ID,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/batches.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/batches.py
@@ -7,13 +7,13 @@
 from trefoilreach._internal.api.multipart import FormPart, read_form
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.batch_accept import (
+from trefoilreach._internal.coordination.batch.accept import (
     JobRequest,
     Upload,
     parse_window,
 )
-from trefoilreach._internal.coordination.batch_input import ENDPOINTS
-from trefoilreach._internal.coordination.batch_reader import JobView, ResultFile
+from trefoilreach._internal.coordination.batch.input import ENDPOINTS
+from trefoilreach._internal.coordination.batch.reader import JobView, ResultFile
 from trefoilreach._internal.protocol.openai import parse_json_object
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
 from trefoilreach._internal.state.jobs import COMPLETED, FINAL_STATUSES, FileRecord
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/callers.py
@@ -23,9 +23,9 @@
     respond_json,
     routes,
 )
-from trefoilreach._internal.coordination.audit import COMPLETED, REFUSED
-from trefoilreach._internal.coordination.dispatch import Job
-from trefoilreach._internal.coordination.keys import refuse_ended_stream
+from trefoilreach._internal.coordination.audit.audit import COMPLETED, REFUSED
+from trefoilreach._internal.coordination.config.keys import refuse_ended_stream
+from trefoilreach._internal.coordination.online.dispatch import Job
 from trefoilreach._internal.protocol.events import join_events
 from trefoilreach._internal.protocol.openai import (
     CHAT_PATH,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/keyed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/keyed.py
@@ -6,7 +6,7 @@
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.refusals import respond_refusal
 from trefoilreach._internal.api.web import IDEMPOTENCY_HEADER, WebRequest, WebResponse
-from trefoilreach._internal.coordination.idempotency import Idempotency, Outcome, Record
+from trefoilreach._internal.coordination.online.idempotency import Idempotency, Outcome, Record
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/monitor.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/monitor.py
@@ -3,7 +3,7 @@
 from trefoilreach._internal.api.auth import require_role
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.web import WebRequest, WebResponse, respond_json, routes
-from trefoilreach._internal.coordination.audit_reader import AuditReader
+from trefoilreach._internal.coordination.audit.reader import AuditReader
 from trefoilreach._internal.protocol.verdict import refuse_bad_request
 
 _DEFAULT_PAGE = 1000
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/services.py
@@ -14,8 +14,8 @@
     scrub_query,
 )
 from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
-from trefoilreach._internal.coordination.audit import COMPLETED
-from trefoilreach._internal.coordination.service_dispatch import ServiceJob
+from trefoilreach._internal.coordination.audit.audit import COMPLETED
+from trefoilreach._internal.coordination.online.service_dispatch import ServiceJob
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_bad_request
 from trefoilreach._internal.state.config import Account, Route
 from trefoilreach._internal.transport.service import ServiceReply
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Records for the monitor."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit_reader.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/audit/reader.py
@@ -5,9 +5,9 @@
 import orjson
 from result import Err
 
-from trefoilreach._internal.coordination.audit import SEGMENT_PREFIX
-from trefoilreach._internal.coordination.batch_accept import refuse_store
-from trefoilreach._internal.coordination.batch_input import decode_items
+from trefoilreach._internal.coordination.audit.audit import SEGMENT_PREFIX
+from trefoilreach._internal.coordination.batch.accept import refuse_store
+from trefoilreach._internal.coordination.batch.input import decode_items
 from trefoilreach._internal.protocol.verdict import refuse_bad_request, refuse_unavailable
 from trefoilreach._internal.state.jobs import (
     CANCELLED,
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: acceptance, the store side, the worker side, retention."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_accept.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/accept.py
@@ -8,8 +8,8 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_input import ChunkInput, split_input
-from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.batch.input import ChunkInput, split_input
+from trefoilreach._internal.coordination.config.view import ConfigHolder
 from trefoilreach._internal.protocol.verdict import (
     Refusal,
     Verdict,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_attempts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/attempts.py
@@ -3,8 +3,8 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_held import ItemTask
-from trefoilreach._internal.coordination.batch_items import (
+from trefoilreach._internal.coordination.batch.held import ItemTask
+from trefoilreach._internal.coordination.batch.items import (
     CLIENT_ERROR_STATUSES,
     Attempt,
     Ending,
@@ -12,9 +12,9 @@
     Pace,
     StreamHandle,
 )
-from trefoilreach._internal.coordination.batch_share import WorkerShare
-from trefoilreach._internal.coordination.crash_guard import CrashGuard
-from trefoilreach._internal.coordination.crash_runs import Standing, TrialBusy, find_fingerprint
+from trefoilreach._internal.coordination.batch.share import WorkerShare
+from trefoilreach._internal.coordination.crash.guard import CrashGuard
+from trefoilreach._internal.coordination.crash.runs import Standing, TrialBusy, find_fingerprint
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.transport.engine import Engine
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/batch.py
@@ -6,15 +6,15 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_accept import BatchAccept
-from trefoilreach._internal.coordination.batch_cancel import BatchCancel
-from trefoilreach._internal.coordination.batch_chunks import ChunkStore
-from trefoilreach._internal.coordination.batch_feed import BatchFeed
-from trefoilreach._internal.coordination.batch_notices import OnlineNotices
-from trefoilreach._internal.coordination.batch_reader import BatchReader
-from trefoilreach._internal.coordination.batch_runner import BatchRunner
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.batch.accept import BatchAccept
+from trefoilreach._internal.coordination.batch.cancel import BatchCancel
+from trefoilreach._internal.coordination.batch.chunks import ChunkStore
+from trefoilreach._internal.coordination.batch.feed import BatchFeed
+from trefoilreach._internal.coordination.batch.notices import OnlineNotices
+from trefoilreach._internal.coordination.batch.reader import BatchReader
+from trefoilreach._internal.coordination.batch.runner import BatchRunner
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import TableService
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_board.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/board.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_chunks import (
+from trefoilreach._internal.coordination.batch.chunks import (
     Chunk,
     ChunkStore,
     free_chunk,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_cancel.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/cancel.py
@@ -5,10 +5,10 @@
 
 from result import Err
 
-from trefoilreach._internal.coordination.batch_accept import refuse_store
-from trefoilreach._internal.coordination.batch_chunks import ChunkStore
-from trefoilreach._internal.coordination.batch_reader import BatchReader
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.batch.accept import refuse_store
+from trefoilreach._internal.coordination.batch.chunks import ChunkStore
+from trefoilreach._internal.coordination.batch.reader import BatchReader
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 from trefoilreach._internal.state.jobs import IN_PROGRESS, JobRecord, decode_job, job_key
 from trefoilreach._internal.state.table import RevisionConflict
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_claim.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/claim.py
@@ -4,12 +4,12 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.batch_board import JobBoard
-from trefoilreach._internal.coordination.batch_chunks import Chunk, ChunkStore, JobClosed
-from trefoilreach._internal.coordination.batch_feed import BatchFeed
-from trefoilreach._internal.coordination.batch_finish import JobFinisher
-from trefoilreach._internal.coordination.batch_held import HeldChunk
-from trefoilreach._internal.coordination.batch_input import decode_items
+from trefoilreach._internal.coordination.batch.board import JobBoard
+from trefoilreach._internal.coordination.batch.chunks import Chunk, ChunkStore, JobClosed
+from trefoilreach._internal.coordination.batch.feed import BatchFeed
+from trefoilreach._internal.coordination.batch.finish import JobFinisher
+from trefoilreach._internal.coordination.batch.held import HeldChunk
+from trefoilreach._internal.coordination.batch.input import decode_items
 from trefoilreach._internal.state.jobs import OpenJob, input_object
 from trefoilreach._internal.state.objects import ObjectStore
 from trefoilreach._internal.state.table import RevisionConflict, StoreError
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/feed.py
@@ -10,14 +10,14 @@
 from result import Err, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_attempts import ItemAttempts
-from trefoilreach._internal.coordination.batch_held import HeldChunk, ItemTask
-from trefoilreach._internal.coordination.batch_items import Attempt, Ending, StreamHandle
-from trefoilreach._internal.coordination.batch_settle import ItemSettler
-from trefoilreach._internal.coordination.batch_share import WorkerShare, find_targets
-from trefoilreach._internal.coordination.batch_trials import choose_trial_workers, take_trial
-from trefoilreach._internal.coordination.batch_turns import FairTurns
-from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.batch.attempts import ItemAttempts
+from trefoilreach._internal.coordination.batch.held import HeldChunk, ItemTask
+from trefoilreach._internal.coordination.batch.items import Attempt, Ending, StreamHandle
+from trefoilreach._internal.coordination.batch.settle import ItemSettler
+from trefoilreach._internal.coordination.batch.share import WorkerShare, find_targets
+from trefoilreach._internal.coordination.batch.trials import choose_trial_workers, take_trial
+from trefoilreach._internal.coordination.batch.turns import FairTurns
+from trefoilreach._internal.coordination.config.view import ConfigHolder
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.jobs import OpenJob
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_finish.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/finish.py
@@ -4,10 +4,10 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.batch_board import JobBoard
-from trefoilreach._internal.coordination.batch_chunks import ChunkStore
-from trefoilreach._internal.coordination.batch_share import find_sender
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.batch.board import JobBoard
+from trefoilreach._internal.coordination.batch.chunks import ChunkStore
+from trefoilreach._internal.coordination.batch.share import find_sender
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.state.jobs import OpenJob
 from trefoilreach._internal.state.table import RevisionConflict, StoreError
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_held.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/held.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from trefoilreach._internal.coordination.batch_chunks import Chunk
-from trefoilreach._internal.coordination.batch_input import Item
+from trefoilreach._internal.coordination.batch.chunks import Chunk
+from trefoilreach._internal.coordination.batch.input import Item
 from trefoilreach._internal.state.jobs import DONE, FREE, ChunkRecord, OpenJob
 
 # An item that was in flight at this many crashes of workers ends as an error.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_input.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/input.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from trefoilreach._internal.coordination.config_view import ConfigView
+from trefoilreach._internal.coordination.config.view import ConfigView
 from trefoilreach._internal.protocol.openai import (
     CHAT_PATH,
     COMPLETIONS_PATH,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_items.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/items.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_held import ItemTask
+from trefoilreach._internal.coordination.batch.held import ItemTask
 from trefoilreach._internal.protocol.events import choice_text, join_events
 from trefoilreach._internal.protocol.openai import CHAT_PATH
 from trefoilreach._internal.protocol.verdict import Verdict
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_notices.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/notices.py
@@ -7,8 +7,8 @@
 from result import Ok
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_share import find_sender
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.batch.share import find_sender
+from trefoilreach._internal.coordination.membership.peers import Peers
 
 _PUSH_TIMEOUT_SECONDS = 0.5
 _TICK_SECONDS = 1.0
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_reader.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/reader.py
@@ -5,8 +5,8 @@
 
 from result import Err
 
-from trefoilreach._internal.coordination.batch_accept import refuse_store
-from trefoilreach._internal.coordination.batch_chunks import scan_chunks
+from trefoilreach._internal.coordination.batch.accept import refuse_store
+from trefoilreach._internal.coordination.batch.chunks import scan_chunks
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 from trefoilreach._internal.state.jobs import (
     DONE,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_runner.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/runner.py
@@ -7,15 +7,15 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_board import JobBoard
-from trefoilreach._internal.coordination.batch_chunks import ChunkStore, ClaimLost
-from trefoilreach._internal.coordination.batch_claim import ChunkClaimer
-from trefoilreach._internal.coordination.batch_feed import BatchFeed
-from trefoilreach._internal.coordination.batch_finish import JobFinisher
-from trefoilreach._internal.coordination.batch_held import HeldChunk
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import Peers
-from trefoilreach._internal.coordination.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.batch.board import JobBoard
+from trefoilreach._internal.coordination.batch.chunks import ChunkStore, ClaimLost
+from trefoilreach._internal.coordination.batch.claim import ChunkClaimer
+from trefoilreach._internal.coordination.batch.feed import BatchFeed
+from trefoilreach._internal.coordination.batch.finish import JobFinisher
+from trefoilreach._internal.coordination.batch.held import HeldChunk
+from trefoilreach._internal.coordination.batch.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.settings import BatchSettings
 from trefoilreach._internal.state.config import Server
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_settle.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/settle.py
@@ -1,9 +1,9 @@
 """Decides what becomes of a batch item after an attempt."""
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_held import ItemTask, error_line, output_line
-from trefoilreach._internal.coordination.batch_items import Attempt, Ending, StreamHandle
-from trefoilreach._internal.coordination.batch_share import WorkerShare
+from trefoilreach._internal.coordination.batch.held import ItemTask, error_line, output_line
+from trefoilreach._internal.coordination.batch.items import Attempt, Ending, StreamHandle
+from trefoilreach._internal.coordination.batch.share import WorkerShare
 from trefoilreach._internal.logs import log_event
 
 # Failed attempts that the item may have caused, after which it ends as an error.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_share.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/share.py
@@ -5,10 +5,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from trefoilreach._internal.coordination.batch_items import StreamHandle
-from trefoilreach._internal.coordination.config_view import ConfigView
-from trefoilreach._internal.coordination.peers import Member
-from trefoilreach._internal.coordination.worker_owners import weigh
+from trefoilreach._internal.coordination.batch.items import StreamHandle
+from trefoilreach._internal.coordination.batch.worker_owners import weigh
+from trefoilreach._internal.coordination.config.view import ConfigView
+from trefoilreach._internal.coordination.membership.peers import Member
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.transport.engine import LoadReport
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch_trials.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/trials.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Collection
 
-from trefoilreach._internal.coordination.batch_held import HeldChunk, ItemTask
-from trefoilreach._internal.coordination.batch_share import WorkerShare
+from trefoilreach._internal.coordination.batch.held import HeldChunk, ItemTask
+from trefoilreach._internal.coordination.batch.share import WorkerShare
 
 # Whether a worker can be given batch work for a model now.
 CanRun = Callable[[WorkerShare, str], bool]
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/worker_owners.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/worker_owners.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from trefoilreach._internal.coordination.peers import Member
+from trefoilreach._internal.coordination.membership.peers import Member
 from trefoilreach._internal.state.config import Server
 
 
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, its changes, and the keys."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_copy.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/copy.py
@@ -3,10 +3,10 @@
 from collections.abc import Sequence
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_changes import ChangeLog
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import PeerState
-from trefoilreach._internal.coordination.withdrawals import WithdrawalSet
+from trefoilreach._internal.coordination.config.changes import ChangeLog
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.config.withdrawals import WithdrawalSet
+from trefoilreach._internal.coordination.membership.peers import PeerState
 from trefoilreach._internal.state.config import ConfigDocument
 
 # Version in an answer of a daemon that does not know yet which version is in force.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/key_withdrawal.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/key_withdrawal.py
@@ -5,9 +5,9 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_copy import ConfigCopy
-from trefoilreach._internal.coordination.config_writer import ConfigWriter
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.config.copy import ConfigCopy
+from trefoilreach._internal.coordination.config.writer import ConfigWriter
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import Withdrawal
 from trefoilreach._internal.protocol.verdict import Refusal
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_peers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/peers.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.config_copy import NOT_READY_VERSION, ConfigCopy
-from trefoilreach._internal.coordination.peers import PeerError, Peers, PeerState
+from trefoilreach._internal.coordination.config.copy import NOT_READY_VERSION, ConfigCopy
+from trefoilreach._internal.coordination.membership.peers import PeerError, Peers, PeerState
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
 from trefoilreach._internal.state.config import (
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_sync.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/sync.py
@@ -8,14 +8,14 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_copy import NOT_READY_VERSION, ConfigCopy
-from trefoilreach._internal.coordination.config_peers import ConfigPeers, PeerExchange
-from trefoilreach._internal.coordination.config_store import ConfigStore, Head
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.config_writer import ConfigWriter, Edit
-from trefoilreach._internal.coordination.key_withdrawal import KeyWithdrawal, WithdrawReport
-from trefoilreach._internal.coordination.peers import PeerState
-from trefoilreach._internal.coordination.withdrawals import WithdrawalRecord, WithdrawalSet
+from trefoilreach._internal.coordination.config.copy import NOT_READY_VERSION, ConfigCopy
+from trefoilreach._internal.coordination.config.key_withdrawal import KeyWithdrawal, WithdrawReport
+from trefoilreach._internal.coordination.config.peers import ConfigPeers, PeerExchange
+from trefoilreach._internal.coordination.config.store import ConfigStore, Head
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.config.withdrawals import WithdrawalRecord, WithdrawalSet
+from trefoilreach._internal.coordination.config.writer import ConfigWriter, Edit
+from trefoilreach._internal.coordination.membership.peers import PeerState
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import ConfigReply, Withdrawal
 from trefoilreach._internal.protocol.verdict import Refusal
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/config_writer.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/config/writer.py
@@ -7,9 +7,9 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_changes import MAX_CHANGE_BYTES
-from trefoilreach._internal.coordination.config_copy import ConfigCopy
-from trefoilreach._internal.coordination.config_store import (
+from trefoilreach._internal.coordination.config.changes import MAX_CHANGE_BYTES
+from trefoilreach._internal.coordination.config.copy import ConfigCopy
+from trefoilreach._internal.coordination.config.store import (
     STORE_RETRY_SECONDS,
     ConfigStore,
     refuse_stale,
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the workers that run them."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_guard.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash/guard.py
@@ -13,12 +13,12 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.crash_rows import (
+from trefoilreach._internal.coordination.crash.rows import (
     Finding,
     SuspectRows,
     find_row_fingerprint,
 )
-from trefoilreach._internal.coordination.crash_runs import (
+from trefoilreach._internal.coordination.crash.runs import (
     GuardedRun,
     RunsElsewhere,
     Standing,
@@ -26,9 +26,9 @@
     refuse_poison,
     refuse_without_store,
 )
-from trefoilreach._internal.coordination.crash_together import RunsTogether
-from trefoilreach._internal.coordination.crash_trials import Trials
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.crash.together import RunsTogether
+from trefoilreach._internal.coordination.crash.trials import Trials
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import Suspect
 from trefoilreach._internal.protocol.verdict import Refusal
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_place.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash/place.py
@@ -6,8 +6,8 @@
 from result import Ok
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.crash_guard import CrashGuard
-from trefoilreach._internal.coordination.crash_runs import (
+from trefoilreach._internal.coordination.crash.guard import CrashGuard
+from trefoilreach._internal.coordination.crash.runs import (
     GuardedRun,
     RunsElsewhere,
     TrialBusy,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_together.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash/together.py
@@ -17,8 +17,8 @@
 from result import Err, Ok
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.batch_share import find_sender
-from trefoilreach._internal.coordination.peers import UNREACHABLE, Peers
+from trefoilreach._internal.coordination.batch.share import find_sender
+from trefoilreach._internal.coordination.membership.peers import UNREACHABLE, Peers
 from trefoilreach._internal.protocol.gen.peer.ttypes import RunClaim, RunReply
 
 # Delays a request at most this long when the asked daemon has just died.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash_trials.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/crash/trials.py
@@ -8,12 +8,12 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.crash_rows import (
+from trefoilreach._internal.coordination.crash.rows import (
     PREFIX,
     TRIAL_PREFIX,
     SuspectRows,
 )
-from trefoilreach._internal.coordination.crash_runs import (
+from trefoilreach._internal.coordination.crash.runs import (
     GuardedRun,
     TrialBusy,
     refuse_poison,
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons are live, entry points, leases and the planned stop."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/entrypoints.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/entrypoints.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from trefoilreach._internal.coordination.peers import LIVE, SUSPECT, Member, Peers
+from trefoilreach._internal.coordination.membership.peers import LIVE, SUSPECT, Member, Peers
 
 # A caller keeps a few addresses; some of them are in other data centres, so that the
 # answer is still of use when the nearest one is lost.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/isolation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/isolation.py
@@ -5,9 +5,9 @@
 from typing import Protocol
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.peers import UNREACHABLE, Member
+from trefoilreach._internal.coordination.config.keys import Streams
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.membership.peers import UNREACHABLE, Member
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/member_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/member_table.py
@@ -4,8 +4,8 @@
 import threading
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.member_wire import overrides, to_update
-from trefoilreach._internal.coordination.peers import (
+from trefoilreach._internal.coordination.membership.member_wire import overrides, to_update
+from trefoilreach._internal.coordination.membership.peers import (
     LEAVING,
     LIVE,
     SUSPECT,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/member_wire.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/member_wire.py
@@ -1,6 +1,6 @@
 """Members in messages between daemons, and which of two news about a member is later."""
 
-from trefoilreach._internal.coordination.peers import (
+from trefoilreach._internal.coordination.membership.peers import (
     LEAVING,
     LIVE,
     SUSPECT,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/membership.py
@@ -14,17 +14,17 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.member_table import MemberTable
-from trefoilreach._internal.coordination.peer_calls import PeerCalls
-from trefoilreach._internal.coordination.peers import (
+from trefoilreach._internal.coordination.membership.member_table import MemberTable
+from trefoilreach._internal.coordination.membership.peer_calls import PeerCalls
+from trefoilreach._internal.coordination.membership.peers import (
     LEAVING,
     LIVE,
     Member,
     PeerError,
     PeerState,
 )
-from trefoilreach._internal.coordination.probe_messages import ProbeMessages
-from trefoilreach._internal.coordination.probing import Prober
+from trefoilreach._internal.coordination.membership.probe_messages import ProbeMessages
+from trefoilreach._internal.coordination.membership.probing import Prober
 from trefoilreach._internal.protocol.gen.peer.ttypes import ModelDemand, ProbeReply, ProbeRequest
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings
 from trefoilreach._internal.state.vms import Vm, VmList
@@ -38,7 +38,7 @@
 
 
 class Membership:
-    """Implements :class:`trefoilreach._internal.coordination.peers.Peers`."""
+    """Implements :class:`trefoilreach._internal.coordination.membership.peers.Peers`."""
 
     def __init__(
         self,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/peer_calls.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/peer_calls.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.peers import PeerError
+from trefoilreach._internal.coordination.membership.peers import PeerError
 from trefoilreach._internal.transport.peer_client import PeerClient
 from trefoilreach._internal.transport.peer_traffic import PeerTraffic
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/probe_messages.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/probe_messages.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from trefoilreach._internal.coordination.member_table import MemberTable
-from trefoilreach._internal.coordination.member_wire import from_update, to_update
-from trefoilreach._internal.coordination.peers import PeerState, RouteLoad
+from trefoilreach._internal.coordination.membership.member_table import MemberTable
+from trefoilreach._internal.coordination.membership.member_wire import from_update, to_update
+from trefoilreach._internal.coordination.membership.peers import PeerState, RouteLoad
 from trefoilreach._internal.protocol.gen.peer.ttypes import ModelDemand, ProbeReply, ProbeRequest
 from trefoilreach._internal.protocol.gen.peer.ttypes import RouteLoad as RouteLoadMessage
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/probing.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/probing.py
@@ -10,10 +10,10 @@
 from result import Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.member_table import MemberTable
-from trefoilreach._internal.coordination.peer_calls import PeerCalls
-from trefoilreach._internal.coordination.peers import Member, PeerError
-from trefoilreach._internal.coordination.probe_messages import ProbeMessages
+from trefoilreach._internal.coordination.membership.member_table import MemberTable
+from trefoilreach._internal.coordination.membership.peer_calls import PeerCalls
+from trefoilreach._internal.coordination.membership.peers import Member, PeerError
+from trefoilreach._internal.coordination.membership.probe_messages import ProbeMessages
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply
 from trefoilreach._internal.settings import FleetSettings
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/reporter.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/membership/reporter.py
@@ -5,9 +5,9 @@
 from contextlib import ExitStack
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.peers import (
+from trefoilreach._internal.coordination.config.keys import Streams
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import (
     LEAVING,
     LIVE,
     SUSPECT,
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/__init__.py
@@ -0,0 +1,1 @@
+"""Online requests: admission, choice of a backend server, attempts."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/backends.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/backends.py
@@ -6,16 +6,16 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.affinity import Prefix, PrefixView
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.fairness import Claim, FairQueue, Waiter
-from trefoilreach._internal.coordination.health import WorkerHealth
-from trefoilreach._internal.coordination.load_view import LoadView
-from trefoilreach._internal.coordination.peers import RouteLoad
-from trefoilreach._internal.coordination.placement_demand import Demand
-from trefoilreach._internal.coordination.placement_holds import Holds
-from trefoilreach._internal.coordination.routing import Candidate, choose_subset, policies
-from trefoilreach._internal.coordination.shares import Places, ShareTools, share_policies
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import RouteLoad
+from trefoilreach._internal.coordination.online.affinity import Prefix, PrefixView
+from trefoilreach._internal.coordination.online.fairness import Claim, FairQueue, Waiter
+from trefoilreach._internal.coordination.online.health import WorkerHealth
+from trefoilreach._internal.coordination.online.load_view import LoadView
+from trefoilreach._internal.coordination.online.routing import Candidate, choose_subset, policies
+from trefoilreach._internal.coordination.online.shares import Places, ShareTools, share_policies
+from trefoilreach._internal.coordination.placement.demand import Demand
+from trefoilreach._internal.coordination.placement.holds import Holds
 from trefoilreach._internal.logs import log_decision
 from trefoilreach._internal.protocol.verdict import refuse_unavailable
 from trefoilreach._internal.settings import Settings
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/dispatch.py
@@ -8,17 +8,17 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.affinity import find_prefixes
-from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.crash_guard import CrashGuard
-from trefoilreach._internal.coordination.crash_place import Entrance, enter_guarded
-from trefoilreach._internal.coordination.crash_runs import GuardedRun, find_fingerprint
-from trefoilreach._internal.coordination.fairness import CallerGone
-from trefoilreach._internal.coordination.load_poller import LoadPoller
-from trefoilreach._internal.coordination.load_view import LoadView
-from trefoilreach._internal.coordination.retry_budget import RetryBudget
-from trefoilreach._internal.coordination.running import RunningRequest, RunningRequests
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.crash.guard import CrashGuard
+from trefoilreach._internal.coordination.crash.place import Entrance, enter_guarded
+from trefoilreach._internal.coordination.crash.runs import GuardedRun, find_fingerprint
+from trefoilreach._internal.coordination.online.affinity import find_prefixes
+from trefoilreach._internal.coordination.online.backends import Backends, PlaceRequest
+from trefoilreach._internal.coordination.online.fairness import CallerGone
+from trefoilreach._internal.coordination.online.load_poller import LoadPoller
+from trefoilreach._internal.coordination.online.load_view import LoadView
+from trefoilreach._internal.coordination.online.retry_budget import RetryBudget
+from trefoilreach._internal.coordination.online.running import RunningRequest, RunningRequests
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.events import read_text
 from trefoilreach._internal.protocol.openai import Completion, prompt_text
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/fairness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/fairness.py
@@ -8,7 +8,7 @@
 from sortedcontainers import SortedKeyList
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.waited import WaitedAccounts
+from trefoilreach._internal.coordination.online.waited import WaitedAccounts
 from trefoilreach._internal.protocol.verdict import Refusal, refuse_unavailable
 
 T = TypeVar("T")
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/idempotency.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/idempotency.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.peers import UNREACHABLE, Peers
+from trefoilreach._internal.coordination.membership.peers import UNREACHABLE, Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import (
     Refusal,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/load_poller.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/load_poller.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.backends import Backends
+from trefoilreach._internal.coordination.online.backends import Backends
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.transport.engine import Engine, EngineError, LoadReport
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/routing.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/routing.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from trefoilreach._internal.coordination.shares import Places
+from trefoilreach._internal.coordination.online.shares import Places
 from trefoilreach._internal.registry import Registry
 from trefoilreach._internal.state.config import Server
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/running.py
@@ -5,7 +5,7 @@
 from contextlib import ExitStack
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.health import WorkerHealth
+from trefoilreach._internal.coordination.online.health import WorkerHealth
 from trefoilreach._internal.transport.http_client import Interrupt
 
 _WATCH_SECONDS = 0.1
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/service_dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/service_dispatch.py
@@ -6,16 +6,16 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
-from trefoilreach._internal.coordination.crash_place import (
+from trefoilreach._internal.coordination.crash.place import (
     Entrance,
     GuardedPlace,
     enter_guarded,
 )
-from trefoilreach._internal.coordination.crash_runs import find_fingerprint
-from trefoilreach._internal.coordination.dispatch import Dispatcher
-from trefoilreach._internal.coordination.fairness import CallerGone
-from trefoilreach._internal.coordination.running import RunningRequest
+from trefoilreach._internal.coordination.crash.runs import find_fingerprint
+from trefoilreach._internal.coordination.online.backends import Backends, PlaceRequest
+from trefoilreach._internal.coordination.online.dispatch import Dispatcher
+from trefoilreach._internal.coordination.online.fairness import CallerGone
+from trefoilreach._internal.coordination.online.running import RunningRequest
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.config import Account, Route, Server
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/shares.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/shares.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.peers import NO_ROUTE_LOAD, RouteLoad
+from trefoilreach._internal.coordination.membership.peers import NO_ROUTE_LOAD, RouteLoad
 from trefoilreach._internal.registry import Registry
 from trefoilreach._internal.state.config import Account, Server
 
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Orders that load models on engines."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement_decision.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/decision.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from trefoilreach._internal.coordination.placement_fleet import Fleet, Worker
+from trefoilreach._internal.coordination.placement.fleet import Fleet, Worker
 
 LOAD = "load"
 UNLOAD = "unload"
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement_orders.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/orders.py
@@ -10,8 +10,8 @@
 from result import Err, Ok
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.leases import Lease, Leases
-from trefoilreach._internal.coordination.placement_decision import (
+from trefoilreach._internal.coordination.membership.leases import Lease, Leases
+from trefoilreach._internal.coordination.placement.decision import (
     LOAD,
     ROLE,
     Action,
@@ -20,7 +20,7 @@
     propose,
     stopped_models,
 )
-from trefoilreach._internal.coordination.placement_fleet import Fleet
+from trefoilreach._internal.coordination.placement.fleet import Fleet
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.protocol.verdict import Verdict
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/placement.py
@@ -11,13 +11,14 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.backends import Backends
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.leases import Leases
-from trefoilreach._internal.coordination.peers import LIVE, SUSPECT, UNREACHABLE, Peers
-from trefoilreach._internal.coordination.placement_decision import LOAD, Action, propose
-from trefoilreach._internal.coordination.placement_fleet import Fleet, Worker
-from trefoilreach._internal.coordination.placement_orders import (
+from trefoilreach._internal.coordination.batch.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.leases import Leases
+from trefoilreach._internal.coordination.membership.peers import LIVE, SUSPECT, UNREACHABLE, Peers
+from trefoilreach._internal.coordination.online.backends import Backends
+from trefoilreach._internal.coordination.placement.decision import LOAD, Action, propose
+from trefoilreach._internal.coordination.placement.fleet import Fleet, Worker
+from trefoilreach._internal.coordination.placement.orders import (
     ACCEPTED,
     DONE,
     LOST,
@@ -26,7 +27,6 @@
     OrderTools,
     Steps,
 )
-from trefoilreach._internal.coordination.worker_owners import WorkerOwners
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.metrics import Metrics
 from trefoilreach._internal.settings import Settings
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of each client account over all VMs."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_borrower.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/borrower.py
@@ -9,17 +9,17 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.peers import UNREACHABLE, Peers
-from trefoilreach._internal.coordination.quota_buckets import Terms
-from trefoilreach._internal.coordination.quota_ledger import Entry, Ledger
-from trefoilreach._internal.coordination.quota_lender import (
+from trefoilreach._internal.coordination.membership.peers import UNREACHABLE, Peers
+from trefoilreach._internal.coordination.quota.buckets import Terms
+from trefoilreach._internal.coordination.quota.ledger import Entry, Ledger
+from trefoilreach._internal.coordination.quota.lender import (
     SMALL,
     Lender,
     Missing,
     Recall,
     recall_message,
 )
-from trefoilreach._internal.coordination.quota_row import (
+from trefoilreach._internal.coordination.quota.row import (
     SLOTS_PER_SHARD,
     decode_row,
     encode_row,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/keeper.py
@@ -8,11 +8,11 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import DRIFT_MARGIN, Clock
-from trefoilreach._internal.coordination.peers import Peers
-from trefoilreach._internal.coordination.quota_borrower import Borrower
-from trefoilreach._internal.coordination.quota_ledger import Ledger
-from trefoilreach._internal.coordination.quota_passing import SlotPasser
-from trefoilreach._internal.coordination.quota_row import (
+from trefoilreach._internal.coordination.membership.peers import Peers
+from trefoilreach._internal.coordination.quota.borrower import Borrower
+from trefoilreach._internal.coordination.quota.ledger import Ledger
+from trefoilreach._internal.coordination.quota.passing import SlotPasser
+from trefoilreach._internal.coordination.quota.row import (
     SLOTS_KEY,
     TAKEN,
     Slot,
@@ -22,7 +22,7 @@
     make_row,
     vm_of,
 )
-from trefoilreach._internal.coordination.quota_slots import VALID_SECONDS
+from trefoilreach._internal.coordination.quota.slots import VALID_SECONDS
 from trefoilreach._internal.logs import log_decision
 from trefoilreach._internal.settings import QuotaSettings
 from trefoilreach._internal.state.table import StoreError, TableService, Write
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_ledger.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/ledger.py
@@ -6,15 +6,15 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_view import ConfigHolder, ConfigView
-from trefoilreach._internal.coordination.quota_buckets import Bucket, Meter, Terms
-from trefoilreach._internal.coordination.quota_row import (
+from trefoilreach._internal.coordination.config.view import ConfigHolder, ConfigView
+from trefoilreach._internal.coordination.quota.buckets import Bucket, Meter, Terms
+from trefoilreach._internal.coordination.quota.row import (
     SLOTS_PER_SHARD,
     SlotRow,
     shard_of,
     vm_of,
 )
-from trefoilreach._internal.coordination.quota_slots import NOTHING_HELD, Holding, SlotHolder
+from trefoilreach._internal.coordination.quota.slots import NOTHING_HELD, Holding, SlotHolder
 from trefoilreach._internal.state.config import Account
 
 _NO_ACCOUNT = Account("", 0.0, 0.0)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_lender.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/lender.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import DRIFT_MARGIN, Clock
-from trefoilreach._internal.coordination.quota_buckets import Terms
-from trefoilreach._internal.coordination.quota_ledger import Entry, Ledger
+from trefoilreach._internal.coordination.quota.buckets import Terms
+from trefoilreach._internal.coordination.quota.ledger import Entry, Ledger
 from trefoilreach._internal.protocol.gen.peer.ttypes import (
     BorrowRequest,
     QuotaDemand,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_loans.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/loans.py
@@ -6,16 +6,16 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.quota import QuotaTools, Shortage, quota_policies
-from trefoilreach._internal.coordination.quota_borrower import Borrower
-from trefoilreach._internal.coordination.quota_keeper import (
+from trefoilreach._internal.coordination.quota.borrower import Borrower
+from trefoilreach._internal.coordination.quota.keeper import (
     TABLE_INTERVAL_SECONDS,
     SlotKeeper,
 )
-from trefoilreach._internal.coordination.quota_ledger import Ledger
-from trefoilreach._internal.coordination.quota_lender import Lender
-from trefoilreach._internal.coordination.quota_passing import SlotPasser
-from trefoilreach._internal.coordination.quota_row import decode_row, encode_row
+from trefoilreach._internal.coordination.quota.ledger import Ledger
+from trefoilreach._internal.coordination.quota.lender import Lender
+from trefoilreach._internal.coordination.quota.passing import SlotPasser
+from trefoilreach._internal.coordination.quota.quota import QuotaTools, Shortage, quota_policies
+from trefoilreach._internal.coordination.quota.row import decode_row, encode_row
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
 from trefoilreach._internal.state.config import Account
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_passing.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/passing.py
@@ -11,11 +11,11 @@
 from result import Ok, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.peers import Peers
-from trefoilreach._internal.coordination.quota_borrower import Borrower
-from trefoilreach._internal.coordination.quota_ledger import Ledger
-from trefoilreach._internal.coordination.quota_lender import Lender
-from trefoilreach._internal.coordination.quota_row import PASSED, Slot, SlotRow, vm_of
+from trefoilreach._internal.coordination.membership.peers import Peers
+from trefoilreach._internal.coordination.quota.borrower import Borrower
+from trefoilreach._internal.coordination.quota.ledger import Ledger
+from trefoilreach._internal.coordination.quota.lender import Lender
+from trefoilreach._internal.coordination.quota.row import PASSED, Slot, SlotRow, vm_of
 from trefoilreach._internal.state.table import OutcomeUnknown, StoreError
 
 # A VM that owns few slots sends a message every second; slots go to those heard lately.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/quota.py
@@ -7,8 +7,8 @@
 from result import Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.registry import Registry
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_slots.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/slots.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import DRIFT_MARGIN
-from trefoilreach._internal.coordination.quota_row import (
+from trefoilreach._internal.coordination.quota.row import (
     NEW,
     SLOTS_PER_SHARD,
     TAKEN,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota_static.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/static.py
@@ -5,8 +5,8 @@
 
 from result import Err, Ok, Result
 
-from trefoilreach._internal.coordination.quota import QuotaTools, Shortage, quota_policies
-from trefoilreach._internal.coordination.quota_buckets import Bucket, Terms
+from trefoilreach._internal.coordination.quota.buckets import Bucket, Terms
+from trefoilreach._internal.coordination.quota.quota import QuotaTools, Shortage, quota_policies
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowReply, BorrowRequest
 from trefoilreach._internal.state.config import Account
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/retention.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/retention.py
@@ -14,10 +14,10 @@
 from result import Err, Result
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.audit import SEGMENT_PREFIX
-from trefoilreach._internal.coordination.batch_share import find_sender
-from trefoilreach._internal.coordination.config_store import HEAD_KEY, HISTORY_PREFIX
-from trefoilreach._internal.coordination.peers import Peers
+from trefoilreach._internal.coordination.audit.audit import SEGMENT_PREFIX
+from trefoilreach._internal.coordination.batch.share import find_sender
+from trefoilreach._internal.coordination.config.store import HEAD_KEY, HISTORY_PREFIX
+from trefoilreach._internal.coordination.membership.peers import Peers
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.settings import RetentionSettings
 from trefoilreach._internal.state.jobs import (
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -7,26 +7,26 @@
 from trefoilreach._internal.api.app import Application
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.clock import Clock, SystemClock
-from trefoilreach._internal.coordination import quota_loans, quota_static  # noqa: F401 - register
-from trefoilreach._internal.coordination.audit import CONFIG, WITHDRAWN, Audit
-from trefoilreach._internal.coordination.backends import Backends
-from trefoilreach._internal.coordination.batch import build_batches
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.crash_guard import CrashGuard
-from trefoilreach._internal.coordination.dispatch import Dispatcher
-from trefoilreach._internal.coordination.drain import Drain
-from trefoilreach._internal.coordination.entrypoints import EntryPoints
-from trefoilreach._internal.coordination.idempotency import Idempotency
-from trefoilreach._internal.coordination.isolation import Isolation
-from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.membership import Membership
-from trefoilreach._internal.coordination.peers import PeerState
-from trefoilreach._internal.coordination.placement import Placement, PlacementTools
-from trefoilreach._internal.coordination.quota import QuotaTools, quota_policies
-from trefoilreach._internal.coordination.reporter import Reporter
+from trefoilreach._internal.coordination.audit.audit import CONFIG, WITHDRAWN, Audit
+from trefoilreach._internal.coordination.batch.batch import build_batches
+from trefoilreach._internal.coordination.config.keys import Streams
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.crash.guard import CrashGuard
+from trefoilreach._internal.coordination.membership.drain import Drain
+from trefoilreach._internal.coordination.membership.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.membership.isolation import Isolation
+from trefoilreach._internal.coordination.membership.membership import Membership
+from trefoilreach._internal.coordination.membership.peers import PeerState
+from trefoilreach._internal.coordination.membership.reporter import Reporter
+from trefoilreach._internal.coordination.online.backends import Backends
+from trefoilreach._internal.coordination.online.dispatch import Dispatcher
+from trefoilreach._internal.coordination.online.idempotency import Idempotency
+from trefoilreach._internal.coordination.online.service_dispatch import ServiceDispatcher
+from trefoilreach._internal.coordination.placement.placement import Placement, PlacementTools
+from trefoilreach._internal.coordination.quota import loans, static  # noqa: F401 - register
+from trefoilreach._internal.coordination.quota.quota import QuotaTools, quota_policies
 from trefoilreach._internal.coordination.retention import Retention
-from trefoilreach._internal.coordination.service_dispatch import ServiceDispatcher
 from trefoilreach._internal.logs import log_event, open_log
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import Settings
--- a/tests/functional/test_withdrawal.py
+++ b/tests/functional/test_withdrawal.py
@@ -12,9 +12,9 @@
 import orjson
 from harness import Address, Fleet, call, free_port, hash_secret, publish, wait_until
 from trefoilreach._internal.clock import SystemClock
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.membership import Membership
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.membership import Membership
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings
 from trefoilreach._internal.state.config import Account, ConfigDocument, Key, Route, Server
 from trefoilreach._internal.state.platform_http import HttpObjectStore, HttpTable, HttpVmList
--- a/tests/unit/batch_fakes.py
+++ b/tests/unit/batch_fakes.py
@@ -6,10 +6,10 @@
 
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.batch import Batches, build_batches
-from trefoilreach._internal.coordination.batch_held import HeldChunk, output_line
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.coordination.batch.batch import Batches, build_batches
+from trefoilreach._internal.coordination.batch.held import HeldChunk, output_line
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member, PeerError
 from trefoilreach._internal.settings import BatchSettings, DaemonSettings, Settings
 from trefoilreach._internal.state.config import Account, ConfigDocument, Route, Server
 from trefoilreach._internal.state.objects import MemoryObjectStore
--- a/tests/unit/fair_model.py
+++ b/tests/unit/fair_model.py
@@ -11,10 +11,10 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.backends import Backends, PlaceRequest
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.fairness import REVIEW_SECONDS, Waiter
-from trefoilreach._internal.coordination.quota_buckets import Meter
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.online.backends import Backends, PlaceRequest
+from trefoilreach._internal.coordination.online.fairness import REVIEW_SECONDS, Waiter
+from trefoilreach._internal.coordination.quota.buckets import Meter
 from trefoilreach._internal.settings import (
     DaemonSettings,
     LogSettings,
--- a/tests/unit/placement_world.py
+++ b/tests/unit/placement_world.py
@@ -4,10 +4,15 @@
 
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.backends import Backends
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, UNREACHABLE, Member, PeerError
-from trefoilreach._internal.coordination.placement import Placement, PlacementTools
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import (
+    LIVE,
+    UNREACHABLE,
+    Member,
+    PeerError,
+)
+from trefoilreach._internal.coordination.online.backends import Backends
+from trefoilreach._internal.coordination.placement.placement import Placement, PlacementTools
 from trefoilreach._internal.metrics import NoMetrics
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.settings import Settings
--- a/tests/unit/test_admin_machine.py
+++ b/tests/unit/test_admin_machine.py
@@ -9,8 +9,8 @@
 from trefoilreach._internal.api import admin  # noqa: F401 - registers the routes
 from trefoilreach._internal.api.web import WebRequest, routes
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.config_view import ConfigHolder
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.config.view import ConfigHolder
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.settings import PlatformSettings, Settings
 from trefoilreach._internal.state.config import ConfigDocument, hash_key
--- a/tests/unit/test_batch_machine.py
+++ b/tests/unit/test_batch_machine.py
@@ -21,7 +21,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
+from trefoilreach._internal.coordination.batch.accept import JobRequest, Upload
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.jobs import CANCELLED, COMPLETED, DONE, FINAL_STATUSES
 
--- a/tests/unit/test_batch_parts.py
+++ b/tests/unit/test_batch_parts.py
@@ -6,12 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
-from trefoilreach._internal.coordination.batch_chunks import JobClosed, free_chunk
-from trefoilreach._internal.coordination.batch_items import StreamHandle
-from trefoilreach._internal.coordination.batch_share import Targets, WorkerShare, find_sender
-from trefoilreach._internal.coordination.batch_turns import FairTurns
-from trefoilreach._internal.coordination.peers import LIVE, Member
+from trefoilreach._internal.coordination.batch.accept import JobRequest, Upload
+from trefoilreach._internal.coordination.batch.chunks import JobClosed, free_chunk
+from trefoilreach._internal.coordination.batch.items import StreamHandle
+from trefoilreach._internal.coordination.batch.share import Targets, WorkerShare, find_sender
+from trefoilreach._internal.coordination.batch.turns import FairTurns
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member
 from trefoilreach._internal.state.config import Server
 from trefoilreach._internal.state.jobs import FREE, decode_chunk
 from trefoilreach._internal.transport.engine import LoadReport
--- a/tests/unit/test_config_change.py
+++ b/tests/unit/test_config_change.py
@@ -11,10 +11,10 @@
 from result import Ok
 from test_config_machine import spoil_change
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.config_store import CHANGE_SUFFIX
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, Member
+from trefoilreach._internal.coordination.config.store import CHANGE_SUFFIX
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member
 from trefoilreach._internal.state.config import (
     Account,
     ConfigDocument,
--- a/tests/unit/test_config_machine.py
+++ b/tests/unit/test_config_machine.py
@@ -15,10 +15,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.config_store import CHANGE_SUFFIX, HEAD_KEY
-from trefoilreach._internal.coordination.config_sync import ConfigSync
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.coordination.config.store import CHANGE_SUFFIX, HEAD_KEY
+from trefoilreach._internal.coordination.config.sync import ConfigSync
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member, PeerError
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.config import Account, ConfigDocument, Key, decode_config
 from trefoilreach._internal.state.objects import MemoryObjectStore
--- a/tests/unit/test_crash_guard.py
+++ b/tests/unit/test_crash_guard.py
@@ -4,14 +4,14 @@
 
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.crash_guard import CrashGuard
-from trefoilreach._internal.coordination.crash_runs import (
+from trefoilreach._internal.coordination.crash.guard import CrashGuard
+from trefoilreach._internal.coordination.crash.runs import (
     GuardedRun,
     RunsElsewhere,
     Standing,
     TrialBusy,
 )
-from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member, PeerError
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.table import MemoryTable
 
--- a/tests/unit/test_drain_steps.py
+++ b/tests/unit/test_drain_steps.py
@@ -1,7 +1,7 @@
 """Guards against a planned stop that stops listening while callers still keep its address."""
 
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.drain import Drain
+from trefoilreach._internal.coordination.membership.drain import Drain
 
 
 class SteppedClock(ManualClock):
--- a/tests/unit/test_fairness.py
+++ b/tests/unit/test_fairness.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from trefoilreach._internal.clock import ManualClock, SystemClock
-from trefoilreach._internal.coordination.fairness import CallerGone, Claim, FairQueue
+from trefoilreach._internal.coordination.online.fairness import CallerGone, Claim, FairQueue
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 
 
--- a/tests/unit/test_isolation.py
+++ b/tests/unit/test_isolation.py
@@ -4,9 +4,9 @@
 
 import pytest
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.isolation import Isolation
-from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.peers import LIVE, UNREACHABLE, Member
+from trefoilreach._internal.coordination.config.keys import Streams
+from trefoilreach._internal.coordination.membership.isolation import Isolation
+from trefoilreach._internal.coordination.membership.peers import LIVE, UNREACHABLE, Member
 
 
 class Sync(NamedTuple):
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.leases import Lease, Leases
+from trefoilreach._internal.coordination.membership.leases import Lease, Leases
 from trefoilreach._internal.state.table import MemoryTable, OutcomeUnknown, StoreUnavailable, Write
 
 NAME, SECONDS = "lease/worker", 20.0
--- a/tests/unit/test_load_poller.py
+++ b/tests/unit/test_load_poller.py
@@ -7,10 +7,10 @@
 import pytest
 from result import Err, Ok
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.backends import Backends
-from trefoilreach._internal.coordination.batch_feed import BatchFeed
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.load_poller import LoadPoller
+from trefoilreach._internal.coordination.batch.feed import BatchFeed
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.online.backends import Backends
+from trefoilreach._internal.coordination.online.load_poller import LoadPoller
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.settings import Settings
 from trefoilreach._internal.state.config import ConfigDocument, Route, Server
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 from trefoilreach._internal.clock import ManualClock, SystemClock
-from trefoilreach._internal.coordination.entrypoints import EntryPoints
-from trefoilreach._internal.coordination.member_table import MAX_UPDATES
-from trefoilreach._internal.coordination.member_wire import to_update
-from trefoilreach._internal.coordination.membership import Membership
-from trefoilreach._internal.coordination.peers import (
+from trefoilreach._internal.coordination.membership.entrypoints import EntryPoints
+from trefoilreach._internal.coordination.membership.member_table import MAX_UPDATES
+from trefoilreach._internal.coordination.membership.member_wire import to_update
+from trefoilreach._internal.coordination.membership.membership import Membership
+from trefoilreach._internal.coordination.membership.peers import (
     LEAVING,
     LIVE,
     SUSPECT,
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -4,10 +4,10 @@
 from contextlib import ExitStack
 
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.keys import Streams
-from trefoilreach._internal.coordination.membership import Membership
-from trefoilreach._internal.coordination.reporter import Reporter
+from trefoilreach._internal.coordination.config.keys import Streams
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.membership import Membership
+from trefoilreach._internal.coordination.membership.reporter import Reporter
 from trefoilreach._internal.metrics import open_metrics
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings, MetricsSettings
 from trefoilreach._internal.state.vms import MemoryVmList
--- a/tests/unit/test_placement_rules.py
+++ b/tests/unit/test_placement_rules.py
@@ -8,9 +8,10 @@
 
 import pytest
 from placement_world import MODELS, World
-from trefoilreach._internal.coordination import placement_decision, placement_orders
-from trefoilreach._internal.coordination.placement_fleet import Fleet
-from trefoilreach._internal.coordination.placement_orders import OrderRun
+from trefoilreach._internal.coordination.placement import decision as placement_decision
+from trefoilreach._internal.coordination.placement import orders as placement_orders
+from trefoilreach._internal.coordination.placement.fleet import Fleet
+from trefoilreach._internal.coordination.placement.orders import OrderRun
 
 
 def open_world(lag: float = 2.5) -> World:
--- a/tests/unit/test_quota_parts.py
+++ b/tests/unit/test_quota_parts.py
@@ -2,7 +2,7 @@
 
 from quota_oracle import Limit, find_excess
 from quota_world import World, clone
-from trefoilreach._internal.coordination.quota_buckets import Bucket, Terms
+from trefoilreach._internal.coordination.quota.buckets import Bucket, Terms
 from trefoilreach._internal.protocol.gen.peer.ttypes import BorrowRequest, QuotaReturn
 from trefoilreach._internal.state.config import Account, ConfigDocument
 
--- a/tests/unit/test_quota_passing.py
+++ b/tests/unit/test_quota_passing.py
@@ -5,8 +5,8 @@
 import pytest
 from quota_world import Node, World
 from result import Err
-from trefoilreach._internal.coordination import quota_borrower
-from trefoilreach._internal.coordination.quota_row import PASSED, Slot
+from trefoilreach._internal.coordination.quota import borrower as quota_borrower
+from trefoilreach._internal.coordination.quota.row import PASSED, Slot
 from trefoilreach._internal.state.config import Account
 
 RATE = 30.0
--- a/tests/unit/test_quota_waiting.py
+++ b/tests/unit/test_quota_waiting.py
@@ -7,10 +7,10 @@
 import pytest
 from result import Err, Ok, Result
 from trefoilreach._internal.clock import SystemClock
-from trefoilreach._internal.coordination.config_view import ConfigHolder
-from trefoilreach._internal.coordination.peers import LIVE, Member, PeerError
-from trefoilreach._internal.coordination.quota import QuotaTools
-from trefoilreach._internal.coordination.quota_loans import LoanQuota
+from trefoilreach._internal.coordination.config.view import ConfigHolder
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member, PeerError
+from trefoilreach._internal.coordination.quota.loans import LoanQuota
+from trefoilreach._internal.coordination.quota.quota import QuotaTools
 from trefoilreach._internal.settings import QuotaSettings
 from trefoilreach._internal.state.config import Account, ConfigDocument
 from trefoilreach._internal.state.table import MemoryTable
--- a/tests/unit/test_retention.py
+++ b/tests/unit/test_retention.py
@@ -5,9 +5,9 @@
 
 from batch_fakes import DOCUMENT, ENDPOINT, Faults, FaultyObjects, FaultyTable, Runner, make_input
 from trefoilreach._internal.clock import ManualClock, SystemClock
-from trefoilreach._internal.coordination.audit import SEGMENT_PREFIX
-from trefoilreach._internal.coordination.batch_accept import JobRequest, Upload
-from trefoilreach._internal.coordination.config_store import ConfigStore
+from trefoilreach._internal.coordination.audit.audit import SEGMENT_PREFIX
+from trefoilreach._internal.coordination.batch.accept import JobRequest, Upload
+from trefoilreach._internal.coordination.config.store import ConfigStore
 from trefoilreach._internal.coordination.retention import Retention
 from trefoilreach._internal.settings import RetentionSettings
 from trefoilreach._internal.state.jobs import FINAL_STATUSES
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -6,10 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.affinity import PrefixView, find_prefixes
-from trefoilreach._internal.coordination.load_view import LoadView
-from trefoilreach._internal.coordination.retry_budget import RetryBudget
-from trefoilreach._internal.coordination.routing import (
+from trefoilreach._internal.coordination.online.affinity import PrefixView, find_prefixes
+from trefoilreach._internal.coordination.online.load_view import LoadView
+from trefoilreach._internal.coordination.online.retry_budget import RetryBudget
+from trefoilreach._internal.coordination.online.routing import (
     SUBSET_SIZE,
     Candidate,
     choose_subset,
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies as st
 from quota_world import World
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.fairness import Claim, FairQueue
-from trefoilreach._internal.coordination.membership import Membership
-from trefoilreach._internal.coordination.peers import PeerState, RouteLoad
-from trefoilreach._internal.coordination.probe_messages import MAX_ROUTES, to_state
-from trefoilreach._internal.coordination.shares import FleetShares, ShareTools
+from trefoilreach._internal.coordination.membership.membership import Membership
+from trefoilreach._internal.coordination.membership.peers import PeerState, RouteLoad
+from trefoilreach._internal.coordination.membership.probe_messages import MAX_ROUTES, to_state
+from trefoilreach._internal.coordination.online.fairness import Claim, FairQueue
+from trefoilreach._internal.coordination.online.shares import FleetShares, ShareTools
 from trefoilreach._internal.protocol.gen.peer.ttypes import ProbeReply, ProbeRequest
 from trefoilreach._internal.settings import DaemonSettings, FleetSettings
 from trefoilreach._internal.state.config import Account, Server
--- a/tests/unit/test_worker_owners.py
+++ b/tests/unit/test_worker_owners.py
@@ -2,9 +2,9 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from trefoilreach._internal.coordination.batch_share import find_sender
-from trefoilreach._internal.coordination.peers import LIVE, Member
-from trefoilreach._internal.coordination.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.batch.share import find_sender
+from trefoilreach._internal.coordination.batch.worker_owners import WorkerOwners
+from trefoilreach._internal.coordination.membership.peers import LIVE, Member
 from trefoilreach._internal.state.config import Server
 
 NUMBERS = st.frozensets(st.integers(0, 12), max_size=9)
--- a/tools/measure_quota.py
+++ b/tools/measure_quota.py
@@ -13,9 +13,9 @@
 from result import Ok  # noqa: E402
 from thrift.protocol.TCompactProtocol import TCompactProtocol  # noqa: E402
 from thrift.transport.TTransport import TMemoryBuffer  # noqa: E402
-from trefoilreach._internal.coordination import quota_borrower  # noqa: E402
-from trefoilreach._internal.coordination.quota import QuotaTools  # noqa: E402
-from trefoilreach._internal.coordination.quota_static import StaticQuota  # noqa: E402
+from trefoilreach._internal.coordination.quota import borrower as quota_borrower  # noqa: E402
+from trefoilreach._internal.coordination.quota.quota import QuotaTools  # noqa: E402
+from trefoilreach._internal.coordination.quota.static import StaticQuota  # noqa: E402
 from trefoilreach._internal.settings import QuotaSettings  # noqa: E402
 from trefoilreach._internal.state.config import Account  # noqa: E402
 
