--- a/Makefile
+++ b/Makefile
@@ -61,5 +61,8 @@
 	thrift --gen py:package_prefix=trefoilreach._internal.protocol.gen. \
 		-out packages/trefoilreach/src/trefoilreach/_internal/protocol/gen \
 		packages/trefoilreach/src/trefoilreach/_internal/protocol/peer.thrift
+	thrift --gen py:package_prefix=trefoilreach._internal.protocol.gen. \
+		-out packages/trefoilreach/src/trefoilreach/_internal/protocol/gen \
+		packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
 	rm -f packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer-remote
-	echo '"""Code generated from peer.thrift."""' > packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
+	echo '"""Code generated from peer.thrift and fleet.thrift."""' > packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -0,0 +1,294 @@
+"""Sends this daemon's report to the others and keeps what they state.
+
+Every daemon sends its whole state at each change, and at least every quarter of a second.
+The pause between two reports grows with the number of peers, so that a daemon never sends
+more datagrams than its share.
+"""
+
+import random
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.exchange.reports import (
+    Identity,
+    Statement,
+    decode,
+    encode,
+    encode_report,
+    read_identity,
+    read_statement,
+)
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.protocol.gen.fleet.ttypes import (
+    Datagram,
+    FreshnessQuery,
+    FreshnessReply,
+    Hello,
+    Peers,
+    Report,
+)
+
+# A peer that missed four reports is not sent callers.
+PEER_LATE_SECONDS = 1.0
+_REPORT_SECONDS = 0.25
+# Most datagrams a second that one daemon sends for its reports: at 30 us each, 12 % of a core.
+_DATAGRAMS_PER_SECOND = 4000.0
+# Addresses that do not answer are tried again at this interval.
+_SILENT_RETRY_SECONDS = 2.0
+# A peer that has been silent for this long no longer counts as a part of the fleet.
+PEER_GONE_SECONDS = 10.0
+_FRESHNESS_ASKED = 3
+_DATAGRAM_BYTES = 65536
+_MILLISECONDS = 1000.0
+
+Address = tuple[str, int]
+
+
+class Peer(NamedTuple):
+    """Another daemon, as last heard."""
+
+    identity: Identity
+    sequence: int
+    heard_at: float
+    statement: Statement
+
+    def is_late(self, now: float) -> bool:
+        """Return whether reports have been missing."""
+        return now - self.heard_at > PEER_LATE_SECONDS
+
+
+class Hooks(NamedTuple):
+    """What the exchange calls.
+
+    :param state: returns the statement of the next report.
+    :param heard: takes a peer's report, and whether its process is new here.
+    :param lost: takes a peer whose process ended or that has long been silent.
+    :param freshness: returns the age of the desired state in force here.
+    :param confirmed: takes a version that was the newest at a time of this daemon's clock.
+    """
+
+    state: Callable[[], Statement]
+    heard: Callable[[Peer, bool], None]
+    lost: Callable[[Peer], None]
+    freshness: Callable[[], float]
+    confirmed: Callable[[int, float], None]
+
+
+class Exchange:
+    """Datagrams to and from the other daemons."""
+
+    def __init__(self, clock: Clock, identity: Identity, seeds: Iterable[Address]) -> None:
+        self.identity = identity
+        self._clock = clock
+        self._hooks: Hooks | None = None
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._lock = threading.Lock()
+        self._changed = threading.Condition()
+        self._dirty = False
+        self._stopped = False
+        self._sequence = 0
+        self._peers: dict[str, Peer] = {}
+        self._known: dict[Address, float] = {}
+        self._queries: dict[int, float] = {}
+        own = (identity.host, identity.port)
+        self._seeds = [address for address in seeds if address != own]
+
+    @property
+    def peers(self) -> list[Peer]:
+        """Peers heard within the last seconds."""
+        with self._lock:
+            return list(self._peers.values())
+
+    @property
+    def live(self) -> list[Peer]:
+        """Peers whose reports come in time."""
+        now = self._clock.now()
+        return [peer for peer in self.peers if not peer.is_late(now)]
+
+    def start(self, hooks: Hooks, stack: ExitStack) -> None:
+        """Exchange reports until the exit stack closes."""
+        self._hooks = hooks
+        self._socket.bind((self.identity.host, self.identity.port))
+        stack.callback(self._close)
+        threading.Thread(target=self._receive, name="exchange-receive", daemon=True).start()
+        threading.Thread(target=self._send, name="exchange-send", daemon=True).start()
+
+    def wake(self) -> None:
+        """Send a report soon, because something has changed."""
+        with self._changed:
+            self._dirty = True
+            self._changed.notify()
+
+    def set_known(self, addresses: Iterable[Address]) -> None:
+        """Set the addresses of the daemons that the store names."""
+        own = (self.identity.host, self.identity.port)
+        with self._lock:
+            old = self._known
+            self._known = {a: old.get(a, 0.0) for a in addresses if a != own}
+
+    def ask_freshness(self) -> None:
+        """Ask some peers which desired state is the newest."""
+        live = [peer for peer in self.live if peer.statement.store_age < PEER_LATE_SECONDS]
+        now = self._clock.now()
+        for peer in random.sample(live, min(_FRESHNESS_ASKED, len(live))):
+            nonce = random.getrandbits(62)
+            with self._lock:
+                self._queries = {n: at for n, at in self._queries.items() if now - at < 1.0}
+                self._queries[nonce] = now
+            query = FreshnessQuery(nonce, self.identity.host, self.identity.port)
+            self._send_to(encode(Datagram(query=query)), _address(peer))
+
+    def _close(self) -> None:
+        with self._changed:
+            self._stopped = True
+            self._changed.notify()
+        self._socket.close()
+
+    def _send(self) -> None:
+        last = 0.0
+        while True:
+            with self._changed:
+                self._changed.wait_for(lambda: self._dirty or self._stopped, _REPORT_SECONDS)
+                if self._stopped:
+                    return
+            targets = self._find_targets()
+            pause = last + len(targets) / _DATAGRAMS_PER_SECOND - self._clock.now()
+            if pause > 0:
+                self._clock.sleep(pause)
+            with self._changed:
+                self._dirty = False
+            last = self._clock.now()
+            self._send_report(targets)
+
+    def _send_report(self, targets: list[Address]) -> None:
+        assert self._hooks is not None
+        self._sequence += 1
+        now = self._clock.now()
+        data = encode_report(self.identity, self._sequence, self._hooks.state(), now)
+        for address in targets:
+            self._send_to(data, address)
+
+    def _find_targets(self) -> list[Address]:
+        """Return the live peers, and from time to time those that are not heard."""
+        now = self._clock.now()
+        gone: list[Peer] = []
+        with self._lock:
+            for vm, peer in list(self._peers.items()):
+                if now - peer.heard_at > PEER_GONE_SECONDS:
+                    gone.append(self._peers.pop(vm))
+            targets = {_address(peer) for peer in self._peers.values() if not peer.is_late(now)}
+            silent = [a for a in [*self._known, *self._seeds] if a not in targets]
+            silent += [_address(p) for p in self._peers.values() if p.is_late(now)]
+            for address in silent:
+                if now - self._known.get(address, 0.0) >= _SILENT_RETRY_SECONDS or not targets:
+                    self._known[address] = now
+                    targets.add(address)
+        assert self._hooks is not None
+        for peer in gone:
+            log_event("peer:gone", vm=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
+            self._hooks.lost(peer)
+        return list(targets)
+
+    def _send_to(self, data: bytes, address: Address) -> None:
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            # A datagram may be lost at any time; the next report repeats what it said.
+            if not self._stopped:
+                log_event("exchange:send-failed", to=f"{address[0]}:{address[1]}", error=str(error))
+
+    def _receive(self) -> None:
+        while not self._stopped:
+            try:
+                data, address = self._socket.recvfrom(_DATAGRAM_BYTES)
+            except ConnectionRefusedError:
+                # Notice that an earlier datagram met no process.
+                continue
+            except OSError as error:
+                if not self._stopped:
+                    log_event("exchange:receive-failed", error=str(error))
+                    self._clock.sleep(_REPORT_SECONDS)
+                continue
+            datagram = decode(data)
+            if datagram is None:
+                log_event("exchange:undecodable", sender=address[0])
+                continue
+            try:
+                self._handle(datagram)
+            except Exception as error:
+                # One peer's odd datagram must not end the exchange with the others.
+                log_event("exchange:handler-failed", sender=address[0], error=repr(error))
+
+    def _handle(self, datagram: Datagram) -> None:
+        if datagram.report is not None:
+            self._take_report(datagram.report)
+        elif datagram.query is not None:
+            self._answer_query(datagram.query)
+        elif datagram.reply is not None:
+            self._take_reply(datagram.reply)
+        elif datagram.hello is not None:
+            addresses = [f"{p.identity.host}:{p.identity.port}" for p in self.live]
+            data = encode(Datagram(peers=Peers(addresses)))
+            self._send_to(data, (datagram.hello.host, datagram.hello.port))
+        elif datagram.peers is not None:
+            self._take_addresses(datagram.peers)
+
+    def _take_report(self, report: Report) -> None:
+        identity = read_identity(report)
+        if identity.vm == self.identity.vm:
+            return
+        now = self._clock.now()
+        peer = Peer(identity, report.sequence, now, read_statement(report, now))
+        with self._lock:
+            known = self._peers.get(identity.vm)
+            if known is not None:
+                before, after = known.identity.incarnation, identity.incarnation
+                if (before, known.sequence) >= (after, report.sequence):
+                    return
+            self._peers[identity.vm] = peer
+        assert self._hooks is not None
+        new = known is None or known.identity.incarnation != identity.incarnation
+        if known is not None and new:
+            self._hooks.lost(known)
+        if new:
+            log_event("peer:new", vm=identity.vm, incarnation=identity.incarnation)
+            self.wake()
+            # The peer may know daemons that this one has not heard of.
+            hello = Hello(self.identity.host, self.identity.port)
+            self._send_to(encode(Datagram(hello=hello)), _address(peer))
+        elif known is not None and known.is_late(now):
+            log_event("peer:regained", vm=identity.vm, silent_seconds=now - known.heard_at)
+        self._hooks.heard(peer, new)
+
+    def _answer_query(self, query: FreshnessQuery) -> None:
+        assert self._hooks is not None
+        # The age is taken after the version, so that it is never too small for it.
+        version = self._hooks.state().config_version
+        age = self._hooks.freshness()
+        if age > PEER_LATE_SECONDS * 10:
+            return
+        reply = FreshnessReply(query.nonce, version, int(age * _MILLISECONDS) + 1)
+        self._send_to(encode(Datagram(reply=reply)), (query.host, query.port))
+
+    def _take_reply(self, reply: FreshnessReply) -> None:
+        with self._lock:
+            asked_at = self._queries.pop(reply.nonce, None)
+        if asked_at is not None:
+            assert self._hooks is not None
+            self._hooks.confirmed(reply.config_version, asked_at - reply.age_ms / _MILLISECONDS)
+
+    def _take_addresses(self, peers: Peers) -> None:
+        own = (self.identity.host, self.identity.port)
+        with self._lock:
+            for text in peers.addresses or ():
+                host, _, port = text.rpartition(":")
+                if host and port.isdigit() and (host, int(port)) != own:
+                    self._known.setdefault((host, int(port)), 0.0)
+
+
+def _address(peer: Peer) -> Address:
+    return peer.identity.host, peer.identity.port
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -0,0 +1,418 @@
+"""Runs the items of one job and lists their results.
+
+Load pattern: batch work in the troughs of online traffic. An item that gives its slot up
+keeps the events it has and goes on after them at any worker.
+"""
+
+import threading
+from concurrent.futures import Executor
+from typing import NamedTuple
+
+from result import Err
+
+from trefoilreach._internal.coordination.jobs.records import (
+    DONE,
+    RESULT_TABLE,
+    Item,
+    ItemResult,
+    JobRow,
+    drop_input,
+    find_part,
+    job_key,
+    key_range,
+    read_result,
+    result_key,
+    write_job,
+    write_result,
+)
+from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.board import Waiting, WorkerLoad
+from trefoilreach._internal.coordination.serving.choice import choose_batch
+from trefoilreach._internal.coordination.serving.crashes import find_fingerprint
+from trefoilreach._internal.coordination.serving.link import (
+    Call,
+    Dispatch,
+    WorkerAnswer,
+    WorkerFailure,
+)
+from trefoilreach._internal.coordination.serving.online import ServingTools
+from trefoilreach._internal.coordination.serving.turns import BatchNeed, rank_batch
+from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.protocol.event_stream import EventSplitter
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.rows import ConditionFailed, Expectation, RowStore
+from trefoilreach._internal.state.serving import ServingRoute, WorkerEntry
+from trefoilreach._internal.transport.http_client import Interrupt
+
+# Expected length of a run before the first is known.
+_FIRST_RUN_SECONDS = 5.0
+_RUN_WEIGHT = 0.2
+# Waits for a worker: a prompt that is read again takes up to 45 ms, a pause between events
+# 20 ms; a slow worker takes eight times as long.
+_FIRST_EVENT_SECONDS = 2.0
+_STALL_SECONDS = 1.0
+_RETRY_SECONDS = 0.3
+_COMMIT_RETRY_SECONDS = 0.2
+_NEVER_DONE_STATUS = 422
+_FAILED_STATUS = 500
+_YIELDED = "an online request needs the slot"
+_STOPPED = "the job is no longer run here"
+
+
+class JobTimes(NamedTuple):
+    """Times of a job by the daemon's clock.
+
+    :param due: when all results are due.
+    :param keep: when an item may be given up.
+    """
+
+    due: float
+    keep: float
+
+
+class RunLength:
+    """Mean length of an item's run, over the jobs of a daemon."""
+
+    def __init__(self) -> None:
+        self.seconds = _FIRST_RUN_SECONDS
+
+    def note(self, seconds: float) -> None:
+        """Take a run into the mean."""
+        self.seconds += _RUN_WEIGHT * (seconds - self.seconds)
+
+
+class JobWorld(NamedTuple):
+    """What the runs of all jobs share."""
+
+    tools: ServingTools
+    rows: RowStore
+    executor: Executor
+    length: RunLength
+
+
+class _ItemRun:
+    """Progress of one item."""
+
+    def __init__(self, item: Item) -> None:
+        self.item = item
+        self.events: list[bytes] = []
+        self.last_event: int | None = None
+        self.failures = 0
+        self.run_seconds = 0.0
+        self.avoid: set[str] = set()
+        self.ticket: Ticket | None = None
+        self.interrupt: Interrupt | None = None
+
+    def forget_events(self) -> None:
+        """Begin from the start at the next run."""
+        self.events = []
+        self.last_event = None
+
+
+class JobRun:
+    """One job that this daemon owns."""
+
+    def __init__(
+        self,
+        world: JobWorld,
+        row: JobRow,
+        route: ServingRoute,
+        times: JobTimes,
+        items: list[Item],
+        listed: list[ItemResult],
+        input_bytes: int,
+    ) -> None:
+        self._world = world
+        self._tools = world.tools
+        self._row = row
+        self._route = route
+        self._times = times
+        self._input_bytes = input_bytes
+        self._lock = threading.RLock()
+        self._commit_lock = threading.Lock()
+        self._results = len(listed)
+        done = {result.id for result in listed}
+        self._open = {item.id: _ItemRun(item) for item in items if item.id not in done}
+        self._stopped = False
+        self._taking = True
+        self.lost = False
+
+    @property
+    def row(self) -> JobRow:
+        """The job's row as last written."""
+        return self._row
+
+    @property
+    def results(self) -> int:
+        """Number of listed results."""
+        return self._results
+
+    @property
+    def finished(self) -> bool:
+        """Whether nothing is left to do here."""
+        return self._stopped or not self._open
+
+    @property
+    def running(self) -> int:
+        """Items that hold a slot."""
+        with self._lock:
+            return sum(run.interrupt is not None for run in self._open.values())
+
+    def start(self) -> None:
+        """Let all open items wait for slots."""
+        tickets = [self._make_ticket(run) for run in list(self._open.values())]
+        self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
+
+    def stop_taking(self) -> None:
+        """Begin no more runs; those that have a slot go on."""
+        with self._lock:
+            self._taking = False
+            tickets = [run.ticket for run in self._open.values() if run.ticket is not None]
+        for ticket in tickets:
+            self._tools.admission.withdraw(ticket)
+
+    def stop(self, reason: str) -> None:
+        """End all runs; the job goes on elsewhere or has ended."""
+        with self._lock:
+            if self._stopped:
+                return
+            self._stopped = True
+            runs = list(self._open.values())
+        log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=len(runs))
+        for run in runs:
+            if run.ticket is not None:
+                self._tools.admission.withdraw(run.ticket)
+            if run.interrupt is not None:
+                run.interrupt.fire(_STOPPED)
+
+    def give_up_old(self, now: float) -> None:
+        """List the items that were kept for as long as the route says."""
+        if now < self._times.keep or self._stopped:
+            return
+        for run in list(self._open.values()):
+            if run.ticket is not None:
+                self._tools.admission.withdraw(run.ticket)
+            if run.interrupt is not None:
+                run.interrupt.fire(_STOPPED)
+            self._finish(run, None, "kept for its whole time")
+
+    def _submit(self, run: _ItemRun) -> None:
+        ticket = self._make_ticket(run)
+        if ticket is not None:
+            self._tools.admission.submit(ticket)
+
+    def _make_ticket(self, run: _ItemRun) -> Ticket | None:
+        """Return the ticket of an item's next run, or None when it is not to run."""
+        if self._stopped or not self._taking or run.item.id not in self._open:
+            return None
+        item = run.item
+        account = self._row.record.account
+        if self._tools.crashes.is_blocked(find_fingerprint(account, item.target, item.body)):
+            log_event("item:held", request_id=item.id, reason="it crashed the workers that ran it")
+            return None
+        run.ticket = Ticket(
+            SlotRequest(
+                service=self._route.pick_service(item.id),
+                request_id=item.id,
+                rank=lambda now: self._rank(run, now),
+                choose=lambda loads: self._choose(run, loads),
+                granted=lambda worker: self._grant(run, worker),
+                yields=lambda: self._yield(run),
+            )
+        )
+        return run.ticket
+
+    def _release(self, run: _ItemRun) -> None:
+        """Give the slot of an item back; its result may take longer to list."""
+        ticket, run.ticket = run.ticket, None
+        if ticket is not None:
+            self._tools.admission.release(ticket)
+
+    def _rank(self, run: _ItemRun, now: float) -> Waiting:
+        left = max(0.0, self._world.length.seconds - run.run_seconds)
+        return rank_batch(BatchNeed(self._times.due, left), now)
+
+    def _choose(self, run: _ItemRun, loads: list[WorkerLoad]) -> str | None:
+        chosen = choose_batch(loads, run.avoid)
+        if chosen is None and run.avoid:
+            chosen = choose_batch(loads)
+        return chosen
+
+    def _grant(self, run: _ItemRun, worker: str) -> None:
+        run.interrupt = Interrupt()
+        self._world.executor.submit(self._run_item, run, worker, run.interrupt)
+
+    def _yield(self, run: _ItemRun) -> None:
+        interrupt = run.interrupt
+        if interrupt is not None:
+            interrupt.fire(_YIELDED)
+
+    def _run_item(self, run: _ItemRun, worker_id: str, interrupt: Interrupt) -> None:
+        clock = self._tools.clock
+        begun = clock.now()
+        worker = self._tools.admission.workers.find(worker_id)
+        pause = 0.0
+        try:
+            if worker is None:
+                pause = _RETRY_SECONDS
+            else:
+                log_decision(
+                    "batch",
+                    worker_id,
+                    "free slot",
+                    request_id=run.item.id,
+                    job=self._row.record.job,
+                    after_event=run.last_event,
+                    due_in=round(self._times.due - begun, 3),
+                )
+                pause = self._try_item(run, worker, interrupt)
+        except Exception as error:
+            log_event("item:error", request_id=run.item.id, error=repr(error))
+            pause = _RETRY_SECONDS
+        finally:
+            run.run_seconds += clock.now() - begun
+            run.interrupt = None
+            self._release(run)
+        if run.item.id in self._open and not self._stopped:
+            if pause:
+                clock.sleep(pause)
+            self._submit(run)
+
+    def _try_item(self, run: _ItemRun, worker: WorkerEntry, interrupt: Interrupt) -> float:
+        """Run an item until its end, a failure or a yield; return the pause before another."""
+        item, record = run.item, self._row.record
+        call = Call(item.id, "POST", item.target, self._route.host, item.headers, item.body)
+        left = max(1.0, self._times.keep - self._tools.clock.now())
+        dispatch = Dispatch(call, worker, record.account, left, run.last_event)
+        answer: WorkerAnswer | None = None
+        try:
+            answer = self._tools.link.open(dispatch, _FIRST_EVENT_SECONDS, interrupt)
+            if answer.status == 200 and answer.receipt:
+                self._tools.admission.workers.note_answer(worker.id)
+                self._read_events(run, answer)
+                answer.close()
+                self._release(run)
+                output = b"\n".join(run.events).decode(errors="replace")
+                self._finish(run, output, "complete")
+                return 0.0
+            return self._judge_status(run, worker, answer)
+        except WorkerFailure as failure:
+            return self._judge_failure(run, worker, failure, interrupt)
+        finally:
+            if answer is not None:
+                answer.close()
+
+    def _read_events(self, run: _ItemRun, answer: WorkerAnswer) -> None:
+        splitter = EventSplitter()
+        while data := answer.read_some(_STALL_SECONDS):
+            for event in splitter.feed(data):
+                if event.id is not None:
+                    run.last_event = event.id
+                run.events.append(event.data)
+        if splitter.rest or not run.events:
+            raise WorkerFailure("the stream ended early", Verdict.MAY_HAVE_RUN)
+
+    def _judge_status(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> float:
+        log_event(
+            "item:attempt-failed",
+            request_id=run.item.id,
+            worker=worker.id,
+            status=answer.status,
+            not_run=answer.not_run,
+            failures=run.failures,
+        )
+        if answer.status == _NEVER_DONE_STATUS:
+            self._finish(run, None, "the worker says it can never be done")
+        elif answer.status == _FAILED_STATUS and not answer.not_run:
+            run.failures += 1
+            run.forget_events()
+            if run.failures >= self._route.max_runs:
+                self._finish(run, None, f"failed {run.failures} times")
+        run.avoid = {worker.id}
+        return _RETRY_SECONDS
+
+    def _judge_failure(
+        self, run: _ItemRun, worker: WorkerEntry, failure: WorkerFailure, interrupt: Interrupt
+    ) -> float:
+        if interrupt.reason:
+            log_event("item:left-slot", request_id=run.item.id, reason=interrupt.reason)
+            return 0.0
+        log_event(
+            "item:attempt-failed", request_id=run.item.id, worker=worker.id, reason=str(failure)
+        )
+        dead = not failure.silent and self._tools.link.is_dead(worker)
+        if dead and not failure.unreachable:
+            fingerprint = find_fingerprint(self._row.record.account, run.item.target, run.item.body)
+            self._tools.crashes.note(fingerprint, f"{worker.id}/{worker.started_ms}", run.item.id)
+        if dead or failure.silent or failure.unreachable:
+            self._tools.admission.workers.note_failure(worker.id, str(failure))
+        run.avoid = {worker.id}
+        return 0.0
+
+    def _finish(self, run: _ItemRun, output: str | None, reason: str) -> None:
+        """List the result of an item, once."""
+        result = ItemResult(run.item.id, output)
+        with self._commit_lock:
+            while run.item.id in self._open and not self._stopped:
+                if self._commit(result):
+                    break
+                self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
+        if output is not None:
+            self._world.length.note(run.run_seconds or _FIRST_RUN_SECONDS)
+        log_event(
+            "item:listed" if not self._stopped else "item:dropped",
+            request_id=run.item.id,
+            job=self._row.record.job,
+            completed=output is not None,
+            reason=reason,
+            late_seconds=round(self._tools.clock.now() - self._times.due, 3),
+        )
+
+    def _commit(self, result: ItemResult) -> bool:
+        """Write one result at the next position; return whether that is settled."""
+        record, version = self._row
+        position = self._results
+        last = len(self._open) == 1
+        writes = [write_result(record.job, position, result)]
+        if last:
+            record = record._replace(state=DONE)
+            writes += [write_job(record), *drop_input(record.job, self._input_bytes)]
+        expected = [
+            Expectation(job_key(record.job), version),
+            Expectation(result_key(record.job, position), 0),
+        ]
+        outcome = self._world.rows.commit(expected, writes)
+        if isinstance(outcome, Err):
+            if isinstance(outcome.err_value, ConditionFailed):
+                return self._settle_conflict(result)
+            log_event("job:commit-failed", job=record.job, error=str(outcome.err_value))
+            return False
+        if last:
+            self._row = JobRow(record, outcome.ok_value.version)
+        self._note_listed(result)
+        return True
+
+    def _settle_conflict(self, result: ItemResult) -> bool:
+        """Find out whether an earlier try wrote the result, or the job has another owner."""
+        record = self._row.record
+        found = self._world.rows.read(RESULT_TABLE, find_part(record.job), *key_range(record.job))
+        if isinstance(found, Err):
+            return False
+        listed = [read_result(row) for row in found.ok_value.rows]
+        if any(entry.id == result.id for entry in listed):
+            self._results = len(listed) - 1
+            self._note_listed(result)
+            return True
+        if len(listed) == self._results:
+            # The positions agree, so the job's row has changed: another owner, or its end.
+            self.lost = True
+            self.stop("its row has changed")
+            return True
+        self._results = len(listed)
+        return False
+
+    def _note_listed(self, result: ItemResult) -> None:
+        with self._lock:
+            self._results += 1
+            self._open.pop(result.id, None)
+        self._tools.admission.wake()
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/shared.py
@@ -0,0 +1,160 @@
+"""Token buckets that every daemon keeps for the whole fleet from the admissions it hears of.
+
+Reports carry the number of requests that each daemon has admitted by account, so one bucket
+over all daemons is exact up to the messages on their way. The platform's bound has slack
+for these. A daemon that hears only a part of the fleet uses only that part of each quota,
+and one that has just started begins with what the bound's slack allows.
+"""
+
+import threading
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.state.serving import ServingAccount
+
+# Part of the peers that may be silent before the quota shrinks with them. Two of twelve are
+# within the bound's excess of a tenth and its slack.
+_MISSING_ALLOWED = 0.17
+# Accounts without requests for this long are left out of reports.
+_ACTIVE_SECONDS = 10.0
+
+
+class QuotaBound(NamedTuple):
+    """By how much admissions may exceed rate and burst.
+
+    :param window_seconds: length of the windows in which requests are counted.
+    :param excess: part of the quota of a window.
+    :param slack: requests on top.
+    """
+
+    window_seconds: float = 5.0
+    excess: float = 0.1
+    slack: float = 20.0
+
+
+class Use(NamedTuple):
+    """Admissions of an account.
+
+    :param admitted: by the reporting daemon since its start.
+    :param level: tokens left over the fleet, as it believes.
+    """
+
+    admitted: int
+    level: float
+
+
+class _Bucket:
+    def __init__(self, level: float, now: float) -> None:
+        self.level = level
+        self.filled_at = now
+        self.admitted = 0
+        self.active_at = now
+        self.next_return = now
+
+
+class SharedBuckets:
+    """One bucket for each account."""
+
+    def __init__(self, clock: Clock, bound: QuotaBound) -> None:
+        self._clock = clock
+        self._bound = bound
+        self._lock = threading.Lock()
+        self._buckets: dict[str, _Bucket] = {}
+        self._heard: dict[tuple[str, int], dict[str, int]] = {}
+        self._accounts: dict[str, ServingAccount] = {}
+        self._share = 1.0
+
+    def configure(self, accounts: Iterable[ServingAccount]) -> None:
+        """Take the accounts of a new desired state."""
+        now = self._clock.now()
+        with self._lock:
+            for account in self._accounts.values():
+                # Tokens of the time before are filled by the old rate.
+                self._fill(account, now)
+            self._accounts = {account.name: account for account in accounts if account.rate > 0}
+
+    def set_reach(self, heard: int, known: int) -> None:
+        """Set how many of the known daemons are heard, this one included."""
+        part = heard / max(1, known)
+        with self._lock:
+            self._share = 1.0 if part >= 1.0 - _MISSING_ALLOWED else part
+
+    def admit(self, account: ServingAccount) -> float | None:
+        """Take a token; return None, or the seconds after which to come back."""
+        if account.rate <= 0.0:
+            return None
+        now = self._clock.now()
+        with self._lock:
+            bucket = self._fill(account, now)
+            if bucket.level >= 1.0:
+                bucket.level -= 1.0
+                bucket.admitted += 1
+                bucket.active_at = now
+                return None
+            rate = account.rate * self._share
+            wait = (1.0 - bucket.level) / rate
+            bucket.next_return = max(now + wait, bucket.next_return + 1.0 / rate)
+            return bucket.next_return - now
+
+    def give_back(self, account: ServingAccount) -> None:
+        """Return the token of a request that has not run."""
+        if account.rate <= 0.0:
+            return
+        with self._lock:
+            bucket = self._fill(account, self._clock.now())
+            bucket.level += 1.0
+            bucket.admitted -= 1
+
+    def own_use(self) -> dict[str, Use]:
+        """Return the admissions of this daemon for its next report."""
+        limit = self._clock.now() - _ACTIVE_SECONDS
+        with self._lock:
+            return {
+                name: Use(bucket.admitted, bucket.level)
+                for name, bucket in self._buckets.items()
+                if bucket.active_at >= limit
+            }
+
+    def hear(self, vm: str, incarnation: int, uses: Mapping[str, Use], older: bool) -> None:
+        """Take a peer's admissions.
+
+        :param older: whether the peer had started before this daemon did.
+        """
+        now = self._clock.now()
+        with self._lock:
+            known = self._heard.get((vm, incarnation))
+            first = known is None
+            counts = self._heard.setdefault((vm, incarnation), {})
+            for name, use in uses.items():
+                account = self._accounts.get(name)
+                if account is None:
+                    continue
+                bucket = self._fill(account, now)
+                if first and older:
+                    # Earlier admissions are in the level that the peer states.
+                    bucket.level = min(bucket.level, use.level)
+                else:
+                    bucket.level -= use.admitted - counts.get(name, 0)
+                counts[name] = use.admitted
+
+    def forget(self, vm: str, incarnation: int) -> None:
+        """Drop the counts of a process that has ended."""
+        with self._lock:
+            self._heard.pop((vm, incarnation), None)
+
+    def _fill(self, account: ServingAccount, now: float) -> _Bucket:
+        capacity = max(1.0, account.burst * self._share)
+        bucket = self._buckets.get(account.name)
+        if bucket is None:
+            bucket = self._buckets[account.name] = _Bucket(self._first_level(account), now)
+        elapsed = max(0.0, now - bucket.filled_at)
+        bucket.filled_at = now
+        bucket.level = min(capacity, bucket.level + elapsed * account.rate * self._share)
+        return bucket
+
+    def _first_level(self, account: ServingAccount) -> float:
+        """Return the tokens of a new bucket: half of what the bound allows in excess."""
+        window = account.rate * self._bound.window_seconds + account.burst
+        allowed = window * self._bound.excess + self._bound.slack
+        return min(account.burst, allowed / 2)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -0,0 +1,559 @@
+"""Runs one online request: admission, attempts, relay, resume, final answer."""
+
+import threading
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.quota.shared import SharedBuckets
+from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.board import Waiting, WorkerLoad
+from trefoilreach._internal.coordination.serving.choice import choose_online
+from trefoilreach._internal.coordination.serving.crashes import CrashList
+from trefoilreach._internal.coordination.serving.link import (
+    Call,
+    Dispatch,
+    WorkerAnswer,
+    WorkerFailure,
+    WorkerLink,
+)
+from trefoilreach._internal.coordination.serving.overload import (
+    START_SECONDS,
+    DoorPolicy,
+    has_returned,
+)
+from trefoilreach._internal.coordination.serving.turns import OnlineNeed, rank_online
+from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.serving import (
+    RouteKind,
+    ServingAccount,
+    ServingRoute,
+    WorkerEntry,
+)
+from trefoilreach._internal.transport.http_client import Interrupt
+from trefoilreach._internal.transport.http_server import AnswerCut
+
+# A worker with a free slot gives the first event within some 50 ms, a slow one within 0.3 s.
+_FIRST_EVENT_SECONDS = 0.8
+# A pause in a stream after which another worker goes on with it: twice the longest pause
+# that is on time.
+_STALL_FACTOR = 2.0
+_MIN_STALL_SECONDS = 0.3
+# Attempts that end without a run, such as a full queue or another worker at the address.
+_MOST_UNRUN_ATTEMPTS = 6
+_FULL_WORKER_SECONDS = 0.05
+_MIN_RETRY_AFTER_SECONDS = 0.1
+# Added to the end of a request, so that its final answer is not later than its limit.
+_FINAL_ANSWER_SECONDS = 0.05
+_CALLER_LEFT = "the caller left"
+
+
+class OnlineRequest(NamedTuple):
+    """A request whose route and key have been checked.
+
+    :param received_at: by the daemon's clock.
+    :param time_left: seconds that its caller will wait from then on.
+    :param resume_after: last event that the caller has.
+    """
+
+    call: Call
+    route: ServingRoute
+    account: ServingAccount | None
+    received_at: float
+    time_left: float
+    shared_part: str
+    resume_after: int | None
+    fingerprint: str
+
+    @property
+    def end(self) -> float:
+        """Time of the final answer at the latest."""
+        return self.received_at + min(self.time_left, self.route.timeout_seconds)
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty on a route that is open to all."""
+        return "" if self.account is None else self.account.name
+
+
+class OnlineAnswer(NamedTuple):
+    """An answer for the caller; the body of a stream comes piece by piece."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | None
+    events: Iterator[bytes] | None = None
+
+
+class ServingTools(NamedTuple):
+    """What online requests and batch items are run with."""
+
+    clock: Clock
+    admission: Admission
+    buckets: SharedBuckets
+    crashes: CrashList
+    link: WorkerLink
+
+
+class Attempt(NamedTuple):
+    """A slot at a worker, and the answer that came from it."""
+
+    ticket: Ticket
+    worker: WorkerEntry
+    answer: WorkerAnswer
+
+
+class OnlineRunner:
+    """Runs online requests."""
+
+    def __init__(self, tools: ServingTools) -> None:
+        self.tools = tools
+        self._doors: dict[str, DoorPolicy] = {}
+
+    def door(self, service: str) -> DoorPolicy:
+        """Return the refusal policy of a service."""
+        found = self._doors.get(service)
+        if found is None:
+            found = self._doors.setdefault(service, DoorPolicy())
+        return found
+
+    def run(self, request: OnlineRequest, left: "CallerWatch") -> OnlineAnswer:
+        """Run a request.
+
+        :raises Refusal: when it gets no answer from a worker.
+        """
+        if self.tools.crashes.is_blocked(request.fingerprint):
+            raise Refusal(500, "crashing", "this request crashed the workers that ran it")
+        self._take_quota(request)
+        run = _Run(self, request, left)
+        try:
+            return run.start()
+        except Refusal as refusal:
+            if refusal.verdict is Verdict.NOT_RUN and request.account is not None:
+                self.tools.buckets.give_back(request.account)
+            raise
+
+    def _take_quota(self, request: OnlineRequest) -> None:
+        if request.account is None:
+            return
+        wait = self.tools.buckets.admit(request.account)
+        if wait is not None:
+            message = f"account {request.account.name!r} is over its rate"
+            raise Refusal(429, "over_rate", message, retry_after=wait)
+
+
+class CallerWatch:
+    """Whether a request's caller has left; wakes whatever waits for it."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._left = False
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def left(self) -> bool:
+        """Whether the caller has left."""
+        return self._left
+
+    def mark(self) -> None:
+        """Note that the caller has left."""
+        with self._lock:
+            self._left = True
+            listeners = list(self._listeners)
+        for listener in listeners:
+            listener()
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a function when the caller leaves, at once if it has left."""
+        with self._lock:
+            self._listeners.append(listener)
+            left = self._left
+        if left:
+            listener()
+
+
+class _Run:
+    """The attempts of one request."""
+
+    def __init__(self, runner: OnlineRunner, request: OnlineRequest, left: CallerWatch) -> None:
+        self._runner = runner
+        self._tools = runner.tools
+        self._request = request
+        self._left = left
+        self._service = request.route.pick_service(request.call.request_id)
+        self._door = runner.door(self._service)
+        self._need = self._find_need()
+        self._avoid: set[str] = set()
+        self._runs = 0
+        self._unrun = 0
+        self._may_have_run = False
+        self._last_event = request.resume_after
+        self._interrupt: Interrupt | None = None
+        left.listen(self._stop_for_caller)
+
+    @property
+    def _now(self) -> float:
+        return self._tools.clock.now()
+
+    def start(self) -> OnlineAnswer:
+        """Return the answer, of a stream once its first event is there."""
+        self._check_door()
+        while True:
+            attempt = self._open_attempt()
+            stream = self._request.route.kind is RouteKind.STREAM
+            if stream and attempt.answer.status == 200 and attempt.answer.is_event_stream:
+                answer = self._start_stream(attempt)
+            else:
+                answer = self._read_answer(attempt)
+            if answer is not None:
+                return answer
+
+    def _find_need(self) -> OnlineNeed:
+        request, route = self._request, self._request.route
+        waited = max(0.0, route.timeout_seconds - request.time_left)
+        account = request.account
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        since = request.received_at - waited
+        return OnlineNeed(
+            priority, since, request.received_at + route.target_seconds - START_SECONDS
+        )
+
+    def _check_door(self) -> None:
+        """Refuse a new request that cannot start within its target."""
+        request, now = self._request, self._now
+        if has_returned(request.time_left, request.route.timeout_seconds):
+            return
+        urgency = rank_online(self._need, now).urgency
+        pressure = self._tools.admission.pressure(self._service, urgency)
+        if not self._door.must_refuse(pressure, self._need.on_time_until - now):
+            return
+        seconds = self._door.return_seconds(pressure, now)
+        log_decision(
+            "refuse",
+            "retry-later",
+            "no slot within the target",
+            request_id=request.call.request_id,
+            account=request.account_name,
+            pressure=pressure._asdict(),
+            retry_after=round(seconds, 3),
+        )
+        raise Refusal(503, "overloaded", "no slot within the target", retry_after=seconds)
+
+    def _open_attempt(self) -> Attempt:
+        """Return an answer of a worker that has begun, or at least taken, the request."""
+        while True:
+            ticket, worker = self._wait_for_slot()
+            try:
+                answer = self._send(worker)
+            except WorkerFailure as failure:
+                self._tools.admission.release(ticket)
+                self._note_failure(worker, failure)
+                continue
+            self._tools.admission.workers.note_answer(worker.id)
+            if not answer.not_run:
+                return Attempt(ticket, worker, answer)
+            answer.close()
+            self._tools.admission.release(ticket)
+            self._note_unrun(worker, f"worker answered {answer.status}, not run")
+
+    def _wait_for_slot(self) -> tuple[Ticket, WorkerEntry]:
+        granted = threading.Event()
+        request = SlotRequest(
+            service=self._service,
+            request_id=self._request.call.request_id,
+            rank=self._rank,
+            choose=self._choose,
+            granted=lambda worker: granted.set(),
+        )
+        self._left.listen(granted.set)
+        # A run that would not end in time is not begun.
+        latest = self._request.end - self._door.run_seconds / 2
+        if self._now >= latest:
+            raise self._give_up("no time left to run")
+        ticket = Ticket(request)
+        self._tools.admission.submit(ticket)
+        if not granted.is_set():
+            self._tools.clock.wait(granted, latest - self._now)
+        if ticket.worker is None and self._tools.admission.withdraw(ticket):
+            reason = _CALLER_LEFT if self._left.left else "no slot became free in time"
+            raise self._give_up(reason)
+        worker = self._tools.admission.workers.find(ticket.worker or "")
+        if self._left.left or worker is None:
+            self._tools.admission.release(ticket)
+            raise self._give_up(_CALLER_LEFT if self._left.left else "the worker has gone")
+        return ticket, worker
+
+    def _rank(self, now: float) -> Waiting:
+        return rank_online(self._need, now)
+
+    def _choose(self, loads: list[WorkerLoad]) -> str | None:
+        chosen = choose_online(loads, self._request.shared_part, self._avoid)
+        if chosen is None and self._avoid:
+            chosen = choose_online(loads, self._request.shared_part)
+        if chosen is not None:
+            log_decision(
+                "route",
+                chosen,
+                "free slot" if any(load.free for load in loads) else "slot of batch work",
+                request_id=self._request.call.request_id,
+                account=self._request.account_name,
+                loads={x.worker.id: (x.online, x.batch, x.worker.slots) for x in loads},
+            )
+        return chosen
+
+    def _send(self, worker: WorkerEntry) -> WorkerAnswer:
+        request = self._request
+        self._interrupt = interrupt = Interrupt()
+        if self._left.left:
+            raise self._give_up(_CALLER_LEFT)
+        left = request.end - self._now
+        dispatch = Dispatch(
+            request.call,
+            worker,
+            None if request.account is None else request.account.name,
+            request.received_at + request.time_left - self._now,
+            self._last_event,
+        )
+        timeout = min(left, _FIRST_EVENT_SECONDS) if request.route.repeatable else left
+        return self._tools.link.open(dispatch, max(timeout, _FINAL_ANSWER_SECONDS), interrupt)
+
+    def _read_answer(self, attempt: Attempt) -> OnlineAnswer | None:
+        """Return a whole answer, or None when the request is to be sent again."""
+        begun = self._now
+        answer = attempt.answer
+        try:
+            body = answer.read_all(max(self._request.end - self._now, _FINAL_ANSWER_SECONDS))
+        except WorkerFailure as failure:
+            self._note_failure(attempt.worker, failure)
+            return None
+        finally:
+            answer.close()
+            self._tools.admission.release(attempt.ticket)
+        if answer.status in (429, 503, 408):
+            # Without the mark of a request that was not run, these would promise too much.
+            self._note_run(attempt.worker, f"worker answered {answer.status}")
+            return None
+        if answer.status < 300 and not answer.receipt:
+            self._note_run(attempt.worker, "the answer has no receipt")
+            return None
+        self._door.note_run(self._now - begun)
+        self._log_end("answered", attempt.worker, answer.status)
+        return OnlineAnswer(answer.status, answer.headers, body)
+
+    def _start_stream(self, attempt: Attempt) -> OnlineAnswer | None:
+        """Return a stream whose first events are there, or None to send the request again."""
+        if not attempt.answer.receipt:
+            attempt.answer.close()
+            self._tools.admission.release(attempt.ticket)
+            self._note_run(attempt.worker, "the answer has no receipt")
+            return None
+        relay = _Relay(self, attempt)
+        try:
+            first = relay.read_events()
+        except WorkerFailure as failure:
+            relay.close()
+            self._note_failure(attempt.worker, failure)
+            return None
+        headers = attempt.answer.headers
+        return OnlineAnswer(200, headers, None, self._relay(relay, first))
+
+    def _relay(self, relay: "_Relay", events: list[StreamEvent]) -> Iterator[bytes]:
+        """Yield events over as many workers as it takes."""
+        begun = self._now
+        try:
+            while events:
+                numbered = [event.id for event in events if event.id is not None]
+                self._last_event = numbered[-1] if numbered else self._last_event
+                yield b"".join(event.raw for event in events)
+                relay, events = self._next_events(relay)
+            self._door.note_run(self._now - begun)
+            self._log_end("streamed", relay.worker, 200)
+        finally:
+            relay.close()
+
+    def _next_events(self, relay: "_Relay") -> tuple["_Relay", list[StreamEvent]]:
+        """Return the next events with the worker that they come from."""
+        while True:
+            try:
+                return relay, relay.read_events()
+            except WorkerFailure as failure:
+                relay.close()
+                relay = self._resume(relay, failure)
+
+    def _resume(self, broken: "_Relay", failure: WorkerFailure) -> "_Relay":
+        """Return the rest of a broken stream from another worker.
+
+        :raises AnswerCut: when it cannot go on.
+        """
+        request = self._request
+        try:
+            self._note_failure(broken.worker, failure)
+            while True:
+                attempt = self._open_attempt()
+                answer = attempt.answer
+                if answer.status == 200 and answer.is_event_stream and answer.receipt:
+                    log_event(
+                        "request:resumed",
+                        request_id=request.call.request_id,
+                        worker=attempt.worker.id,
+                        after_event=self._last_event,
+                    )
+                    return _Relay(self, attempt, resumed=True)
+                answer.close()
+                self._tools.admission.release(attempt.ticket)
+                self._note_run(attempt.worker, f"worker answered {answer.status} to a resume")
+        except Refusal as refusal:
+            log_event(
+                "request:cut",
+                request_id=request.call.request_id,
+                after_event=self._last_event,
+                reason=refusal.message,
+            )
+            raise AnswerCut(refusal.message) from failure
+
+    def _note_failure(self, worker: WorkerEntry, failure: WorkerFailure) -> None:
+        """Decide after a failure; return when the request may be sent again.
+
+        :raises Refusal: otherwise.
+        """
+        request, workers = self._request, self._tools.admission.workers
+        if self._left.left:
+            raise self._give_up(_CALLER_LEFT)
+        if failure.unreachable:
+            workers.note_failure(worker.id, str(failure))
+            self._note_unrun(worker, str(failure))
+            return
+        dead = not failure.silent and self._tools.link.is_dead(worker)
+        if dead:
+            self._tools.crashes.note(
+                request.fingerprint, f"{worker.id}/{worker.started_ms}", request.call.request_id
+            )
+        if dead or failure.silent:
+            workers.note_failure(worker.id, str(failure))
+        # A worker that has died no longer counts against the runs that are allowed.
+        self._note_run(worker, str(failure), counts=not dead)
+
+    def _note_run(self, worker: WorkerEntry, reason: str, counts: bool = True) -> None:
+        """Note an attempt that may have run without an answer that can be used."""
+        request = self._request
+        self._may_have_run = True
+        self._runs += counts
+        self._avoid.add(worker.id)
+        log_event(
+            "request:attempt-failed",
+            request_id=request.call.request_id,
+            worker=worker.id,
+            reason=reason,
+            verdict=Verdict.MAY_HAVE_RUN.value,
+            runs=self._runs,
+        )
+        if not request.route.repeatable or self._runs >= request.route.max_runs:
+            raise self._give_up(reason)
+        if self._tools.crashes.is_blocked(request.fingerprint):
+            raise self._give_up("this request crashed the workers that ran it")
+
+    def _note_unrun(self, worker: WorkerEntry, reason: str) -> None:
+        self._unrun += 1
+        self._avoid.add(worker.id)
+        log_event(
+            "request:attempt-failed",
+            request_id=self._request.call.request_id,
+            worker=worker.id,
+            reason=reason,
+            verdict=Verdict.NOT_RUN.value,
+            attempts=self._unrun,
+        )
+        if self._unrun >= _MOST_UNRUN_ATTEMPTS:
+            raise self._give_up(reason)
+        if self._unrun > 1:
+            self._tools.clock.sleep(_FULL_WORKER_SECONDS)
+
+    def _give_up(self, reason: str) -> Refusal:
+        """Return the final answer of a request that gets none from a worker."""
+        request = self._request
+        verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
+        status = 503
+        if self._may_have_run:
+            status = 504 if self._now >= request.end - _FINAL_ANSWER_SECONDS else 502
+        pressure = self._tools.admission.pressure(self._service, 0)
+        seconds = self._door.return_seconds(pressure, self._now)
+        log_decision(
+            "give-up",
+            str(status),
+            reason,
+            request_id=request.call.request_id,
+            account=request.account_name,
+            verdict=verdict.value,
+            runs=self._runs,
+            held_seconds=round(self._now - request.received_at, 3),
+        )
+        retry_after = max(_MIN_RETRY_AFTER_SECONDS, seconds) if status == 503 else None
+        return Refusal(status, "unavailable", reason, verdict, retry_after)
+
+    def _stop_for_caller(self) -> None:
+        interrupt = self._interrupt
+        if interrupt is not None:
+            interrupt.fire(_CALLER_LEFT)
+
+    def _log_end(self, outcome: str, worker: WorkerEntry, status: int) -> None:
+        log_event(
+            f"request:{outcome}",
+            request_id=self._request.call.request_id,
+            account=self._request.account_name,
+            route=self._request.route.name,
+            worker=worker.id,
+            status=status,
+            seconds=round(self._now - self._request.received_at, 3),
+        )
+
+
+class _Relay:
+    """The events of one worker's answer."""
+
+    def __init__(self, run: _Run, attempt: Attempt, resumed: bool = False) -> None:
+        self._run = run
+        self._attempt = attempt
+        self._splitter = EventSplitter()
+        # A stream that broke after its last event has none left.
+        self._begun = resumed
+        self.ended = False
+
+    @property
+    def worker(self) -> WorkerEntry:
+        """The worker."""
+        return self._attempt.worker
+
+    def read_events(self) -> list[StreamEvent]:
+        """Return the next events; none at the complete end.
+
+        :raises WorkerFailure: when the stream breaks off, stalls or is out of time.
+        """
+        while not self.ended:
+            data = self._attempt.answer.read_some(self._find_timeout())
+            self.ended = not data
+            events = self._splitter.feed(data)
+            if events:
+                self._begun = True
+                return events
+        if self._splitter.rest:
+            raise WorkerFailure("the stream ended inside an event", Verdict.MAY_HAVE_RUN)
+        if not self._begun:
+            raise WorkerFailure("the stream ended without an event", Verdict.MAY_HAVE_RUN)
+        return []
+
+    def close(self) -> None:
+        """End the exchange and give the slot back."""
+        self._attempt.answer.close()
+        self._run._tools.admission.release(self._attempt.ticket)
+
+    def _find_timeout(self) -> float:
+        request = self._run._request
+        left = max(request.end - self._run._now, 0.001)
+        if not request.route.repeatable:
+            return left
+        stall = max(_MIN_STALL_SECONDS, _STALL_FACTOR * request.route.stall_seconds)
+        return min(left, stall if self._begun else _FIRST_EVENT_SECONDS)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
@@ -0,0 +1,37 @@
+"""Settings of a daemon on the users' platform."""
+
+from typing import NamedTuple
+
+from trefoilreach._internal.coordination.quota.shared import QuotaBound
+
+Address = tuple[str, int]
+
+
+class Deployment(NamedTuple):
+    """What a daemon is told at its start and at each change of its settings.
+
+    :param front: where callers connect.
+    :param checks: addresses of the small HTTP server for readiness, entry points and peers.
+    :param control_port: port at which peers and the metrics page are served.
+    :param peer_port: port of the datagrams between daemons, the same on all VMs.
+    :param seeds: hosts of daemons that may be up when the store is not.
+    :param store: address of the platform's store.
+    :param revocation_seconds: bound after which a withdrawn key must fail everywhere.
+    :param stop_seconds: time between the order to stop and the kill.
+    :param entry_keep_seconds: longest time for which callers keep an answer.
+    """
+
+    vm: str
+    host: str
+    data_centre: str
+    region: str
+    front: Address
+    checks: tuple[Address, ...]
+    control_port: int
+    peer_port: int
+    seeds: tuple[str, ...]
+    store: Address
+    revocation_seconds: float
+    stop_seconds: float
+    entry_keep_seconds: float
+    quota_bound: QuotaBound
--- a/packages/trefoilreach/src/trefoilreach/_internal/logs.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/logs.py
@@ -1,14 +1,25 @@
 """Structured logs: one JSON line per routing or placement decision, written with eliot."""
 
 import sys
+import threading
+from collections import deque
+from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 import eliot
+import orjson
 
+from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.settings import LogSettings
 
+# Lines of one kind that are written at once and then a second; the rest is counted.
+_KIND_BURST = 60.0
+_KIND_PER_SECOND = 20.0
+# Lines that wait for a reader of the output; beyond, lines are lost and counted.
+_QUEUED_LINES = 2000
+
 
 def open_log(settings: LogSettings, vm: str, stack: ExitStack) -> None:
     """Send log lines to the configured file until the exit stack closes."""
@@ -36,3 +47,103 @@
 def log_event(name: str, **fields: Any) -> None:
     """Write a line about something that happened."""
     eliot.log_message(name, **fields)
+
+
+class _KindLimit:
+    """Token bucket of one kind of line."""
+
+    def __init__(self, now: float) -> None:
+        self.tokens = _KIND_BURST
+        self.filled_at = now
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        """Take a token; return whether there was one."""
+        earned = (now - self.filled_at) * _KIND_PER_SECOND
+        self.tokens = min(_KIND_BURST, self.tokens + earned)
+        self.filled_at = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class BoundedLog:
+    """Writes log lines to a pipe from a thread of its own, so that nothing waits for its reader.
+
+    :param lost: called with the number of lines left out so far.
+    """
+
+    def __init__(
+        self, clock: Clock, output: BinaryIO, lost: Callable[[int], None] = lambda lines: None
+    ) -> None:
+        self._clock = clock
+        self._output = output
+        self._lost = lost
+        self._ready = threading.Condition()
+        self._lines: deque[bytes] = deque()
+        self._limits: dict[str, _KindLimit] = {}
+        self._lines_lost = 0
+        self._closed = False
+        self._thread = threading.Thread(target=self._write, name="log", daemon=True)
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Take one line, or leave it out."""
+        now = self._clock.now()
+        kind = str(message.get("message_type", ""))
+        with self._ready:
+            limit = self._limits.get(kind)
+            if limit is None:
+                limit = self._limits[kind] = _KindLimit(now)
+            if not limit.take(now) or len(self._lines) >= _QUEUED_LINES:
+                self._lines_lost += 1
+                self._lost(self._lines_lost)
+                return
+            if limit.left_out:
+                message = {**message, "lines_left_out": limit.left_out}
+                limit.left_out = 0
+            self._lines.append(_encode_line(message))
+            self._ready.notify()
+
+    def close(self, wait: float = 1.0) -> None:
+        """Write what is left, for some seconds at most."""
+        with self._ready:
+            self._closed = True
+            self._ready.notify()
+        self._thread.join(wait)
+
+    def _write(self) -> None:
+        while True:
+            with self._ready:
+                self._ready.wait_for(lambda: bool(self._lines) or self._closed)
+                if not self._lines:
+                    return
+                data = b"".join(self._lines)
+                self._lines.clear()
+            self._output.write(data)
+            self._output.flush()
+
+
+def _encode_line(message: dict[str, Any]) -> bytes:
+    fields = {name: value for name, value in message.items() if name not in _LIBRARY_FIELDS}
+    return orjson.dumps(fields, default=str) + b"\n"
+
+
+# Fields of the log library that say nothing here: every line is a message of its own.
+_LIBRARY_FIELDS = {"task_uuid", "task_level"}
+
+
+def open_bounded_log(clock: Clock, vm: str, stack: ExitStack) -> BoundedLog:
+    """Send log lines to standard output until the exit stack closes."""
+    log = BoundedLog(clock, sys.stdout.buffer)
+    log.start()
+    stack.callback(log.close)
+    eliot.add_destinations(log)
+    stack.callback(eliot.remove_destination, log)
+    eliot.add_global_fields(vm=vm)
+    return log
--- a/packages/trefoilreach/src/trefoilreach/_internal/main.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/main.py
@@ -12,6 +12,7 @@
 
 from trefoilreach import __version__
 from trefoilreach._internal.daemon import Daemon
+from trefoilreach._internal.serving_daemon import serve_deployment
 from trefoilreach._internal.settings import Settings, SettingsError, load_settings
 
 _BAD_SETTINGS_EXIT_CODE = 2
@@ -45,6 +46,18 @@
         return 0
 
 
+class ServeCommand(Command):
+    """Runs the daemon with the platform's own settings file."""
+
+    name = "serve"
+    description = "Run the daemon on the users' platform, with the settings that it provides."
+
+    def handle(self) -> int:
+        """Run the command."""
+        sys.setswitchinterval(_SWITCH_INTERVAL_SECONDS)
+        return serve_deployment()
+
+
 def _load(path: str | None) -> Settings:
     return load_settings(path) if path else Settings()
 
@@ -75,7 +88,8 @@
     application = DaemonApplication("trefoilreachd", __version__)
     application.auto_exits(False)
     application.add(RunCommand())
-    named = bool(arguments) and arguments[0] in {"run", "help", "list", "completions"}
+    application.add(ServeCommand())
+    named = bool(arguments) and arguments[0] in {"run", "serve", "help", "list", "completions"}
     if not named and not {"-V", "--version"}.intersection(arguments):
         arguments = ["run", *arguments]
     return application.run(ArgvInput(["trefoilreachd", *arguments]))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/metrics_page.py
@@ -0,0 +1,49 @@
+"""Counters and latency histograms as text in the usual exposition format."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+_SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class MetricsPage:
+    """Metrics of one daemon."""
+
+    path = "/metrics"
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._answers = Counter(
+            "trefoilreach_answers", "Answers to callers.", ["status"], registry=self._registry
+        )
+        self._seconds = Histogram(
+            "trefoilreach_first_byte_seconds",
+            "Time to the first byte of an answer.",
+            buckets=_SECONDS_BUCKETS,
+            registry=self._registry,
+        )
+        self._events = Counter(
+            "trefoilreach_events",
+            "Things that happened, by kind.",
+            ["kind"],
+            registry=self._registry,
+        )
+        self._log_lines_lost = Gauge(
+            "trefoilreach_log_lines_lost", "Log lines that were left out.", registry=self._registry
+        )
+
+    def note_answer(self, status: int, seconds: float) -> None:
+        """Count an answer to a caller."""
+        self._answers.labels(str(status)).inc()
+        self._seconds.observe(seconds)
+
+    def note_event(self, kind: str) -> None:
+        """Count something that happened."""
+        self._events.labels(kind).inc()
+
+    def set_log_lines_lost(self, lines: int) -> None:
+        """Set the number of log lines that were left out."""
+        self._log_lines_lost.set(lines)
+
+    def render(self) -> bytes:
+        """Return the page."""
+        return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the platform's wire formats and the product's own types."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -0,0 +1,156 @@
+"""HTTP requests of callers, and of the platform's checks, as WSGI applications."""
+
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+import orjson
+
+from trefoilreach._internal.coordination.serving.crashes import find_fingerprint
+from trefoilreach._internal.coordination.serving.online import (
+    CallerWatch,
+    OnlineAnswer,
+    OnlineRequest,
+)
+from trefoilreach._internal.coordination.serving.service import ServingService
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.platform import names
+from trefoilreach._internal.platform.job_calls import PlatformJobCalls
+from trefoilreach._internal.platform.wire import (
+    read_call,
+    read_key,
+    read_number,
+    read_parts,
+    read_request_id,
+    read_time_left,
+)
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.serving import RouteKind, shared_part
+from trefoilreach._internal.transport.http_server import ON_DISCONNECT
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+_JSON = ("Content-Type", "application/json")
+
+
+class FrontApplication:
+    """Requests of callers.
+
+    :param jobs: answers the calls of batch jobs.
+    """
+
+    def __init__(self, service: ServingService, jobs: PlatformJobCalls) -> None:
+        self._service = service
+        self._jobs = jobs
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        started = self._service.clock.now()
+        try:
+            answer = self._answer(environ)
+        except Refusal as refusal:
+            answer = self._refuse(environ, refusal)
+        except Exception as error:
+            log_event("ingress:error", request_id=read_request_id(environ), error=repr(error))
+            failed = Refusal(500, "internal", "internal error", Verdict.MAY_HAVE_RUN)
+            answer = self._refuse(environ, failed)
+        self._service.metrics.note_answer(answer.status, self._service.clock.now() - started)
+        headers = [(name, value) for name, value in answer.headers]
+        if answer.events is None:
+            body = answer.body or b""
+            headers.append(("Content-Length", str(len(body))))
+            start_response(_status_line(answer.status), headers)
+            return [body]
+        start_response(_status_line(answer.status), headers)
+        return answer.events
+
+    def _answer(self, environ: dict[str, Any]) -> OnlineAnswer:
+        path = environ["PATH_INFO"]
+        if path.startswith((names.JOB_PATH, names.ITEM_PATH)):
+            return self._jobs.answer(environ)
+        call = read_call(environ)
+        parts = read_parts(environ.get("HTTP_X_PROMPT_PREFIX", ""))
+        checked = self._service.check(call.host, call.target.split("?")[0], read_key(environ))
+        if checked.route.kind is RouteKind.BATCH:
+            return self._jobs.submit(call, checked)
+        account = "" if checked.account is None else checked.account.name
+        request = OnlineRequest(
+            call=call,
+            route=checked.route,
+            account=checked.account,
+            received_at=self._service.clock.now(),
+            time_left=read_time_left(environ),
+            shared_part=shared_part(parts),
+            resume_after=read_number(environ.get("HTTP_LAST_EVENT_ID")),
+            fingerprint=find_fingerprint(account, call.target, call.body),
+        )
+        watch = CallerWatch()
+        on_disconnect = environ.get(ON_DISCONNECT)
+        if on_disconnect is not None:
+            on_disconnect(watch.mark)
+        return self._service.online.run(request, watch)
+
+    def _refuse(self, environ: dict[str, Any], refusal: Refusal) -> OnlineAnswer:
+        log_event(
+            "request:refused",
+            request_id=read_request_id(environ),
+            status=refusal.status,
+            code=refusal.code,
+            reason=refusal.message,
+            verdict=refusal.verdict.value,
+            retry_after=refusal.retry_after,
+        )
+        headers = [_JSON]
+        request_id = read_request_id(environ)
+        if request_id:
+            headers.append((names.REQUEST_ID, request_id))
+        if refusal.retry_after is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after:.3f}"))
+        body = orjson.dumps({"error": refusal.code, "message": refusal.message})
+        return OnlineAnswer(refusal.status, headers, body)
+
+
+class ChecksApplication:
+    """Readiness, addresses for callers, metrics, and the desired state for peers."""
+
+    def __init__(self, service: ServingService) -> None:
+        self._service = service
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path == names.READY_PATH:
+            ready = self._service.ready
+            return _respond(start_response, 200 if ready else 503, {"ready": ready})
+        if path == names.RESOLVE_PATH:
+            query = parse_qs(environ["QUERY_STRING"])
+            zone = query.get("zone", [""])[0]
+            addresses, keep = self._service.entry_points(zone)
+            return _respond(start_response, 200, {"addresses": addresses, "ttlS": keep})
+        if path == self._service.metrics.path:
+            body = self._service.metrics.render()
+            headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+            start_response(_status_line(200), headers)
+            return [body]
+        if path == self._service.desired_state_path:
+            index = self._service.index
+            if index is None:
+                return _respond(start_response, 503, {"error": "no desired state yet"})
+            body = index.state.document
+            start_response(_status_line(200), [_JSON, ("Content-Length", str(len(body)))])
+            return [body]
+        return _respond(start_response, 404, {"error": "not found"})
+
+
+def _respond(start_response: StartResponse, status: int, body: Any) -> list[bytes]:
+    data = orjson.dumps(body)
+    start_response(_status_line(status), [_JSON, ("Content-Length", str(len(data)))])
+    return [data]
+
+
+def _status_line(status: int) -> str:
+    phrase = ""
+    with suppress(ValueError):
+        phrase = HTTPStatus(status).phrase
+    return f"{status} {phrase or 'Unknown'}"
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -0,0 +1,161 @@
+"""Requests to the workers, and their answers, in the platform's wire format."""
+
+from http.client import HTTPException
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerFailure
+from trefoilreach._internal.platform import names
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.serving import WorkerEntry
+from trefoilreach._internal.transport.http_client import (
+    HttpExchange,
+    HttpFailure,
+    HttpPools,
+    Interrupt,
+)
+
+# A connection takes a few ms; a worker that needs longer is dark or cut off.
+_CONNECT_TIMEOUT_SECONDS = 0.3
+_READ_BYTES = 65536
+_WRONG_WORKER_STATUS = 421
+_MILLISECONDS = 1000.0
+# Headers of an answer that concern only the connection to the worker.
+_CONNECTION_HEADERS = {
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "proxy-authenticate",
+    "date",
+    "server",
+}
+
+
+class PlatformAnswer:
+    """A worker's answer."""
+
+    def __init__(self, exchange: HttpExchange) -> None:
+        self._exchange = exchange
+        self._response = exchange.response
+        self._timeout = 0.0
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._exchange.status
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """Headers for the caller."""
+        return [
+            (name, value)
+            for name, value in self._response.getheaders()
+            if name.lower() not in _CONNECTION_HEADERS
+        ]
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the worker states that it has not run the request."""
+        return (
+            self.status == _WRONG_WORKER_STATUS
+            or self._response.getheader(names.NOT_RUN) is not None
+        )
+
+    @property
+    def receipt(self) -> bool:
+        """Whether the answer carries the worker's receipt."""
+        return bool(self._response.getheader(names.RECEIPT))
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body is a stream of events."""
+        return (self._response.getheader("Content-Type") or "").startswith("text/event-stream")
+
+    def read_some(self, timeout: float) -> bytes:
+        """Return the next bytes of the body; none at its complete end."""
+        if timeout != self._timeout:
+            self._exchange.set_timeout(timeout)
+            self._timeout = timeout
+        try:
+            data = self._response.read1(_READ_BYTES)
+        except (OSError, HTTPException, ValueError) as error:
+            silent = isinstance(error, TimeoutError)
+            message = f"the answer broke off: {error!r}"
+            raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, silent=silent) from error
+        if not data and self._response.length:
+            message = f"the answer ended {self._response.length} bytes early"
+            raise WorkerFailure(message, Verdict.MAY_HAVE_RUN)
+        return data
+
+    def read_all(self, timeout: float) -> bytes:
+        """Return the rest of the body."""
+        parts = []
+        while data := self.read_some(timeout):
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """End the exchange."""
+        self._exchange.close()
+
+
+class PlatformWorkers:
+    """Sends requests to workers over HTTP."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._pools = HttpPools(clock, _CONNECT_TIMEOUT_SECONDS)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pools.close()
+
+    def open(self, dispatch: Dispatch, timeout: float, interrupt: Interrupt) -> PlatformAnswer:
+        """Send a request and return its answer once the head is there."""
+        call, worker = dispatch.call, dispatch.worker
+        pool = self._pools.get(worker.host, worker.port)
+        try:
+            # Each request has a connection of its own: a late extra answer, or a connection
+            # that was dropped without notice, can then never meet another request.
+            exchange = pool.request(
+                call.method,
+                call.target,
+                call.body,
+                _build_headers(dispatch),
+                timeout,
+                fresh=True,
+                interrupt=interrupt,
+            )
+        except HttpFailure as failure:
+            not_sent = failure.verdict is Verdict.NOT_RUN
+            raise WorkerFailure(
+                str(failure), failure.verdict, unreachable=not_sent, silent=failure.silent
+            ) from failure
+        answer = PlatformAnswer(exchange)
+        echoed = exchange.response.getheader(names.REQUEST_ID)
+        if echoed is not None and echoed != call.request_id:
+            exchange.close()
+            message = f"worker {worker.id} answered another request"
+            raise WorkerFailure(message, Verdict.MAY_HAVE_RUN)
+        return answer
+
+    def is_dead(self, worker: WorkerEntry) -> bool:
+        """Return whether no process listens at a worker's address."""
+        return self._pools.get(worker.host, worker.port).is_refused()
+
+
+def _build_headers(dispatch: Dispatch) -> dict[str, str]:
+    call = dispatch.call
+    headers = dict(call.headers)
+    headers["Host"] = call.host
+    headers["Connection"] = "close"
+    headers[names.REQUEST_ID] = call.request_id
+    headers[names.EXPECTED_WORKER] = dispatch.worker.id
+    headers[names.TIME_LEFT_MS] = str(max(1, int(dispatch.time_left * _MILLISECONDS)))
+    if dispatch.account is not None:
+        headers[names.ACCOUNT] = dispatch.account
+    if dispatch.resume_after is not None:
+        headers[names.LAST_EVENT_ID] = str(dispatch.resume_after)
+    return headers
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
@@ -1,1 +1,1 @@
-"""Code generated from peer.thrift."""
+"""Code generated from peer.thrift and fleet.thrift."""
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -0,0 +1,389 @@
+"""Builds a daemon for the users' platform on one exit stack and runs it."""
+
+import gc
+import os
+import signal
+import sys
+import threading
+from contextlib import ExitStack
+from http.client import HTTPException
+from pathlib import Path
+from types import FrameType
+
+import orjson
+from result import Err
+
+from trefoilreach._internal.clock import Clock, SystemClock
+from trefoilreach._internal.coordination.exchange.exchange import Exchange, Hooks, Peer
+from trefoilreach._internal.coordination.exchange.reports import Identity, Statement
+from trefoilreach._internal.coordination.jobs.keeper import JobKeeper, JobTools
+from trefoilreach._internal.coordination.quota.shared import SharedBuckets
+from trefoilreach._internal.coordination.serving.admission import Admission
+from trefoilreach._internal.coordination.serving.crashes import CrashList
+from trefoilreach._internal.coordination.serving.online import OnlineRunner, ServingTools
+from trefoilreach._internal.coordination.serving.service import ServingService
+from trefoilreach._internal.coordination.serving.watch import FeedHooks, FeedWatch, Watched
+from trefoilreach._internal.coordination.serving.workers import RETURN_GRACE_SECONDS
+from trefoilreach._internal.deployment import Deployment
+from trefoilreach._internal.logs import log_event, open_bounded_log
+from trefoilreach._internal.platform import names
+from trefoilreach._internal.platform.desired_state import decode_desired_state, decode_worker
+from trefoilreach._internal.platform.ingress import ChecksApplication, FrontApplication
+from trefoilreach._internal.platform.job_calls import PlatformJobCalls
+from trefoilreach._internal.platform.settings import load_deployment, settings_path
+from trefoilreach._internal.platform.store import PlatformBlobs, PlatformRows, StoreClient
+from trefoilreach._internal.platform.workers import PlatformWorkers
+from trefoilreach._internal.settings import SettingsError
+from trefoilreach._internal.state.rows import RowKey, RowWrite, StoredRow
+from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
+from trefoilreach._internal.transport.http_server import HttpServer
+
+# Threads for requests: each stream and each waiting request holds one.
+_FRONT_THREADS = 96
+_CHECK_THREADS = 2
+# The desired state is confirmed once a second; a view of this age costs the store one call.
+_DESIRED_STATE_WAIT_SECONDS = 1.0
+_WORKERS_WAIT_SECONDS = 2.0
+_MEMBERS_WAIT_SECONDS = 4.0
+_MEMBER_TABLE = "members"
+_TICK_SECONDS = 0.3
+_STALE_SECONDS = 1.2
+_SETTINGS_LOOK_SECONDS = 2.0
+_PEER_FETCH_SECONDS = 0.5
+# Parts of the time that a planned stop may take.
+_STOP_LISTENING_SHARE = 0.6
+_STOP_MARGIN_SECONDS = 0.6
+_LEAST_SERVING_SECONDS = 3.0
+
+
+class ServingDaemon:
+    """One daemon; everything it opens is closed by its exit stack."""
+
+    def __init__(self, deployment: Deployment, path: Path, clock: Clock | None = None) -> None:
+        self._deployment = deployment
+        self._path = path
+        self._clock = clock or SystemClock()
+        self._started_at = self._clock.now()
+        self._stop = threading.Event()
+        self._reload = threading.Event()
+        self._store_answered_at = self._started_at - 1e6
+        self._store_regained_at = self._started_at
+
+    def run(self) -> None:
+        """Serve until :meth:`stop` is called."""
+        with ExitStack() as stack:
+            open_bounded_log(self._clock, self._deployment.vm, stack)
+            server = self._open(stack)
+            gc.collect()
+            gc.freeze()
+            log_event("daemon:started", pid=os.getpid(), uptime=self._uptime)
+            self._wait_for_stop()
+            self._drain(server)
+            log_event("daemon:stopped")
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop.set()
+
+    def reload(self) -> None:
+        """Read the settings again."""
+        self._reload.set()
+
+    @property
+    def _uptime(self) -> float:
+        return self._clock.now() - self._started_at
+
+    def _open(self, stack: ExitStack) -> HttpServer:
+        deployment, clock = self._deployment, self._clock
+        self._store = StoreClient(*deployment.store, clock)
+        stack.callback(self._store.close)
+        self._rows = PlatformRows(self._store)
+        link = PlatformWorkers(clock)
+        stack.callback(link.close)
+        self._admission = Admission(clock, deployment.vm)
+        self._buckets = SharedBuckets(clock, deployment.quota_bound)
+        self._crashes = CrashList(clock)
+        tools = ServingTools(clock, self._admission, self._buckets, self._crashes, link)
+        self._exchange = Exchange(clock, self._identify(), self._seeds())
+        self._service = ServingService(
+            clock,
+            deployment,
+            self._exchange,
+            self._admission,
+            OnlineRunner(tools),
+            decode_desired_state,
+        )
+        self._service.add_listener(lambda state: self._buckets.configure(state.accounts))
+        self._jobs = JobKeeper(
+            JobTools(clock, self._rows, PlatformBlobs(self._store), tools, self._service)
+        )
+        self._admission.wake = self._exchange.wake
+        self._admission.live_daemons = lambda: len(self._exchange.live) + 1
+        self._start_exchange(stack)
+        self._start_watches(stack)
+        self._jobs.start(stack)
+        return self._start_servers(stack)
+
+    def _identify(self) -> Identity:
+        deployment = self._deployment
+        return Identity(
+            vm=deployment.vm,
+            incarnation=int(self._clock.wall_time() * 1000),
+            host=deployment.host,
+            port=deployment.peer_port,
+            control_port=deployment.control_port,
+            front="{}:{}".format(*deployment.front),
+            data_centre=deployment.data_centre,
+        )
+
+    def _seeds(self) -> list[tuple[str, int]]:
+        return [(host, self._deployment.peer_port) for host in self._deployment.seeds]
+
+    def _start_exchange(self, stack: ExitStack) -> None:
+        hooks = Hooks(
+            state=self._state,
+            heard=self._hear,
+            lost=self._lose,
+            freshness=lambda: self._service.freshness.age,
+            confirmed=self._confirm,
+        )
+        self._exchange.start(hooks, stack)
+
+    def _start_watches(self, stack: ExitStack) -> None:
+        watches = [
+            (
+                Watched(names.OPERATOR_TABLE, [""], _DESIRED_STATE_WAIT_SECONDS),
+                FeedHooks(
+                    lambda rows, regained: self._take_desired_state(rows),
+                    self._take_desired_state,
+                    self._note_store_answer,
+                ),
+            ),
+            (
+                Watched(names.WORKER_TABLE, [""], _WORKERS_WAIT_SECONDS),
+                FeedHooks(self._replace_workers, self._change_workers),
+            ),
+            (
+                Watched(_MEMBER_TABLE, [""], _MEMBERS_WAIT_SECONDS),
+                FeedHooks(self._replace_members, self._change_members),
+            ),
+        ]
+        self._members: dict[str, tuple[str, int]] = {}
+        for watched, hooks in watches:
+            FeedWatch(self._clock, self._rows, watched, hooks).start(stack)
+        stop = threading.Event()
+        stack.callback(stop.set)
+        threading.Thread(target=self._tick, args=(stop,), name="tick", daemon=True).start()
+
+    def _start_servers(self, stack: ExitStack) -> HttpServer:
+        limits = self._deployment
+        checks = ChecksApplication(self._service)
+        for host, port in limits.checks:
+            server = HttpServer(checks, host, port, _CHECK_THREADS, self._clock)
+            stack.callback(server.close)
+            server.start()
+        front = FrontApplication(self._service, PlatformJobCalls(self._service, self._jobs))
+        server = HttpServer(front, *limits.front, _FRONT_THREADS, self._clock)
+        stack.callback(server.close)
+        server.start()
+        return server
+
+    def _state(self) -> Statement:
+        """Return the statement of the next report."""
+        service = self._service
+        return Statement(
+            accepting=service.accepting,
+            leaving=service.leaving,
+            config_version=service.version,
+            uptime=self._uptime,
+            store_age=self._clock.now() - self._store_answered_at,
+            runs=self._admission.runs(),
+            waiting=self._admission.waiting(),
+            uses=self._buckets.own_use(),
+            jobs=self._jobs.progress(),
+            suspects=self._admission.workers.suspects,
+            crashes=self._crashes.reported(),
+        )
+
+    def _hear(self, peer: Peer, new: bool) -> None:
+        statement, identity = peer.statement, peer.identity
+        older = statement.uptime > self._uptime
+        self._buckets.hear(identity.vm, identity.incarnation, statement.uses, older)
+        self._crashes.hear(statement.crashes)
+        self._admission.workers.hear_suspects(statement.suspects)
+        self._jobs.hear(statement.jobs)
+        self._admission.hear(identity.vm, statement.load(self._clock.now()))
+
+    def _lose(self, peer: Peer) -> None:
+        self._admission.forget(peer.identity.vm)
+        self._buckets.forget(peer.identity.vm, peer.identity.incarnation)
+
+    def _confirm(self, version: int, at: float) -> None:
+        """Take a peer's word on the newest desired state."""
+        if version == self._service.version:
+            self._service.freshness.confirm(at)
+
+    def _take_desired_state(self, rows: list[StoredRow]) -> None:
+        for row in rows:
+            if row.name.key == names.DESIRED_STATE_KEY and not row.deleted:
+                self._service.adopt(row.value, "store")
+
+    def _note_store_answer(self, at: float, store_ms: float) -> None:
+        self._store_answered_at = self._clock.now()
+        self._jobs.store_clock.note(store_ms)
+        if self._service.index is not None:
+            self._service.freshness.confirm(at)
+
+    def _replace_workers(self, rows: list[StoredRow], regained: bool) -> None:
+        if regained:
+            self._store_regained_at = self._clock.now()
+        entries = [decode_worker(row.name.key, row.value) for row in rows]
+        for entry in entries:
+            if isinstance(entry, Err):
+                log_event("worker:undecodable", error=str(entry.err_value))
+        found = [entry.ok_value for entry in entries if not isinstance(entry, Err)]
+        self._admission.workers.replace(found, self._store_regained_at + RETURN_GRACE_SECONDS)
+
+    def _change_workers(self, rows: list[StoredRow]) -> None:
+        workers = self._admission.workers
+        for row in rows:
+            if row.deleted:
+                workers.drop(row.name.key, self._store_regained_at + RETURN_GRACE_SECONDS)
+                continue
+            entry = decode_worker(row.name.key, row.value)
+            if isinstance(entry, Err):
+                log_event("worker:undecodable", error=str(entry.err_value))
+                workers.drop(row.name.key)
+            else:
+                workers.put(entry.ok_value)
+
+    def _replace_members(self, rows: list[StoredRow], regained: bool) -> None:
+        self._members = {}
+        self._change_members(rows)
+        own = self._members.get(self._deployment.vm)
+        if own != (self._deployment.host, self._deployment.peer_port):
+            self._register()
+
+    def _change_members(self, rows: list[StoredRow]) -> None:
+        for row in rows:
+            if row.deleted:
+                self._members.pop(row.name.key, None)
+                continue
+            body = orjson.loads(row.value)
+            self._members[row.name.key] = (body["host"], body["port"])
+        self._exchange.set_known(self._members.values())
+
+    def _register(self) -> None:
+        """Write where this daemon is, for daemons that start later."""
+        deployment = self._deployment
+        value = orjson.dumps({"host": deployment.host, "port": deployment.peer_port})
+        name = RowKey(_MEMBER_TABLE, "", deployment.vm)
+        written = self._rows.commit([], [RowWrite(name, value)])
+        if isinstance(written, Err):
+            # Seeds and peers still name this daemon; the next whole read tries again.
+            log_event("member:not-registered", error=str(written.err_value))
+
+    def _tick(self, stop: threading.Event) -> None:
+        """Look after what no message wakes."""
+        while not self._clock.wait(stop, _TICK_SECONDS):
+            heard = len(self._exchange.live) + 1
+            known = len(self._exchange.peers) + 1
+            self._buckets.set_reach(heard, known)
+            if self._service.freshness.age > _STALE_SECONDS:
+                self._exchange.ask_freshness()
+            self._fetch_from_peer()
+            self._admission.pump()
+
+    def _fetch_from_peer(self) -> None:
+        """Read a newer desired state from a peer when the store does not answer."""
+        peer = self._service.newest_peer()
+        if peer is None or self._clock.now() - self._store_answered_at < _STALE_SECONDS:
+            return
+        identity = peer.identity
+        pool = HttpPool(identity.host, identity.control_port, self._clock, _PEER_FETCH_SECONDS)
+        try:
+            exchange = pool.request(
+                "GET", self._service.desired_state_path, timeout=_PEER_FETCH_SECONDS
+            )
+            document = exchange.read()
+            exchange.close()
+        except (HttpFailure, HTTPException, OSError) as error:
+            log_event("desired-state:peer-failed", peer=identity.vm, error=str(error))
+            return
+        finally:
+            pool.close()
+        if exchange.status == 200:
+            self._service.adopt(document, f"peer {identity.vm}")
+
+    def _wait_for_stop(self) -> None:
+        """Wait for the stop; take changed settings meanwhile."""
+        seen = _modified(self._path)
+        while not self._stop.is_set():
+            asked = self._clock.wait(self._reload, _SETTINGS_LOOK_SECONDS)
+            self._reload.clear()
+            modified = _modified(self._path)
+            if asked or modified != seen:
+                seen = modified
+                self._take_settings()
+
+    def _take_settings(self) -> None:
+        try:
+            deployment = load_deployment(self._path)
+        except SettingsError as error:
+            log_event("settings:refused", error=str(error))
+            return
+        changed = [
+            name
+            for name, old, new in zip(Deployment._fields, self._deployment, deployment, strict=True)
+            if old != new
+        ]
+        self._deployment = deployment
+        log_event("settings:reloaded", changed=changed)
+
+    def _drain(self, server: HttpServer) -> None:
+        """Leave the entry points, serve what still comes, end within the time allowed."""
+        begin = self._clock.now()
+        limit = self._deployment.stop_seconds
+        log_event("daemon:stopping", seconds=limit)
+        self._service.leaving = True
+        self._exchange.wake()
+        server.begin_drain()
+        self._jobs.stop()
+        self._clock.sleep(max(_LEAST_SERVING_SECONDS, _STOP_LISTENING_SHARE * limit))
+        server.stop_listening()
+        left = begin + limit - _STOP_MARGIN_SECONDS - self._clock.now()
+        done = server.wait_idle(left)
+        self._jobs.finish(begin + limit - _STOP_MARGIN_SECONDS - self._clock.now())
+        log_event("daemon:drained", all_requests_ended=done)
+
+
+def _modified(path: Path) -> float:
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        # The file is being replaced; the next look sees the new one.
+        return 0.0
+
+
+def serve_deployment() -> int:
+    """Run a daemon with the platform's settings; SIGTERM begins a planned stop."""
+    path = settings_path()
+    try:
+        deployment = load_deployment(path)
+    except SettingsError as error:
+        print(f"trefoilreachd: {error}", file=sys.stderr)
+        return 2
+    daemon = ServingDaemon(deployment, path)
+
+    def handle_stop(number: int, frame: FrameType | None) -> None:
+        daemon.stop()
+        daemon.reload()
+
+    def handle_reload(number: int, frame: FrameType | None) -> None:
+        daemon.reload()
+
+    signal.signal(signal.SIGTERM, handle_stop)
+    signal.signal(signal.SIGINT, handle_stop)
+    signal.signal(signal.SIGHUP, handle_reload)
+    daemon.run()
+    return 0
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -24,9 +24,31 @@
 _IDLE_POLL_SECONDS = 0.05
 
 
+# Key of the WSGI environment under which an application finds the function that takes a
+# listener for the end of the caller's connection.
+ON_DISCONNECT = "trefoilreach.on_disconnect"
+
+
+class AnswerCut(Exception):
+    """Raised by a body that cannot go on; the connection closes without the body's end."""
+
+
 class _DrainingTask(WSGITask):
     """Adds ``Connection: close`` to answers once the server drains."""
 
+    def service(self) -> None:
+        """Answer the request."""
+        try:
+            super().service()
+        except AnswerCut:
+            self.close_on_finish = True
+
+    def get_environment(self) -> dict[str, Any]:
+        """Return the WSGI environment."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[ON_DISCONNECT] = self.channel.on_disconnect
+        return environ
+
     def build_response_header(self) -> bytes:
         """Build the head of the answer."""
         if self.channel.server.draining:
@@ -39,12 +61,25 @@
 
     task_class = _DrainingTask
     _sending = False
+    _listener: Callable[[], None] | None = None
 
     @property
     def busy(self) -> bool:
         """Whether a request is being received, answered or sent."""
         return bool(self.requests or self.request is not None or self.total_outbufs_len)
 
+    def on_disconnect(self, listener: Callable[[], None]) -> None:
+        """Call a function when the connection ends, in place of the former one."""
+        self._listener = listener
+        if not self.connected:
+            listener()
+
+    def handle_close(self) -> None:
+        """Close the connection."""
+        super().handle_close()
+        if self._listener is not None:
+            self._listener()
+
     def writable(self) -> bool:
         """Return whether the server's thread has something to send.
 
@@ -88,7 +123,13 @@
     """A waitress server that runs in a thread of its own."""
 
     def __init__(
-        self, app: Callable[..., Any], host: str, port: int, threads: int, clock: Clock
+        self,
+        app: Callable[..., Any],
+        host: str,
+        port: int,
+        threads: int,
+        clock: Clock,
+        header_limit: int = 256 * 1024,
     ) -> None:
         self._clock = clock
         self._server: BaseWSGIServer = waitress.create_server(
@@ -101,6 +142,9 @@
             channel_request_lookahead=_REQUEST_LOOKAHEAD,
             # waitress's own limit would answer without the API's error shape.
             max_request_body_size=8 * 1024**3,
+            max_request_header_size=header_limit,
+            # select() cannot watch descriptors above 1023.
+            asyncore_use_poll=True,
             ident="trefoilreach",
             clear_untrusted_proxy_headers=True,
         )
