--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -17,12 +17,13 @@
     WorkerFailure,
     WorkerLink,
 )
-from trefoilreach._internal.coordination.serving.overload import (
-    START_SECONDS,
-    DoorPolicy,
+from trefoilreach._internal.coordination.serving.overload import DoorPolicy
+from trefoilreach._internal.coordination.serving.turns import (
+    OnlineNeed,
+    find_online_need,
     has_returned,
+    rank_online,
 )
-from trefoilreach._internal.coordination.serving.turns import OnlineNeed, rank_online
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
@@ -212,14 +213,16 @@
 
     def _find_need(self) -> OnlineNeed:
         request, route = self._request, self._request.route
-        waited = max(0.0, route.timeout_seconds - request.time_left)
         account = request.account
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        since = request.received_at - waited
-        return OnlineNeed(
-            priority, since, request.received_at + route.target_seconds - START_SECONDS
+        return find_online_need(
+            priority,
+            request.received_at,
+            route.target_seconds,
+            request.time_left,
+            route.timeout_seconds,
         )
 
     def _check_door(self) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/overload.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/overload.py
@@ -11,10 +11,6 @@
 # Weight of the newest run in the mean length of online runs.
 _RUN_WEIGHT = 0.05
 _FIRST_RUN_SECONDS = 0.8
-# Time that reading the prompt and the way to the worker take of the target.
-START_SECONDS = 0.06
-# A caller whose time left is this much below the route's limit has asked before.
-_RETURNED_SECONDS = 0.05
 _MIN_RETRY_SECONDS = 0.1
 
 
@@ -33,14 +29,6 @@
     daemons: int
 
 
-def has_returned(time_left: float, time_limit: float) -> bool:
-    """Return whether a request is a later attempt of its caller.
-
-    :param time_limit: time that callers of the route begin with, in seconds.
-    """
-    return time_limit - time_left > _RETURNED_SECONDS
-
-
 class DoorPolicy:
     """Decides on refusals for one service; not synchronized."""
 
