--- /dev/null
+++ b/tests/unit/serving_fakes.py
@@ -0,0 +1,166 @@
+"""Workers and a service without sockets, for tests of online requests and batch jobs."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+from trefoilreach._internal.clock import Clock, SystemClock
+from trefoilreach._internal.coordination.quota.shared import QuotaBound, SharedBuckets
+from trefoilreach._internal.coordination.serving.admission import Admission
+from trefoilreach._internal.coordination.serving.crashes import CrashList
+from trefoilreach._internal.coordination.serving.link import Call, Dispatch, WorkerFailure
+from trefoilreach._internal.coordination.serving.online import ServingTools
+from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.state.serving import (
+    RouteKind,
+    ServingAccount,
+    ServingRoute,
+    WeightedService,
+    WorkerEntry,
+)
+from trefoilreach._internal.transport.http_client import Interrupt
+
+ACCOUNT = ServingAccount("shop", frozenset({"key"}), None, 0.0, 0.0)
+EVENTS = [f"id: {n}\ndata: text {n}\n\n".encode() for n in range(1, 6)]
+
+
+def make_route(**changes: Any) -> ServingRoute:
+    route = ServingRoute(
+        name="r",
+        host="h.example",
+        path_prefix="/a/",
+        kind=RouteKind.STREAM,
+        services=(WeightedService("pool", 1.0),),
+        max_runs=2,
+        resumable=True,
+        open_to_all=False,
+        priority=0,
+        target_seconds=0.3,
+        timeout_seconds=5.0,
+        stall_seconds=0.25,
+        due_seconds=18.0,
+        keep_seconds=60.0,
+        waiting_token_limit=0,
+    )
+    return route._replace(**changes)
+
+
+def make_workers(count: int, slots: int = 2) -> list[WorkerEntry]:
+    return [
+        WorkerEntry(f"w{n}", "pool", "10.0.0.1", 80 + n, "a", slots, False, 1) for n in range(count)
+    ]
+
+
+def make_call(request_id: str = "q1") -> Call:
+    return Call(request_id, "POST", "/a/x", "h.example", (), b"body")
+
+
+class Script(NamedTuple):
+    """What a worker does with one request.
+
+    :param failure: raised instead of an answer.
+    :param broken: failure after the body's pieces.
+    """
+
+    status: int = 200
+    pieces: tuple[bytes, ...] = ()
+    not_run: bool = False
+    receipt: bool = True
+    stream: bool = True
+    failure: WorkerFailure | None = None
+    broken: WorkerFailure | None = None
+    gate: threading.Event | None = None
+
+
+class FakeAnswer:
+    def __init__(self, script: Script, interrupt: Interrupt) -> None:
+        self.script = script
+        self.interrupt = interrupt
+        self.left = list(script.pieces)
+        self.closed = False
+
+    status = property(lambda self: self.script.status)
+    headers = property(lambda self: [("X-Response-Signature", "s")])
+    not_run = property(lambda self: self.script.not_run)
+    receipt = property(lambda self: self.script.receipt)
+    is_event_stream = property(lambda self: self.script.stream)
+
+    def read_some(self, timeout: float) -> bytes:
+        if self.script.gate is not None and len(self.left) == 1:
+            while not self.script.gate.wait(0.005):
+                if self.interrupt.reason:
+                    break
+        if self.interrupt.reason:
+            raise WorkerFailure("interrupted", Verdict.MAY_HAVE_RUN)
+        if self.left:
+            return self.left.pop(0)
+        if self.script.broken is not None:
+            raise self.script.broken
+        return b""
+
+    def read_all(self, timeout: float) -> bytes:
+        parts = []
+        while data := self.read_some(timeout):
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class FakeLink:
+    """Plays one script after the other, or asks a function for the script of a sending."""
+
+    def __init__(
+        self, *scripts: Script, decide: Callable[[Dispatch], Script] | None = None
+    ) -> None:
+        self.scripts = list(scripts)
+        self.decide = decide
+        self.sent: list[Dispatch] = []
+        self.answers: list[FakeAnswer] = []
+        self.dead: set[str] = set()
+        self.lock = threading.Lock()
+
+    def open(self, dispatch: Dispatch, timeout: float, interrupt: Interrupt) -> FakeAnswer:
+        with self.lock:
+            self.sent.append(dispatch)
+            script = self.decide(dispatch) if self.decide else self.scripts.pop(0)
+        if script.failure is not None:
+            raise script.failure
+        answer = FakeAnswer(script, interrupt)
+        self.answers.append(answer)
+        return answer
+
+    def is_dead(self, worker: WorkerEntry) -> bool:
+        return worker.id in self.dead
+
+
+def make_tools(link: FakeLink, workers: int = 3, clock: Clock | None = None) -> ServingTools:
+    clock = clock or SystemClock()
+    admission = Admission(clock, "d0")
+    for entry in make_workers(workers):
+        admission.workers.put(entry)
+    buckets = SharedBuckets(clock, QuotaBound())
+    return ServingTools(clock, admission, buckets, CrashList(clock), link)
+
+
+def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
+    """Return what the job keeper uses of a service."""
+    identity = SimpleNamespace(vm=vm, incarnation=incarnation)
+    return SimpleNamespace(
+        exchange=SimpleNamespace(identity=identity, peers=[]),
+        index=SimpleNamespace(route_named=lambda name: route if name == route.name else None),
+        freshness=SimpleNamespace(age=0.0),
+        deployment=SimpleNamespace(vm=vm),
+    )
+
+
+class InlineExecutor(Executor):
+    """Runs each task at once in the calling thread."""
+
+    def submit(self, task: Any, /, *args: Any, **kwargs: Any) -> Any:
+        future: Future[Any] = Future()
+        future.set_result(task(*args, **kwargs))
+        return future
--- /dev/null
+++ b/tests/unit/test_jobs.py
@@ -0,0 +1,320 @@
+"""Guards batch jobs: accepted once, each item listed once, taken over, ended."""
+
+import base64
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+import orjson
+import pytest
+from result import Err, Result
+from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_route, make_service, make_tools
+from trefoilreach._internal.clock import SystemClock
+from trefoilreach._internal.coordination.jobs import keeper as keeper_module
+from trefoilreach._internal.coordination.jobs.keeper import JobKeeper, JobTools
+from trefoilreach._internal.coordination.jobs.records import (
+    INPUT_TABLE,
+    RESULT_TABLE,
+    find_part,
+    job_key,
+    read_job,
+)
+from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerFailure
+from trefoilreach._internal.coordination.serving.service import Checked
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
+from trefoilreach._internal.state.serving import RouteKind
+from trefoilreach._internal.state.table import OutcomeUnknown, StoreError, StoreUnavailable
+
+ROUTE = make_route(kind=RouteKind.BATCH, max_runs=3)
+OUTPUT = "\n".join(f"text {n}" for n in range(1, 6))
+
+
+def make_document(count: int, tokens: int = 100) -> bytes:
+    items = [
+        {
+            "id": f"i{n}",
+            "path": f"/a/{n}",
+            "headers": {"X-Model": "m"},
+            "body": base64.b64encode(b"prompt %d" % n).decode(),
+            "tokenCount": tokens,
+        }
+        for n in range(count)
+    ]
+    return orjson.dumps({"items": items})
+
+
+class LossyRows(MemoryRows):
+    """Loses the answers of commits, or refuses them, as told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faults: list[str] = []
+
+    def commit(self, expected: Any, writes: Any) -> Result[Any, StoreError]:
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "refused":
+            return Err(StoreUnavailable("busy"))
+        outcome = super().commit(expected, writes)
+        return Err(OutcomeUnknown("lost")) if fault == "lost" else outcome
+
+
+class Fleet:
+    """Daemons that share a store and a link to the workers."""
+
+    def __init__(self, stack: ExitStack, decide: Callable[[Dispatch], Script]) -> None:
+        self.stack = stack
+        self.rows, self.blobs = LossyRows(), MemoryBlobs()
+        self.link = FakeLink(decide=decide)
+        self.clock = SystemClock()
+
+    def start(
+        self, vm: str, incarnation: int = 1, workers: int = 3, route: Any = ROUTE
+    ) -> JobKeeper:
+        tools = make_tools(self.link, workers, self.clock)
+        service = make_service(vm, incarnation, route)
+        keeper = JobKeeper(JobTools(self.clock, self.rows, self.blobs, tools, service))
+        keeper.start(self.stack)
+        return keeper
+
+
+@pytest.fixture
+def stack(monkeypatch: pytest.MonkeyPatch) -> Any:
+    monkeypatch.setattr(keeper_module, "_SETTLING_SECONDS", 0.1)
+    monkeypatch.setattr(keeper_module, "_LOOK_SECONDS", 0.05)
+    with ExitStack() as opened:
+        yield opened
+
+
+def whole(dispatch: Dispatch) -> Script:
+    return Script(pieces=tuple(EVENTS[dispatch.resume_after or 0 :]))
+
+
+def read_until(keeper: JobKeeper, job: str, count: int, limit: float = 5.0) -> list[Any]:
+    end = time.monotonic() + limit
+    while time.monotonic() < end:
+        page = keeper.read(job, ACCOUNT.name, 0, 0.05)
+        if len(page.results) >= count:
+            return page.results
+        time.sleep(0.02)
+    raise AssertionError(f"{len(page.results)} of {count} results")
+
+
+CHECKED = Checked(ROUTE, ACCOUNT)
+
+
+def test_job_is_accepted_run_and_read(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(12))
+    results = read_until(keeper, "j1", 12)
+    assert {result.id for result in results} == {f"i{n}" for n in range(12)}
+    assert all(result.output == OUTPUT for result in results)
+    page = keeper.read("j1", ACCOUNT.name, 10, 0.0)
+    assert page.results == results[10:] and page.next == 12 and page.total == 12
+    # What is no longer needed is deleted with the last result.
+    assert fleet.rows.read(INPUT_TABLE, find_part("j1")).ok_value.rows == []
+
+
+def test_resent_job_is_accepted_once(stack: ExitStack) -> None:
+    """Guards against a job that runs twice because its first answer was lost."""
+    fleet = Fleet(stack, whole)
+    first, second = fleet.start("d0"), fleet.start("d1")
+    first.submit("j1", CHECKED, make_document(4))
+    second.submit("j1", CHECKED, make_document(4))
+    first.submit("j1", CHECKED, make_document(4))
+    read_until(second, "j1", 4)
+    time.sleep(0.2)
+    assert len(fleet.link.sent) == 4
+
+
+def test_lost_answer_of_the_store_is_resolved(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    fleet.rows.faults = ["lost"]
+    keeper.submit("j1", CHECKED, make_document(3))
+    assert len(read_until(keeper, "j1", 3)) == 3
+
+
+def test_refusal_is_a_promise_only_while_nothing_is_unknown(stack: ExitStack) -> None:
+    """Guards against a 503 for a job that a late write brings to life."""
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    fleet.rows.faults = ["refused"]
+    with pytest.raises(Refusal) as caught:
+        keeper.submit("j1", CHECKED, make_document(1))
+    assert (caught.value.status, caught.value.verdict) == (503, Verdict.NOT_RUN)
+    fleet.rows.commit = lambda expected, writes: Err(OutcomeUnknown("lost"))
+    with pytest.raises(Refusal) as caught:
+        keeper.submit("j2", CHECKED, make_document(1))
+    assert (caught.value.status, caught.value.verdict) == (504, Verdict.MAY_HAVE_RUN)
+
+
+def test_each_result_is_listed_once_through_lost_answers(stack: ExitStack) -> None:
+    """Guards against an item at two positions, or a position with two results."""
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(0 + 8))
+    fleet.rows.faults = ["lost", "", "refused", "lost", "lost", ""] * 2
+    results = read_until(keeper, "j1", 8)
+    assert sorted(result.id for result in results) == sorted(f"i{n}" for n in range(8))
+
+
+def test_job_of_a_lost_daemon_is_taken_over(stack: ExitStack) -> None:
+    """Guards against a job that nobody goes on with."""
+    fleet = Fleet(stack, whole)
+    lost = fleet.start("d0", workers=0)
+    lost.submit("j1", CHECKED, make_document(5))
+    lost.stop()
+    heir = fleet.start("d1")
+    assert len(read_until(heir, "j1", 5)) == 5
+    # The former owner comes back to life and finds that it has no part in the job.
+    row = fleet.rows.read(*job_key("j1")[:2], "j1", "j1\0").ok_value.rows[0]
+    assert read_job(row).record.owner == "d1/1" and read_job(row).record.state == "done"
+
+
+def test_former_owner_cannot_list_a_result(stack: ExitStack) -> None:
+    """Guards against two daemons that list results of one job."""
+    fleet = Fleet(stack, whole)
+    slow = fleet.start("d0")
+    gate_open = False
+
+    def held(dispatch: Dispatch) -> Script:
+        while not gate_open:
+            time.sleep(0.01)
+        return whole(dispatch)
+
+    fleet.link.decide = held
+    fleet.link.lock = _NoLock()
+    slow.submit("j1", CHECKED, make_document(3))
+    heir = fleet.start("d1")
+    fleet.link.decide = whole
+    results = read_until(heir, "j1", 3)
+    gate_open = True
+    time.sleep(0.3)
+    assert heir.read("j1", ACCOUNT.name, 0, 0.0).results == results
+    assert len(fleet.rows.read(RESULT_TABLE, find_part("j1")).ok_value.rows) == 3
+
+
+class _NoLock:
+    def __enter__(self) -> None: ...
+
+    def __exit__(self, *error: object) -> None: ...
+
+
+def test_item_that_can_never_be_done_is_given_up(stack: ExitStack) -> None:
+    def decide(dispatch: Dispatch) -> Script:
+        return (
+            Script(status=422, stream=False)
+            if dispatch.call.request_id == "i1"
+            else whole(dispatch)
+        )
+
+    fleet = Fleet(stack, decide)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(3))
+    outputs = {result.id: result.output for result in read_until(keeper, "j1", 3)}
+    assert outputs["i1"] is None and outputs["i0"] == OUTPUT
+    assert sum(dispatch.call.request_id == "i1" for dispatch in fleet.link.sent) == 1
+
+
+def test_failing_item_is_given_up_after_its_attempts(stack: ExitStack) -> None:
+    fleet = Fleet(stack, lambda dispatch: Script(status=500, stream=False))
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output is None
+    assert len(fleet.link.sent) == ROUTE.max_runs
+
+
+def test_full_workers_are_no_failed_attempts(stack: ExitStack) -> None:
+    """Guards against items that are given up because the workers were busy."""
+    full = [Script(status=503, not_run=True, stream=False)] * 5
+    fleet = Fleet(stack, lambda dispatch: full.pop() if full else whole(dispatch))
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+
+
+def test_item_that_gave_its_slot_up_goes_on_after_its_events(stack: ExitStack) -> None:
+    """Guards against work that is done again from the start after each yield."""
+    broken = WorkerFailure("reset", Verdict.MAY_HAVE_RUN)
+
+    def decide(dispatch: Dispatch) -> Script:
+        if dispatch.resume_after is None:
+            return Script(pieces=(EVENTS[0], EVENTS[1] + EVENTS[2][:5]), broken=broken)
+        return whole(dispatch)
+
+    fleet = Fleet(stack, decide)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+    assert [dispatch.resume_after for dispatch in fleet.link.sent] == [None, 2]
+
+
+def test_ended_job_stops_and_keeps_what_is_listed(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper, other = fleet.start("d0", workers=0), fleet.start("d1", workers=0)
+    keeper.submit("j1", CHECKED, make_document(6))
+    other.end("j1", ACCOUNT.name)
+    other.end("j1", ACCOUNT.name)
+    time.sleep(0.3)
+    assert keeper.progress() == {}
+    with pytest.raises(Refusal) as caught:
+        keeper.read_item("j1", ACCOUNT.name, "i1")
+    assert caught.value.status == 404
+    assert keeper.read("j1", ACCOUNT.name, 0, 0.0).results == []
+
+
+def test_item_bodies_are_served_until_they_are_listed(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0", workers=0)
+    keeper.submit("j1", CHECKED, make_document(2))
+    assert fleet.start("d1", workers=0).read_item("j1", ACCOUNT.name, "i1") == b"prompt 1"
+
+
+def test_other_accounts_see_no_job(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0", workers=0)
+    keeper.submit("j1", CHECKED, make_document(1))
+    for call in (
+        lambda: keeper.read("j1", "other", 0, 0.0),
+        lambda: keeper.end("j1", "other"),
+        lambda: keeper.read_item("j1", "other", "i0"),
+    ):
+        with pytest.raises(Refusal) as caught:
+            call()
+        assert caught.value.status == 404
+
+
+def test_tokens_that_may_wait_are_limited_over_all_daemons(stack: ExitStack) -> None:
+    route = make_route(kind=RouteKind.BATCH, waiting_token_limit=1000)
+    checked = Checked(route, ACCOUNT)
+    fleet = Fleet(stack, whole)
+    first, second = (
+        fleet.start("d0", workers=0, route=route),
+        fleet.start("d1", workers=0, route=route),
+    )
+    first.submit("j1", checked, make_document(6))
+    time.sleep(0.1)
+    with pytest.raises(Refusal) as caught:
+        second.submit("j2", checked, make_document(6))
+    assert caught.value.status == 429 and caught.value.retry_after
+    second.submit("j3", checked, make_document(3))
+
+
+@pytest.mark.parametrize("document", [b"", b"{}", b'{"items":[]}', b'{"items":[{"id":1}]}', b"[1]"])
+def test_odd_documents_are_refused(stack: ExitStack, document: bytes) -> None:
+    keeper = Fleet(stack, whole).start("d0")
+    with pytest.raises(Refusal) as caught:
+        keeper.submit("j1", CHECKED, document)
+    assert caught.value.status == 400
+
+
+def test_store_that_is_down_is_not_taken_for_a_missing_job(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    fleet.rows.read = lambda *args, **kwargs: Err(StoreUnavailable("down"))
+    with pytest.raises(Refusal) as caught:
+        keeper.read("j9", ACCOUNT.name, 0, 0.0)
+    assert caught.value.status == 503
