--- a/packages/trefoilctl/src/trefoilctl/_internal/commands/__init__.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/commands/__init__.py
@@ -10,6 +10,7 @@
     "config",
     "entrypoints",
     "key",
+    "log",
     "route",
     "server",
     "vm",
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/server.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/server.py
@@ -53,15 +53,23 @@
 
     def start_events(self) -> None:
         """Begin a stream of server-sent events in chunked encoding."""
-        self._handler.send_response(200)
-        self._handler.send_header("Content-Type", "text/event-stream")
-        self._handler.send_header("Transfer-Encoding", "chunked")
-        self._handler.end_headers()
+        self.start(200, {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"})
 
     def send_event(self, payload: bytes) -> None:
         """Send one event."""
         data = b"data: " + payload + b"\n\n"
-        self._handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of an answer."""
+        self._handler.send_response(status)
+        for name, text in headers.items():
+            self._handler.send_header(name, text)
+        self._handler.end_headers()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the body as they are."""
+        self._handler.wfile.write(data)
         self._handler.wfile.flush()
 
     def end_events(self) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -1,8 +1,8 @@
 """Sends this daemon's report to the others and keeps what they state.
 
-Every daemon sends its whole state at each change, and at least every quarter of a second.
-The pause between two reports grows with the number of peers, so that a daemon never sends
-more datagrams than its share.
+Every daemon sends its requests at each change, and at least every quarter of a second; once
+a second it sends a whole report, with what changes rarely. The pause between two reports
+grows with the number of peers, so that a daemon never sends more datagrams than its share.
 """
 
 import random
@@ -15,10 +15,10 @@
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.exchange.reports import (
     Identity,
+    ReportWriter,
     Statement,
     decode,
     encode,
-    encode_report,
     read_identity,
     read_statement,
 )
@@ -35,6 +35,7 @@
 # A peer that missed four reports is not sent callers.
 PEER_LATE_SECONDS = 1.0
 _REPORT_SECONDS = 0.25
+_WHOLE_REPORT_SECONDS = 1.0
 # Most datagrams a second that one daemon sends for its reports: at 30 us each, 12 % of a core.
 _DATAGRAMS_PER_SECOND = 4000.0
 # Addresses that do not answer are tried again at this interval.
@@ -90,8 +91,10 @@
         self._changed = threading.Condition()
         self._dirty = False
         self._stopped = False
-        self._sequence = 0
+        self._writer = ReportWriter(identity)
+        self._whole_at = float("-inf")
         self._peers: dict[str, Peer] = {}
+        self._late: set[str] = set()
         self._known: dict[Address, float] = {}
         self._queries: dict[int, float] = {}
         own = (identity.host, identity.port)
@@ -166,9 +169,11 @@
 
     def _send_report(self, targets: list[Address]) -> None:
         assert self._hooks is not None
-        self._sequence += 1
         now = self._clock.now()
-        data = encode_report(self.identity, self._sequence, self._hooks.state(), now)
+        whole = now - self._whole_at >= _WHOLE_REPORT_SECONDS
+        if whole:
+            self._whole_at = now
+        data = self._writer.encode(self._hooks.state(), now, whole)
         for address in targets:
             self._send_to(data, address)
 
@@ -176,10 +181,15 @@
         """Return the live peers, and from time to time those that are not heard."""
         now = self._clock.now()
         gone: list[Peer] = []
+        late: list[str] = []
         with self._lock:
             for vm, peer in list(self._peers.items()):
                 if now - peer.heard_at > PEER_GONE_SECONDS:
                     gone.append(self._peers.pop(vm))
+                    self._late.discard(vm)
+                elif peer.is_late(now) and vm not in self._late:
+                    self._late.add(vm)
+                    late.append(vm)
             targets = {_address(peer) for peer in self._peers.values() if not peer.is_late(now)}
             silent = [a for a in [*self._known, *self._seeds] if a not in targets]
             silent += [_address(p) for p in self._peers.values() if p.is_late(now)]
@@ -188,8 +198,10 @@
                     self._known[address] = now
                     targets.add(address)
         assert self._hooks is not None
+        for vm in late:
+            log_event("peer:late", vm_heard=vm, after_seconds=PEER_LATE_SECONDS)
         for peer in gone:
-            log_event("peer:gone", vm=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
+            log_event("peer:gone", vm_heard=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
             self._hooks.lost(peer)
         return list(targets)
 
@@ -238,32 +250,42 @@
             self._take_addresses(datagram.peers)
 
     def _take_report(self, report: Report) -> None:
-        identity = read_identity(report)
-        if identity.vm == self.identity.vm:
+        if report.vm == self.identity.vm:
             return
         now = self._clock.now()
-        peer = Peer(identity, report.sequence, now, read_statement(report, now))
         with self._lock:
-            known = self._peers.get(identity.vm)
+            known = self._peers.get(report.vm)
+            new = known is None or known.identity.incarnation != report.incarnation
+            identity = read_identity(report) if new or known is None else known.identity
+            if identity is None:
+                # The next whole report of this process says who it is.
+                return
+            uptime = 0.0
             if known is not None:
-                before, after = known.identity.incarnation, identity.incarnation
+                before, after = known.identity.incarnation, report.incarnation
                 if (before, known.sequence) >= (after, report.sequence):
                     return
-            self._peers[identity.vm] = peer
+                uptime = known.statement.uptime + now - known.heard_at
+            peer = Peer(identity, report.sequence, now, read_statement(report, now, uptime))
+            self._peers[report.vm] = peer
         assert self._hooks is not None
-        new = known is None or known.identity.incarnation != identity.incarnation
         if known is not None and new:
             self._hooks.lost(known)
         if new:
-            log_event("peer:new", vm=identity.vm, incarnation=identity.incarnation)
-            self.wake()
-            # The peer may know daemons that this one has not heard of.
-            hello = Hello(self.identity.host, self.identity.port)
-            self._send_to(encode(Datagram(hello=hello)), _address(peer))
-        elif known is not None and known.is_late(now):
-            log_event("peer:regained", vm=identity.vm, silent_seconds=now - known.heard_at)
+            self._greet(peer)
+        elif known is not None and report.vm in self._late:
+            self._late.discard(report.vm)
+            log_event("peer:regained", vm_heard=report.vm, silent_seconds=now - known.heard_at)
         self._hooks.heard(peer, new)
 
+    def _greet(self, peer: Peer) -> None:
+        """Let a new process know this one, and the daemons that it has not heard of."""
+        log_event("peer:new", vm_heard=peer.identity.vm, incarnation=peer.identity.incarnation)
+        self._whole_at = float("-inf")
+        self.wake()
+        hello = Hello(self.identity.host, self.identity.port)
+        self._send_to(encode(Datagram(hello=hello)), _address(peer))
+
     def _answer_query(self, query: FreshnessQuery) -> None:
         assert self._hooks is not None
         # The age is taken after the version, so that it is never too small for it.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
@@ -1,7 +1,7 @@
 """What a daemon states about itself, and its form as a datagram."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
@@ -18,6 +18,7 @@
     Waiter,
     WorkerRuns,
 )
+from trefoilreach._internal.protocol.gen.fleet.ttypes import Identity as IdentityEntry
 
 _MILLISECONDS = 1000.0
 _MOST_MILLISECONDS = 2**31 - 1
@@ -57,7 +58,8 @@
     :param accepting: whether callers may be sent there.
     :param leaving: whether a planned stop has begun.
     :param store_age: seconds since the store last answered.
-    :param jobs: number of results of the batch jobs that the sender runs.
+    :param uses: admissions by account; a peer's report may have only those that changed.
+    :param jobs: number of results of the batch jobs that the sender runs; likewise.
     :param suspects: workers that do not answer the sender.
     """
 
@@ -91,61 +93,98 @@
         return None
 
 
-def encode_report(identity: Identity, sequence: int, statement: Statement, now: float) -> bytes:
-    """Return the datagram of a report; times become durations before ``now``."""
-    waiters = [
-        Waiter(service, entry.urgency, _milliseconds(entry.order_at - now))
-        for service, entries in statement.waiting.items()
-        for entry in sorted(entries)[:_WAITERS_KEPT]
-    ]
-    report = Report(
-        vm=identity.vm,
-        incarnation=identity.incarnation,
-        sequence=sequence,
+class ReportWriter:
+    """Encodes the reports of one daemon: whole ones, and the changes since."""
+
+    def __init__(self, identity: Identity) -> None:
+        self._identity = identity
+        self._sequence = 0
+        self._uses: Mapping[str, Use] = {}
+        self._jobs: Mapping[str, int] = {}
+
+    def encode(self, statement: Statement, now: float, whole: bool) -> bytes:
+        """Return the datagram of the next report; times become durations before ``now``."""
+        self._sequence += 1
+        # A change that was lost is made good by the next whole report.
+        uses = _find_changes({} if whole else self._uses, statement.uses)
+        jobs = _find_changes({} if whole else self._jobs, statement.jobs)
+        self._uses, self._jobs = statement.uses, statement.jobs
+        identity = self._identity
+        report = Report(
+            vm=identity.vm,
+            incarnation=identity.incarnation,
+            sequence=self._sequence,
+            identity=_encode_identity(identity, statement.uptime) if whole else None,
+            accepting=statement.accepting,
+            leaving=statement.leaving,
+            config_version=statement.config_version,
+            store_age_ms=_milliseconds(statement.store_age),
+            runs=[WorkerRuns(name, r.online, r.batch) for name, r in statement.runs.items()]
+            or None,
+            waiters=_encode_waiters(statement, now) or None,
+            accounts=[AccountUse(name, u.admitted, u.level) for name, u in uses.items()] or None,
+            jobs=[JobProgress(job, count) for job, count in jobs.items()][-_JOBS_KEPT:] or None,
+            suspects=list(statement.suspects) or None,
+            crashes=[Crash(*crash) for crash in statement.crashes[-_CRASHES_KEPT:]] or None,
+        )
+        return encode(Datagram(report=report))
+
+
+def _find_changes(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: entry for name, entry in after.items() if before.get(name) != entry}
+
+
+def _encode_identity(identity: Identity, uptime: float) -> IdentityEntry:
+    return IdentityEntry(
         host=identity.host,
         port=identity.port,
         control_port=identity.control_port,
         front=identity.front,
         data_centre=identity.data_centre,
-        accepting=statement.accepting,
-        config_version=statement.config_version,
-        uptime_ms=_milliseconds(statement.uptime),
-        runs=[WorkerRuns(name, runs.online, runs.batch) for name, runs in statement.runs.items()],
-        waiters=waiters,
-        accounts=[AccountUse(name, u.admitted, u.level) for name, u in statement.uses.items()],
-        jobs=[JobProgress(job, count) for job, count in statement.jobs.items()][:_JOBS_KEPT],
-        suspects=list(statement.suspects),
-        crashes=[Crash(*crash) for crash in statement.crashes[-_CRASHES_KEPT:]],
-        store_age_ms=_milliseconds(statement.store_age),
-        leaving=statement.leaving,
+        uptime_ms=_milliseconds(uptime),
     )
-    return encode(Datagram(report=report))
 
 
-def read_identity(report: Report) -> Identity:
-    """Return who sent a report."""
+def _encode_waiters(statement: Statement, now: float) -> list[Waiter]:
+    return [
+        Waiter(service, entry.urgency, _milliseconds(entry.order_at - now))
+        for service, entries in statement.waiting.items()
+        for entry in sorted(entries)[:_WAITERS_KEPT]
+    ]
+
+
+def read_identity(report: Report) -> Identity | None:
+    """Return who sent a whole report; None for any other."""
+    entry = report.identity
+    if entry is None:
+        return None
     return Identity(
         report.vm,
         report.incarnation,
-        report.host,
-        report.port,
-        report.control_port,
-        report.front,
-        report.data_centre,
+        entry.host,
+        entry.port,
+        entry.control_port,
+        entry.front,
+        entry.data_centre,
     )
 
 
-def read_statement(report: Report, now: float) -> Statement:
-    """Return what a report says, with times by this daemon's clock."""
+def read_statement(report: Report, now: float, uptime: float = 0.0) -> Statement:
+    """Return what a report says, with times by this daemon's clock.
+
+    :param uptime: of the sender, as far as it is known from an earlier report.
+    """
     waiting: dict[str, list[Waiting]] = {}
     for waiter in report.waiters or ():
         entry = Waiting(waiter.urgency, now + waiter.order_ms / _MILLISECONDS)
         waiting.setdefault(waiter.pool, []).append(entry)
+    if report.identity is not None:
+        uptime = report.identity.uptime_ms / _MILLISECONDS
     return Statement(
         accepting=bool(report.accepting),
         leaving=bool(report.leaving),
         config_version=report.config_version or 0,
-        uptime=(report.uptime_ms or 0) / _MILLISECONDS,
+        uptime=uptime,
         store_age=(report.store_age_ms or 0) / _MILLISECONDS,
         runs={entry.worker: Runs(entry.online, entry.batch) for entry in report.runs or ()},
         waiting={service: tuple(entries) for service, entries in waiting.items()},
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -1,7 +1,7 @@
 """Gives slots of the backend servers to the requests that wait on this daemon."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
@@ -92,8 +92,14 @@
     def hear(self, vm: str, load: PeerLoad) -> None:
         """Take the requests that a peer states."""
         with self._lock:
-            self._board.hear(vm, load)
-        self.pump()
+            changed = self._board.hear(vm, load)
+            services = [name for name, waiting in self._waiting.items() if waiting]
+            actions = self._find_yields(changed)
+        self._run(actions)
+        for service in services:
+            self._pump_service(service, wake=False)
+        if actions:
+            self.wake()
 
     def forget(self, vm: str) -> None:
         """Drop the requests of a daemon whose process has ended."""
@@ -108,7 +114,7 @@
             services = [name for name, waiting in self._waiting.items() if waiting]
         for service in services:
             self._pump_service(service, wake=False)
-        self._run(self._find_yields())
+        self._run(self._find_yields(self._batch_running))
 
     def runs(self) -> dict[str, Runs]:
         """Return the running requests of this daemon by worker."""
@@ -143,7 +149,7 @@
         with self._lock:
             actions = self._grant(service)
             changed = wake or bool(actions)
-            actions += self._find_yields()
+            actions += self._find_yields(self._batch_running)
         self._run(actions)
         if changed:
             self.wake()
@@ -200,13 +206,14 @@
             self._board.change_own(worker, online=-1)
         return True
 
-    def _find_yields(self) -> list[Action]:
+    def _find_yields(self, workers: Iterable[str]) -> list[Action]:
         """Take the slots of batch items that must leave; their runs end outside of the lock."""
         now = self._clock.now()
         actions: list[Action] = []
         with self._lock:
-            for worker, running in self._batch_running.items():
-                entry = self.workers.find(worker)
+            for worker in workers:
+                running = self._batch_running.get(worker)
+                entry = self.workers.find(worker) if running else None
                 if not running or entry is None:
                     continue
                 excess = self._board.loads([entry])[0].excess
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/board.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/board.py
@@ -71,12 +71,19 @@
 
 
 class SlotBoard:
-    """Counts by worker; not synchronized."""
+    """Counts by worker; not synchronized.
+
+    Sums over the daemons are kept up to date with each report, so that neither a report nor
+    a decision costs more in a larger fleet.
+    """
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
-        self._own: dict[str, Runs] = {}
         self._peers: dict[str, PeerLoad] = {}
+        # Requests by worker and daemon, this one included.
+        self._runs: dict[str, dict[str, Runs]] = {}
+        self._sums: dict[str, Runs] = {}
+        self._own: dict[str, Runs] = {}
 
     @property
     def own(self) -> Mapping[str, Runs]:
@@ -91,30 +98,42 @@
             self._own.pop(worker, None)
         else:
             self._own[worker] = changed
+        self._set(self._vm, worker, changed)
 
-    def hear(self, vm: str, load: PeerLoad) -> None:
-        """Take a peer's report in place of its earlier one."""
+    def hear(self, vm: str, load: PeerLoad) -> set[str]:
+        """Take a peer's report in place of its earlier one; return the workers that changed."""
+        known = self._peers.get(vm)
+        before = {} if known is None else known.runs
         self._peers[vm] = load
+        changed = {
+            worker
+            for worker in {*before, *load.runs}
+            if before.get(worker, NO_RUNS) != load.runs.get(worker, NO_RUNS)
+        }
+        for worker in changed:
+            self._set(vm, worker, load.runs.get(worker, NO_RUNS))
+        return changed
 
     def forget(self, vm: str) -> None:
         """Drop a peer whose process has ended."""
-        self._peers.pop(vm, None)
+        known = self._peers.pop(vm, None)
+        for worker in () if known is None else known.runs:
+            self._set(vm, worker, NO_RUNS)
 
     def drop_silent(self, now: float) -> None:
         """Drop the peers that have not been heard for too long."""
         limit = now - PEER_SILENT_SECONDS
         for vm in [vm for vm, load in self._peers.items() if load.heard_at < limit]:
-            del self._peers[vm]
+            self.forget(vm)
 
     def loads(self, workers: Iterable[WorkerEntry]) -> list[WorkerLoad]:
         """Return workers with their load over all daemons."""
-        return [self._load(worker) for worker in workers]
+        return [WorkerLoad(worker, *self._sums.get(worker.id, NO_RUNS)) for worker in workers]
 
     def batch_by_vm(self, worker: str) -> dict[str, int]:
         """Return the daemons that run batch items at a worker."""
-        counts = {vm: load.runs.get(worker, NO_RUNS).batch for vm, load in self._peers.items()}
-        counts[self._vm] = self._own.get(worker, NO_RUNS).batch
-        return {vm: count for vm, count in counts.items() if count}
+        runs = self._runs.get(worker, {})
+        return {vm: entry.batch for vm, entry in runs.items() if entry.batch}
 
     def count_before(self, service: str, mine: Waiting) -> int:
         """Return how many requests of peers wait before one of this daemon."""
@@ -130,11 +149,17 @@
             for other in load.waiting.get(service, ())
         )
 
-    def _load(self, worker: WorkerEntry) -> WorkerLoad:
-        online, batch = self._own.get(worker.id, NO_RUNS)
-        for load in self._peers.values():
-            runs = load.runs.get(worker.id)
-            if runs is not None:
-                online += runs.online
-                batch += runs.batch
-        return WorkerLoad(worker, online, batch)
+    def _set(self, vm: str, worker: str, runs: Runs) -> None:
+        by_vm = self._runs.setdefault(worker, {})
+        before = by_vm.pop(vm, NO_RUNS)
+        if runs != NO_RUNS:
+            by_vm[vm] = runs
+        sums = self._sums.get(worker, NO_RUNS)
+        after = Runs(
+            sums.online + runs.online - before.online, sums.batch + runs.batch - before.batch
+        )
+        if after == NO_RUNS:
+            self._sums.pop(worker, None)
+            self._runs.pop(worker, None)
+        else:
+            self._sums[worker] = after
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -85,6 +85,15 @@
             resume_after=read_number(environ.get("HTTP_LAST_EVENT_ID")),
             fingerprint=find_fingerprint(account, call.target, call.body),
         )
+        log_event(
+            "request:admitted",
+            request_id=call.request_id,
+            route=checked.route.name,
+            account=account,
+            time_left=request.time_left,
+            desired_state=self._service.version,
+            desired_state_age=round(self._service.freshness.age, 3),
+        )
         watch = CallerWatch()
         on_disconnect = environ.get(ON_DISCONNECT)
         if on_disconnect is not None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
@@ -1,6 +1,7 @@
-// Datagrams between the daemons of a deployment. Each report states the whole state of its
-// sender, so a lost one is made good by the next. Times are durations in milliseconds,
-// never clock readings.
+// Datagrams between the daemons of a deployment. Each report states all requests of its
+// sender, so a lost one is made good by the next. What changes rarely is only in the whole
+// reports that are sent from time to time. Times are durations in milliseconds, never clock
+// readings.
 
 namespace py fleet
 
@@ -37,26 +38,31 @@
   2: string worker,
 }
 
+// What is in whole reports only.
+struct Identity {
+  1: string host,
+  2: i32 port,             // datagrams
+  3: i32 control_port,     // HTTP between daemons
+  4: string front,         // address for callers
+  5: string data_centre,
+  6: i32 uptime_ms,
+}
+
 struct Report {
   1: string vm,
   2: i64 incarnation,
   3: i64 sequence,
-  4: string host,
-  5: i32 port,             // datagrams
-  6: i32 control_port,     // HTTP between daemons
-  7: string front,         // address for callers
-  8: string data_centre,
-  9: bool accepting,       // whether callers may be sent here
-  10: i64 config_version,
-  11: i32 uptime_ms,
-  12: list<WorkerRuns> runs,
-  13: list<Waiter> waiters,
-  14: list<AccountUse> accounts,
-  15: list<JobProgress> jobs,
-  16: list<string> suspects,        // workers that do not answer the sender
-  17: list<Crash> crashes,
-  18: i32 store_age_ms,             // since the store last answered the sender
-  19: bool leaving,                 // planned stop
+  4: optional Identity identity,
+  5: bool accepting,       // whether callers may be sent here
+  6: bool leaving,         // planned stop
+  7: i64 config_version,
+  8: i32 store_age_ms,     // since the store last answered the sender
+  9: optional list<WorkerRuns> runs,
+  10: optional list<Waiter> waiters,
+  11: optional list<AccountUse> accounts,   // those that changed; all active ones in whole reports
+  12: optional list<JobProgress> jobs,      // likewise
+  13: optional list<string> suspects,       // workers that do not answer the sender
+  14: optional list<Crash> crashes,
 }
 
 // Asks a peer how fresh its view of the desired state is.
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
@@ -389,52 +389,154 @@
         return not (self == other)
 
 
-class Report(object):
+class Identity(object):
     """
     Attributes:
-     - vm
-     - incarnation
-     - sequence
      - host
      - port
      - control_port
      - front
      - data_centre
+     - uptime_ms
+
+    """
+
+
+    def __init__(self, host=None, port=None, control_port=None, front=None, data_centre=None, uptime_ms=None,):
+        self.host = host
+        self.port = port
+        self.control_port = control_port
+        self.front = front
+        self.data_centre = data_centre
+        self.uptime_ms = uptime_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.control_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.front = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.uptime_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Identity')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.control_port is not None:
+            oprot.writeFieldBegin('control_port', TType.I32, 3)
+            oprot.writeI32(self.control_port)
+            oprot.writeFieldEnd()
+        if self.front is not None:
+            oprot.writeFieldBegin('front', TType.STRING, 4)
+            oprot.writeString(self.front.encode('utf-8') if sys.version_info[0] == 2 else self.front)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 5)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.uptime_ms is not None:
+            oprot.writeFieldBegin('uptime_ms', TType.I32, 6)
+            oprot.writeI32(self.uptime_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Report(object):
+    """
+    Attributes:
+     - vm
+     - incarnation
+     - sequence
+     - identity
      - accepting
+     - leaving
      - config_version
-     - uptime_ms
+     - store_age_ms
      - runs
      - waiters
      - accounts
      - jobs
      - suspects
      - crashes
-     - store_age_ms
-     - leaving
 
     """
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, host=None, port=None, control_port=None, front=None, data_centre=None, accepting=None, config_version=None, uptime_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, store_age_ms=None, leaving=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
-        self.host = host
-        self.port = port
-        self.control_port = control_port
-        self.front = front
-        self.data_centre = data_centre
+        self.identity = identity
         self.accepting = accepting
+        self.leaving = leaving
         self.config_version = config_version
-        self.uptime_ms = uptime_ms
+        self.store_age_ms = store_age_ms
         self.runs = runs
         self.waiters = waiters
         self.accounts = accounts
         self.jobs = jobs
         self.suspects = suspects
         self.crashes = crashes
-        self.store_age_ms = store_age_ms
-        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -461,46 +563,32 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRUCT:
+                    self.identity = Identity()
+                    self.identity.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I32:
-                    self.port = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.accepting = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.control_port = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.STRING:
-                    self.front = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
                 if ftype == TType.BOOL:
-                    self.accepting = iprot.readBool()
+                    self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 7:
                 if ftype == TType.I64:
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 8:
                 if ftype == TType.I32:
-                    self.uptime_ms = iprot.readI32()
+                    self.store_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.runs = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -511,7 +599,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
+            elif fid == 10:
                 if ftype == TType.LIST:
                     self.waiters = []
                     (_etype9, _size6) = iprot.readListBegin()
@@ -522,7 +610,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
+            elif fid == 11:
                 if ftype == TType.LIST:
                     self.accounts = []
                     (_etype15, _size12) = iprot.readListBegin()
@@ -533,7 +621,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 15:
+            elif fid == 12:
                 if ftype == TType.LIST:
                     self.jobs = []
                     (_etype21, _size18) = iprot.readListBegin()
@@ -544,7 +632,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
+            elif fid == 13:
                 if ftype == TType.LIST:
                     self.suspects = []
                     (_etype27, _size24) = iprot.readListBegin()
@@ -554,7 +642,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 17:
+            elif fid == 14:
                 if ftype == TType.LIST:
                     self.crashes = []
                     (_etype33, _size30) = iprot.readListBegin()
@@ -565,16 +653,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 18:
-                if ftype == TType.I32:
-                    self.store_age_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 19:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -597,88 +675,68 @@
             oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 4)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
-        if self.port is not None:
-            oprot.writeFieldBegin('port', TType.I32, 5)
-            oprot.writeI32(self.port)
-            oprot.writeFieldEnd()
-        if self.control_port is not None:
-            oprot.writeFieldBegin('control_port', TType.I32, 6)
-            oprot.writeI32(self.control_port)
-            oprot.writeFieldEnd()
-        if self.front is not None:
-            oprot.writeFieldBegin('front', TType.STRING, 7)
-            oprot.writeString(self.front.encode('utf-8') if sys.version_info[0] == 2 else self.front)
-            oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 8)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRUCT, 4)
+            self.identity.write(oprot)
             oprot.writeFieldEnd()
         if self.accepting is not None:
-            oprot.writeFieldBegin('accepting', TType.BOOL, 9)
+            oprot.writeFieldBegin('accepting', TType.BOOL, 5)
             oprot.writeBool(self.accepting)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 10)
+            oprot.writeFieldBegin('config_version', TType.I64, 7)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
-        if self.uptime_ms is not None:
-            oprot.writeFieldBegin('uptime_ms', TType.I32, 11)
-            oprot.writeI32(self.uptime_ms)
+        if self.store_age_ms is not None:
+            oprot.writeFieldBegin('store_age_ms', TType.I32, 8)
+            oprot.writeI32(self.store_age_ms)
             oprot.writeFieldEnd()
         if self.runs is not None:
-            oprot.writeFieldBegin('runs', TType.LIST, 12)
+            oprot.writeFieldBegin('runs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
             for iter36 in self.runs:
                 iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiters is not None:
-            oprot.writeFieldBegin('waiters', TType.LIST, 13)
+            oprot.writeFieldBegin('waiters', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waiters))
             for iter37 in self.waiters:
                 iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
-            oprot.writeFieldBegin('accounts', TType.LIST, 14)
+            oprot.writeFieldBegin('accounts', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
             for iter38 in self.accounts:
                 iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
-            oprot.writeFieldBegin('jobs', TType.LIST, 15)
+            oprot.writeFieldBegin('jobs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
             for iter39 in self.jobs:
                 iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
-            oprot.writeFieldBegin('suspects', TType.LIST, 16)
+            oprot.writeFieldBegin('suspects', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
             for iter40 in self.suspects:
                 oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.LIST, 17)
+            oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
             for iter41 in self.crashes:
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.store_age_ms is not None:
-            oprot.writeFieldBegin('store_age_ms', TType.I32, 18)
-            oprot.writeI32(self.store_age_ms)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 19)
-            oprot.writeBool(self.leaving)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1125,28 +1183,33 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'worker', 'UTF8', None, ),  # 2
 )
+all_structs.append(Identity)
+Identity.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+    (3, TType.I32, 'control_port', None, None, ),  # 3
+    (4, TType.STRING, 'front', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'data_centre', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'uptime_ms', None, None, ),  # 6
+)
 all_structs.append(Report)
 Report.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
-    (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'port', None, None, ),  # 5
-    (6, TType.I32, 'control_port', None, None, ),  # 6
-    (7, TType.STRING, 'front', 'UTF8', None, ),  # 7
-    (8, TType.STRING, 'data_centre', 'UTF8', None, ),  # 8
-    (9, TType.BOOL, 'accepting', None, None, ),  # 9
-    (10, TType.I64, 'config_version', None, None, ),  # 10
-    (11, TType.I32, 'uptime_ms', None, None, ),  # 11
-    (12, TType.LIST, 'runs', (TType.STRUCT, [WorkerRuns, None], False), None, ),  # 12
-    (13, TType.LIST, 'waiters', (TType.STRUCT, [Waiter, None], False), None, ),  # 13
-    (14, TType.LIST, 'accounts', (TType.STRUCT, [AccountUse, None], False), None, ),  # 14
-    (15, TType.LIST, 'jobs', (TType.STRUCT, [JobProgress, None], False), None, ),  # 15
-    (16, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 16
-    (17, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 17
-    (18, TType.I32, 'store_age_ms', None, None, ),  # 18
-    (19, TType.BOOL, 'leaving', None, None, ),  # 19
+    (4, TType.STRUCT, 'identity', [Identity, None], None, ),  # 4
+    (5, TType.BOOL, 'accepting', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.I64, 'config_version', None, None, ),  # 7
+    (8, TType.I32, 'store_age_ms', None, None, ),  # 8
+    (9, TType.LIST, 'runs', (TType.STRUCT, [WorkerRuns, None], False), None, ),  # 9
+    (10, TType.LIST, 'waiters', (TType.STRUCT, [Waiter, None], False), None, ),  # 10
+    (11, TType.LIST, 'accounts', (TType.STRUCT, [AccountUse, None], False), None, ),  # 11
+    (12, TType.LIST, 'jobs', (TType.STRUCT, [JobProgress, None], False), None, ),  # 12
+    (13, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 14
 )
 all_structs.append(FreshnessQuery)
 FreshnessQuery.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -176,16 +176,16 @@
         threading.Thread(target=self._tick, args=(stop,), name="tick", daemon=True).start()
 
     def _start_servers(self, stack: ExitStack) -> HttpServer:
-        limits = self._deployment
-        checks = ChecksApplication(self._service)
-        for host, port in limits.checks:
-            server = HttpServer(checks, host, port, _CHECK_THREADS, self._clock)
-            stack.callback(server.close)
-            server.start()
+        """Start the servers; the checks come last, since they say that this daemon is ready."""
         front = FrontApplication(self._service, PlatformJobCalls(self._service, self._jobs))
-        server = HttpServer(front, *limits.front, _FRONT_THREADS, self._clock)
+        server = HttpServer(front, *self._deployment.front, _FRONT_THREADS, self._clock)
         stack.callback(server.close)
         server.start()
+        checks = ChecksApplication(self._service)
+        for host, port in self._deployment.checks:
+            check_server = HttpServer(checks, host, port, _CHECK_THREADS, self._clock)
+            stack.callback(check_server.close)
+            check_server.start()
         return server
 
     def _state(self) -> Statement:
