--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -289,7 +289,7 @@
             answer = self._tools.link.open(dispatch, _FIRST_EVENT_SECONDS, interrupt)
             if answer.status == 200 and answer.receipt:
                 self._tools.admission.workers.note_answer(worker.id)
-                self._read_events(run, answer)
+                self._read_events(run, worker, answer)
                 answer.close()
                 self._release(run)
                 output = b"\n".join(run.events).decode(errors="replace")
@@ -302,9 +302,10 @@
             if answer is not None:
                 answer.close()
 
-    def _read_events(self, run: _ItemRun, answer: WorkerAnswer) -> None:
+    def _read_events(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
         splitter = EventSplitter()
         while data := answer.read_some(_STALL_SECONDS):
+            self._tools.admission.workers.note_alive(worker.id)
             for event in splitter.feed(data):
                 if event.id is not None:
                     run.last_event = event.id
@@ -345,7 +346,7 @@
             fingerprint = find_fingerprint(self._row.record.account, run.item.target, run.item.body)
             self._tools.crashes.note(fingerprint, f"{worker.id}/{worker.started_ms}", run.item.id)
         if dead or failure.silent or failure.unreachable:
-            self._tools.admission.workers.note_failure(worker.id, str(failure))
+            self._tools.admission.workers.note_failure(worker.id, str(failure), failure.silent)
         run.avoid = {worker.id}
         return 0.0
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -16,6 +16,7 @@
 from trefoilreach._internal.coordination.serving.turns import BATCH_URGENCY, batch_reserve
 from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
 from trefoilreach._internal.coordination.serving.yielding import count_to_yield
+from trefoilreach._internal.logs import log_event
 
 Action = Callable[[], None]
 
@@ -60,6 +61,7 @@
         self._board = SlotBoard(vm)
         self._waiting: dict[str, list[Ticket]] = {}
         self._batch_running: dict[str, list[Ticket]] = {}
+        self._leftovers: dict[str, int] = {}
         self.workers = WorkerDirectory(clock, self.pump)
         self.wake: Action = lambda: None
         self.live_daemons: Callable[[], int] = lambda: 1
@@ -107,6 +109,32 @@
             self._board.forget(vm)
         self.pump()
 
+    def count_stated(self, worker: str) -> int:
+        """Return the requests that daemons state at a worker, without leftovers."""
+        entry = self.workers.find(worker)
+        if entry is None:
+            return 0
+        with self._lock:
+            load = self._board.loads([entry])[0]
+            return load.online + load.batch - self._leftovers.get(worker, 0)
+
+    def set_leftovers(self, worker: str, count: int) -> None:
+        """Count requests that nobody states as this daemon's own."""
+        with self._lock:
+            before = self._leftovers.pop(worker, 0)
+            if count:
+                self._leftovers[worker] = count
+            self._board.change_own(worker, online=count - before)
+        if count != before:
+            log_event("leftovers:counted", worker=worker, requests=count, before=before)
+            self.pump()
+            self.wake()
+
+    def clear_leftovers(self) -> None:
+        """Count no leftovers any more."""
+        for worker in list(self._leftovers):
+            self.set_leftovers(worker, 0)
+
     def pump(self) -> None:
         """Grant slots, and give batch slots up, as the present state asks."""
         with self._lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/link.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/link.py
@@ -109,3 +109,6 @@
 
     def is_dead(self, worker: WorkerEntry) -> bool:
         """Return whether no process listens at a worker's address."""
+
+    def count_load(self, worker: WorkerEntry) -> int | None:
+        """Return how many requests run and wait at a worker; None when it does not say."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -436,7 +436,7 @@
                 request.fingerprint, f"{worker.id}/{worker.started_ms}", request.call.request_id
             )
         if dead or failure.silent:
-            workers.note_failure(worker.id, str(failure))
+            workers.note_failure(worker.id, str(failure), failure.silent)
         # A worker that has died no longer counts against the runs that are allowed.
         self._note_run(worker, str(failure), counts=not dead)
 
@@ -537,6 +537,7 @@
         """
         while not self.ended:
             data = self._attempt.answer.read_some(self._find_timeout())
+            self._run._tools.admission.workers.note_alive(self.worker.id)
             self.ended = not data
             events = self._splitter.feed(data)
             if events:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
@@ -27,7 +27,9 @@
     def __init__(self) -> None:
         self.failures = 0
         self.suspected_until = 0.0
-        self.answered_at = 0.0
+        # What peers state is kept apart, and never stated again as this daemon's own.
+        self.peers_suspect_until = 0.0
+        self.answered_at = float("-inf")
 
 
 class Missing(NamedTuple):
@@ -59,13 +61,18 @@
             return tuple(
                 name
                 for name, health in self._health.items()
-                if health.failures and health.suspected_until > now and name in self._entries
+                if health.suspected_until > now and name in self._entries
             )
 
     def find(self, worker: str) -> WorkerEntry | None:
         """Return the entry of a worker."""
         return self._entries.get(worker)
 
+    def entries(self) -> list[WorkerEntry]:
+        """Return all entries."""
+        with self._lock:
+            return list(self._entries.values())
+
     def usable(self, service: str) -> list[WorkerEntry]:
         """Return the workers of a service that may get new requests.
 
@@ -130,18 +137,32 @@
         if health is None:
             health = self._health.setdefault(worker, _Health())
         health.answered_at = self._clock.now()
+        health.peers_suspect_until = 0.0
         if health.failures:
             health.failures = 0
             health.suspected_until = 0.0
             log_event("worker:answers-again", worker=worker)
             self._changed()
 
-    def note_failure(self, worker: str, reason: str) -> None:
-        """Note that a worker did not answer; it is left alone for longer each time."""
+    def note_alive(self, worker: str) -> None:
+        """Note that a worker has sent something of an answer."""
+        health = self._health.get(worker)
+        if health is None:
+            health = self._health.setdefault(worker, _Health())
+        health.answered_at = self._clock.now()
+
+    def note_failure(self, worker: str, reason: str, silent: bool = False) -> None:
+        """Note that a worker did not answer; it is left alone for longer each time.
+
+        :param silent: whether a wait was over its limit, which is also the case for a
+            request that waits in the worker's queue.
+        """
         now = self._clock.now()
         with self._lock:
             health = self._health.setdefault(worker, _Health())
-            if health.suspected_until > now and health.failures:
+            if health.suspected_until > now:
+                return
+            if silent and now - health.answered_at < _RECENT_ANSWER_SECONDS:
                 return
             health.failures += 1
             length = _FIRST_SUSPICION_SECONDS * 2 ** (health.failures - 1)
@@ -162,12 +183,13 @@
             for worker in workers:
                 health = self._health.setdefault(worker, _Health())
                 if now - health.answered_at > _RECENT_ANSWER_SECONDS:
-                    until = now + _HEARD_SUSPICION_SECONDS
-                    health.suspected_until = max(health.suspected_until, until)
+                    health.peers_suspect_until = now + _HEARD_SUSPICION_SECONDS
 
     def _is_suspected(self, worker: str, now: float) -> bool:
         health = self._health.get(worker)
-        return health is not None and health.suspected_until > now
+        if health is None:
+            return False
+        return max(health.suspected_until, health.peers_suspect_until) > now
 
     def _remove(self, worker: str, reason: str) -> None:
         self._missing.pop(worker, None)
--- a/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
@@ -10,6 +10,7 @@
 class Deployment(NamedTuple):
     """What a daemon is told at its start and at each change of its settings.
 
+    :param first_start: whether the whole system starts for the first time.
     :param front: where callers connect.
     :param checks: addresses of the small HTTP server for readiness, entry points and peers.
     :param control_port: port at which peers and the metrics page are served.
@@ -25,6 +26,7 @@
     host: str
     data_centre: str
     region: str
+    first_start: bool
     front: Address
     checks: tuple[Address, ...]
     control_port: int
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -20,6 +20,9 @@
 JOB_PATH = "/trefoilreach/lots/"
 ITEM_PATH = "/trefoilreach/items/"
 
+# A worker's statement of its load.
+LOAD_PATH = "/trefoilreach/report"
+
 # Calls to the store.
 ROWS_READ = "/trefoilreach/rows-get"
 ROWS_COMMIT = "/trefoilreach/rows-tx"
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
@@ -42,6 +42,7 @@
         host=fields.text("ip"),
         data_centre=fields.text("zone"),
         region=fields.text("region"),
+        first_start=fields.text("bootstrap", "false") == "true",
         front=fields.address("listen.front"),
         checks=tuple(dict.fromkeys([*checks, control])),
         control_port=control[1],
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -2,8 +2,11 @@
 
 from http.client import HTTPException
 
+import orjson
+
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerFailure
+from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
@@ -16,6 +19,7 @@
 
 # A connection takes a few ms; a worker that needs longer is dark or cut off.
 _CONNECT_TIMEOUT_SECONDS = 0.3
+_LOAD_TIMEOUT_SECONDS = 0.3
 _READ_BYTES = 65536
 _WRONG_WORKER_STATUS = 421
 _MILLISECONDS = 1000.0
@@ -145,6 +149,23 @@
         """Return whether no process listens at a worker's address."""
         return self._pools.get(worker.host, worker.port).is_refused()
 
+    def count_load(self, worker: WorkerEntry) -> int | None:
+        """Return how many requests run and wait at a worker; None when it does not say."""
+        pool = self._pools.get(worker.host, worker.port)
+        headers = {names.EXPECTED_WORKER: worker.id}
+        try:
+            exchange = pool.request(
+                "GET", names.LOAD_PATH, headers=headers, timeout=_LOAD_TIMEOUT_SECONDS
+            )
+            try:
+                body = orjson.loads(exchange.read())
+            finally:
+                exchange.close()
+            return int(body["running"]) + int(body["waiting"]) if exchange.status == 200 else None
+        except (HttpFailure, orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            log_event("worker:load-unknown", worker=worker.id, error=str(error))
+            return None
+
 
 def _build_headers(dispatch: Dispatch) -> dict[str, str]:
     call = dispatch.call
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -20,6 +20,7 @@
 from trefoilreach._internal.coordination.quota.shared import SharedBuckets
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashList
+from trefoilreach._internal.coordination.serving.leftovers import LeftoverWatch
 from trefoilreach._internal.coordination.serving.online import OnlineRunner, ServingTools
 from trefoilreach._internal.coordination.serving.service import ServingService
 from trefoilreach._internal.coordination.serving.watch import FeedHooks, FeedWatch, Watched
@@ -35,6 +36,7 @@
 from trefoilreach._internal.platform.workers import PlatformWorkers
 from trefoilreach._internal.settings import SettingsError
 from trefoilreach._internal.state.rows import RowKey, RowWrite, StoredRow
+from trefoilreach._internal.state.serving import rank_by_hash
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
 from trefoilreach._internal.transport.http_server import HttpServer
 
@@ -117,13 +119,22 @@
         self._jobs = JobKeeper(
             JobTools(clock, self._rows, PlatformBlobs(self._store), tools, self._service)
         )
+        self._leftovers = LeftoverWatch(clock, self._admission, link, self._reads_load_of)
+        self._late_peers: set[str] = set()
         self._admission.wake = self._exchange.wake
         self._admission.live_daemons = lambda: len(self._exchange.live) + 1
         self._start_exchange(stack)
         self._start_watches(stack)
         self._jobs.start(stack)
+        self._leftovers.start(stack)
+        if not deployment.first_start:
+            self._leftovers.note_disturbance("start")
         return self._start_servers(stack)
 
+    def _reads_load_of(self, worker: str) -> bool:
+        vms = [peer.identity.vm for peer in self._exchange.live] + [self._deployment.vm]
+        return rank_by_hash(worker, vms)[0] == self._deployment.vm
+
     def _identify(self) -> Identity:
         deployment = self._deployment
         return Identity(
@@ -287,13 +298,25 @@
         """Look after what no message wakes."""
         while not self._clock.wait(stop, _TICK_SECONDS):
             heard = len(self._exchange.live) + 1
-            known = len(self._exchange.peers) + 1
-            self._buckets.set_reach(heard, known)
+            late = self._find_late_peers()
+            self._buckets.set_reach(heard, heard + len(late))
+            if late - self._late_peers:
+                self._leftovers.note_disturbance(f"silent: {', '.join(sorted(late))}")
+            self._late_peers = late
             if self._service.freshness.age > _STALE_SECONDS:
                 self._exchange.ask_freshness()
             self._fetch_from_peer()
             self._admission.pump()
 
+    def _find_late_peers(self) -> set[str]:
+        """Return the peers that are silent and did not say that they leave."""
+        now = self._clock.now()
+        return {
+            peer.identity.vm
+            for peer in self._exchange.peers
+            if peer.is_late(now) and not peer.statement.leaving
+        }
+
     def _fetch_from_peer(self) -> None:
         """Read a newer desired state from a peer when the store does not answer."""
         peer = self._service.newest_peer()
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -1,6 +1,7 @@
 """Workers and a service without sockets, for tests of online requests and batch jobs."""
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
 from types import SimpleNamespace
@@ -62,6 +63,7 @@
 
     :param failure: raised instead of an answer.
     :param broken: failure after the body's pieces.
+    :param silence: seconds before that failure.
     """
 
     status: int = 200
@@ -71,6 +73,7 @@
     stream: bool = True
     failure: WorkerFailure | None = None
     broken: WorkerFailure | None = None
+    silence: float = 0.0
     gate: threading.Event | None = None
 
 
@@ -97,6 +100,7 @@
         if self.left:
             return self.left.pop(0)
         if self.script.broken is not None:
+            time.sleep(self.script.silence)
             raise self.script.broken
         return b""
 
@@ -121,6 +125,7 @@
         self.sent: list[Dispatch] = []
         self.answers: list[FakeAnswer] = []
         self.dead: set[str] = set()
+        self.loads: dict[str, int] = {}
         self.lock = threading.Lock()
 
     def open(self, dispatch: Dispatch, timeout: float, interrupt: Interrupt) -> FakeAnswer:
@@ -136,6 +141,9 @@
     def is_dead(self, worker: WorkerEntry) -> bool:
         return worker.id in self.dead
 
+    def count_load(self, worker: WorkerEntry) -> int | None:
+        return self.loads.get(worker.id)
+
 
 def make_tools(link: FakeLink, workers: int = 3, clock: Clock | None = None) -> ServingTools:
     clock = clock or SystemClock()
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -125,7 +125,7 @@
     """Guards against two workers that run one request at the same time."""
     case = Case(
         RESUMABLE,
-        Script(pieces=(EVENTS[0],), broken=SILENT),
+        Script(pieces=(EVENTS[0],), broken=SILENT, silence=0.6),
         Script(pieces=tuple(EVENTS[1:])),
     )
     answer = case.run()
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from serving_fakes import FakeLink, make_tools
 from trefoilreach._internal.clock import ManualClock
 from trefoilreach._internal.coordination.exchange.reports import (
     CrashedRun,
@@ -25,6 +26,7 @@
 )
 from trefoilreach._internal.coordination.serving.crashes import CrashList, find_fingerprint
 from trefoilreach._internal.coordination.serving.freshness import Freshness
+from trefoilreach._internal.coordination.serving.leftovers import LeftoverWatch, count_leftovers
 from trefoilreach._internal.coordination.serving.overload import DoorPolicy, Pressure
 from trefoilreach._internal.coordination.serving.turns import (
     BatchNeed,
@@ -277,6 +279,41 @@
     assert len(directory.usable("pool")) == 2
 
 
+def test_daemons_do_not_keep_each_others_suspicion_alive() -> None:
+    """Guards against a worker that stays unused because two daemons failed there once.
+
+    Each of them heard the other's suspicion, stated it as its own, and neither sent a
+    request that could have ended it.
+    """
+    clock = ManualClock(10.0)
+    fleet = [WorkerDirectory(clock, lambda: None) for _ in range(2)]
+    for directory in fleet:
+        directory.put(ENTRY)
+        directory.put(ENTRY._replace(id="w2"))
+        directory.note_failure("w1", "silent")
+    for _ in range(40):
+        clock.advance(0.1)
+        stated = [directory.suspects for directory in fleet]
+        fleet[0].hear_suspects(stated[1])
+        fleet[1].hear_suspects(stated[0])
+    assert all(len(directory.usable("pool")) == 2 for directory in fleet)
+
+
+def test_silent_request_at_a_worker_that_answers_others_is_no_suspicion() -> None:
+    """Guards against workers that are left alone because their queue was long."""
+    clock = ManualClock(10.0)
+    directory = WorkerDirectory(clock, lambda: None)
+    directory.put(ENTRY)
+    directory.put(ENTRY._replace(id="w2"))
+    directory.note_alive("w1")
+    clock.advance(0.2)
+    directory.note_failure("w1", "silent", silent=True)
+    assert len(directory.usable("pool")) == 2
+    clock.advance(1.0)
+    directory.note_failure("w1", "silent", silent=True)
+    assert len(directory.usable("pool")) == 1
+
+
 def test_all_workers_are_tried_while_all_are_suspected() -> None:
     """Guards against a fleet that serves nobody because of suspicions."""
     directory = WorkerDirectory(ManualClock(10.0), lambda: None)
@@ -285,6 +322,35 @@
     assert directory.usable("pool") == [ENTRY]
 
 
+def test_requests_that_a_lost_daemon_left_behind_count_as_taken() -> None:
+    """Guards against a cold start that sends eight requests to a worker that still runs six."""
+    clock = ManualClock(10.0)
+    link = FakeLink()
+    tools = make_tools(link, workers=1, clock=clock)
+    admission = tools.admission
+    watch = LeftoverWatch(clock, admission, link, lambda worker: True)
+    admission.workers.put(ENTRY._replace(id="w0"))
+    link.loads = {"w0": 6}
+    watch.look()
+    assert admission.pressure("pool", 0).taken == 6
+    # What daemons state meanwhile is no leftover.
+    admission.hear("peer", PeerLoad(10.0, {"w0": Runs(2, 0)}, {}))
+    watch.look()
+    watch.look()
+    assert admission.pressure("pool", 0).taken == 6
+    link.loads = {"w0": 2}
+    watch.look()
+    assert admission.pressure("pool", 0).taken == 2
+    admission.clear_leftovers()
+    admission.forget("peer")
+    assert admission.runs() == {}
+
+
+def test_late_report_of_a_load_is_no_leftover() -> None:
+    assert count_leftovers(reported=5, known_before=5, known_now=2) == 0
+    assert count_leftovers(reported=5, known_before=1, known_now=4) == 1
+
+
 def test_report_survives_its_way() -> None:
     identity = Identity("vm", 7, "10.0.0.1", 7000, 7001, "10.0.0.1:80", "a")
     statement = Statement(
