Keep the events of running batch items in the store; hand jobs over at planned stops

Change: a checkpoint of each job every 1.5 s, one call; a stopping daemon writes its events and gives its jobs up at once; the next owner goes on after the last event. Ruled out: letting items end within the grace (the heir runs them meanwhile).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -20,18 +20,21 @@
     INPUT_TABLE,
     JOB_TABLE,
     OPEN,
+    PARTIAL_TABLE,
     PARTS,
     RESULT_TABLE,
     Item,
     ItemResult,
     JobRecord,
     JobRow,
+    Partial,
     StoreTime,
     find_part,
     job_key,
     key_range,
     parse_items,
     read_job,
+    read_partial,
     read_result,
     write_input,
     write_job,
@@ -70,6 +73,7 @@
 # What one read of results returns at most.
 _READ_BYTES = 900_000
 _CHANGE_TRIES = 5
+_HAND_OVER_RETRY_SECONDS = 0.3
 
 
 class JobTools(NamedTuple):
@@ -90,6 +94,13 @@
     next: int
 
 
+class _Progress(NamedTuple):
+    """What earlier owners of a job have done."""
+
+    listed: list[ItemResult]
+    partials: Mapping[str, Partial]
+
+
 class JobKeeper:
     """All batch jobs that a daemon knows, and those that it runs."""
 
@@ -132,18 +143,21 @@
                 self._progressed.notify_all()
 
     def stop(self) -> None:
-        """Begin no more runs and give idle jobs away; for a planned stop."""
+        """Give all jobs away; for a planned stop."""
         self._stop.set()
-        with self._lock:
-            runs = list(self._runs.values())
-        for run in runs:
-            run.stop_taking()
+        self._hand_over()
 
     def finish(self, seconds: float) -> None:
-        """Let the items that run end, for some seconds at most."""
+        """Try again to give away what the store did not take, for some seconds at most."""
         end = self._clock.now() + seconds
-        while any(run.running for run in self._runs.values()) and self._clock.now() < end:
-            self._clock.sleep(0.05)
+        while not self._hand_over() and self._clock.now() < end:
+            self._clock.sleep(_HAND_OVER_RETRY_SECONDS)
+
+    def _hand_over(self) -> bool:
+        with self._lock:
+            runs = list(self._runs.values())
+        settled = [run.hand_over() for run in runs]
+        return all(settled)
 
     def submit(self, job: str, checked: Checked, data: bytes) -> None:
         """Accept a job; return once it is the system's to keep.
@@ -151,8 +165,6 @@
         :raises Refusal: when it is not accepted, or when that cannot be known.
         """
         assert checked.account is not None
-        if self._stop.is_set():
-            raise Refusal(503, "stopping", "this daemon stops", retry_after=0.1)
         known = self._known.get(job)
         if known is not None and known.record.account == checked.account.name:
             log_event("job:resent", job=job, state=known.record.state)
@@ -168,7 +180,8 @@
             job=job,
             account=checked.account.name,
             route=checked.route.name,
-            owner=self._owner,
+            # A daemon that stops accepts for whoever takes the job.
+            owner="" if self._stop.is_set() else self._owner,
             state=OPEN,
             total=len(items),
             tokens=sum(item.tokens for item in items),
@@ -183,7 +196,7 @@
                 items=len(items),
                 version=row.version,
             )
-            self._begin(row, items, [], len(data))
+            self._begin(row, items, _Progress([], {}), len(data))
 
     def read(self, job: str, account: str, after: int, wait: float) -> JobPage:
         """Return results from a position on, waiting for the first.
@@ -364,7 +377,7 @@
         return outcome.map(lambda done: JobRow(record, done.version))
 
     def _begin(
-        self, row: JobRow, items: list[Item], listed: list[ItemResult], input_bytes: int
+        self, row: JobRow, items: list[Item], progress: "_Progress", input_bytes: int
     ) -> None:
         """Run a job that this daemon owns."""
         index = self._tools.service.index
@@ -374,7 +387,8 @@
             return
         accepted = self.store_clock.to_local(row.record.accepted_ms)
         times = JobTimes(accepted + route.due_seconds, accepted + route.keep_seconds)
-        run = JobRun(self._world, row, route, times, items, listed, input_bytes)
+        listed, partials = progress
+        run = JobRun(self._world, row, route, times, items, listed, partials, input_bytes)
         with self._lock:
             if self._stop.is_set() or row.record.job in self._runs:
                 return
@@ -414,6 +428,7 @@
         now = self._clock.now()
         for job, run in list(self._runs.items()):
             run.give_up_old(now)
+            run.save_progress()
             if run.finished and not run.running:
                 self.hear({job: run.results})
                 with self._lock:
@@ -465,16 +480,26 @@
             return
         log_event("job:taken", job=record.job, former_owner=row.record.owner)
         self._learn(taken.ok_value)
-        loaded = self._load_items(record)
-        name = record.job
-        listed = self._tools.rows.read(RESULT_TABLE, find_part(name), *key_range(name))
-        if isinstance(loaded, Err) or isinstance(listed, Err):
+        loaded, progress = self._load_items(record), self._load_progress(record.job)
+        if isinstance(loaded, Err) or isinstance(progress, Err):
             # The next look finds the job without a run and takes it again.
-            log_event("job:load-failed", job=name)
+            log_event("job:load-failed", job=record.job)
             return
         items, size = loaded.ok_value
+        self._begin(taken.ok_value, items, progress.ok_value, size)
+
+    def _load_progress(self, job: str) -> Result["_Progress", StoreError]:
+        """Return what earlier owners of a job have done."""
+        part = find_part(job)
+        listed = self._tools.rows.read(RESULT_TABLE, part, *key_range(job))
+        begun = self._tools.rows.read(PARTIAL_TABLE, part, f"{job}/", f"{job}/~")
+        if isinstance(listed, Err):
+            return listed
+        if isinstance(begun, Err):
+            return begun
         results = [read_result(stored) for stored in listed.ok_value.rows]
-        self._begin(taken.ok_value, items, results, size)
+        partials = [read_partial(stored) for stored in begun.ok_value.rows]
+        return Ok(_Progress(results, {partial.id: partial for partial in partials}))
 
 
 def _unwrap(outcome: Result[T, StoreError]) -> T:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
@@ -4,7 +4,9 @@
 
 - ``jobs``: one row for each job, which names its owner;
 - ``inputs``: the submitted document, in pieces that fit in a row;
-- ``results``: one row for each result, whose key ends in its position.
+- ``results``: one row for each result, whose key ends in its position;
+- ``partials``: one row for each item that has begun, with the events so far, from which the
+  next owner of the job goes on.
 """
 
 import base64
@@ -19,6 +21,7 @@
 JOB_TABLE = "jobs"
 INPUT_TABLE = "inputs"
 RESULT_TABLE = "results"
+PARTIAL_TABLE = "partials"
 # A part takes 300 transactions a second; eight carry 2,400 results a second.
 PARTS = tuple(f"p{number}" for number in range(8))
 # A row holds 65,536 bytes in base64.
@@ -68,6 +71,17 @@
     tokens: int
 
 
+class Partial(NamedTuple):
+    """Events of an item so far.
+
+    :param output: their data, joined like a whole output.
+    """
+
+    id: str
+    last_event: int
+    output: str
+
+
 class ItemResult(NamedTuple):
     """Outcome of an item; ``output`` is None for one that was given up."""
 
@@ -141,6 +155,21 @@
     return ItemResult(**orjson.loads(row.value))
 
 
+def partial_key(job: str, item: str) -> RowKey:
+    """Return the name of the row of an item that has begun."""
+    return RowKey(PARTIAL_TABLE, find_part(job), f"{job}/{item}")
+
+
+def write_partial(job: str, partial: Partial) -> RowWrite:
+    """Return the write of an item's events so far."""
+    return RowWrite(partial_key(job, partial.id), orjson.dumps(partial._asdict()))
+
+
+def read_partial(row: StoredRow) -> Partial:
+    """Return the events of a row."""
+    return Partial(**orjson.loads(row.value))
+
+
 def write_input(job: str, data: bytes) -> list[RowWrite]:
     """Return the writes of a document that fits in rows."""
     pieces = [data[at : at + PIECE_BYTES] for at in range(0, len(data), PIECE_BYTES)]
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -1,10 +1,13 @@
 """Runs the items of one job and lists their results.
 
-Load pattern: batch work in the troughs of online traffic. An item that gives its slot up
-keeps the events it has and goes on after them at any worker.
+Load patterns: batch work in the troughs of online traffic, and daemons that stop or die one
+after the other or all at once. An item that gives its slot up keeps the events it has and
+goes on after them at any worker. The events are also kept in the store from time to time,
+so that the next owner of the job goes on from there.
 """
 
 import threading
+from collections.abc import Mapping
 from concurrent.futures import Executor
 from typing import NamedTuple
 
@@ -12,17 +15,21 @@
 
 from trefoilreach._internal.coordination.jobs.records import (
     DONE,
+    PIECE_BYTES,
     RESULT_TABLE,
     Item,
     ItemResult,
     JobRow,
+    Partial,
     drop_input,
     find_part,
     job_key,
     key_range,
+    partial_key,
     read_result,
     result_key,
     write_job,
+    write_partial,
     write_result,
 )
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
@@ -40,7 +47,7 @@
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.event_stream import EventSplitter
 from trefoilreach._internal.protocol.verdict import Verdict
-from trefoilreach._internal.state.rows import ConditionFailed, Expectation, RowStore
+from trefoilreach._internal.state.rows import ConditionFailed, Expectation, RowStore, RowWrite
 from trefoilreach._internal.state.serving import ServingRoute, WorkerEntry
 from trefoilreach._internal.transport.http_client import Interrupt
 
@@ -53,6 +60,10 @@
 _STALL_SECONDS = 1.0
 _RETRY_SECONDS = 0.3
 _COMMIT_RETRY_SECONDS = 0.2
+# How much work a lost daemon costs at most; a checkpoint of a job is one call.
+_CHECKPOINT_SECONDS = 1.5
+# A call holds 1 MB and 100 entries.
+_PARTIALS_AT_ONCE = 15
 _NEVER_DONE_STATUS = 422
 _FAILED_STATUS = 500
 _YIELDED = "an online request needs the slot"
@@ -91,22 +102,42 @@
 
 
 class _ItemRun:
-    """Progress of one item."""
+    """Progress of one item.
 
-    def __init__(self, item: Item) -> None:
+    :param begun: events that an earlier owner of the job had received.
+    """
+
+    def __init__(self, item: Item, begun: Partial | None) -> None:
         self.item = item
-        self.events: list[bytes] = []
-        self.last_event: int | None = None
+        # Number and data of each event; replaced as a whole, appended by one thread.
+        self.events: list[tuple[int | None, bytes]] = []
+        if begun is not None:
+            self.events = [(begun.last_event, begun.output.encode())]
+        self.saved_event = self.last_event
         self.failures = 0
         self.run_seconds = 0.0
         self.avoid: set[str] = set()
         self.ticket: Ticket | None = None
         self.interrupt: Interrupt | None = None
 
-    def forget_events(self) -> None:
-        """Begin from the start at the next run."""
-        self.events = []
-        self.last_event = None
+    @property
+    def last_event(self) -> int | None:
+        """Number of the last event."""
+        return self.events[-1][0] if self.events else None
+
+    @property
+    def output(self) -> str:
+        """Data of all events."""
+        return b"\n".join(data for _, data in self.events).decode(errors="replace")
+
+    def snapshot(self) -> Partial | None:
+        """Return the events so far; None when there is nothing new to keep."""
+        events = list(self.events)
+        last = events[-1][0] if events else None
+        if last is None or last == self.saved_event:
+            return None
+        output = b"\n".join(data for _, data in events).decode(errors="replace")
+        return Partial(self.item.id, last, output)
 
 
 class JobRun:
@@ -120,6 +151,7 @@
         times: JobTimes,
         items: list[Item],
         listed: list[ItemResult],
+        partials: Mapping[str, Partial],
         input_bytes: int,
     ) -> None:
         self._world = world
@@ -132,7 +164,10 @@
         self._commit_lock = threading.Lock()
         self._results = len(listed)
         done = {result.id for result in listed}
-        self._open = {item.id: _ItemRun(item) for item in items if item.id not in done}
+        self._open = {
+            item.id: _ItemRun(item, partials.get(item.id)) for item in items if item.id not in done
+        }
+        self._checkpoint_at = world.tools.clock.now()
         self._stopped = False
         self._taking = True
         self.lost = False
@@ -163,13 +198,54 @@
         tickets = [self._make_ticket(run) for run in list(self._open.values())]
         self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
 
-    def stop_taking(self) -> None:
-        """Begin no more runs; those that have a slot go on."""
+    def save_progress(self) -> None:
+        """Keep the events of running items in the store, from time to time."""
+        now = self._tools.clock.now()
+        if now - self._checkpoint_at < _CHECKPOINT_SECONDS or self.finished:
+            return
+        self._checkpoint_at = now
+        self._world.executor.submit(self._checkpoint, self._row.record.owner)
+
+    def hand_over(self) -> bool:
+        """Give the job to whoever takes it, with its events; return whether that is settled."""
         with self._lock:
             self._taking = False
-            tickets = [run.ticket for run in self._open.values() if run.ticket is not None]
-        for ticket in tickets:
-            self._tools.admission.withdraw(ticket)
+            runs = list(self._open.values())
+        for run in runs:
+            if run.ticket is not None:
+                self._tools.admission.withdraw(run.ticket)
+            if run.interrupt is not None:
+                run.interrupt.fire(_STOPPED)
+        if self.finished:
+            return True
+        done = self._checkpoint("")
+        if done:
+            self.stop("handed over")
+        return done
+
+    def _checkpoint(self, owner: str) -> bool:
+        """Write the events so far, and the owner; return whether that is settled."""
+        with self._commit_lock:
+            record, version = self._row
+            found = [(run, run.snapshot()) for run in list(self._open.values())]
+            kept = [(run, partial) for run, partial in found if partial is not None]
+            kept = [(run, p) for run, p in kept if len(p.output) <= PIECE_BYTES][:_PARTIALS_AT_ONCE]
+            writes = [write_partial(record.job, partial) for _, partial in kept]
+            if owner != record.owner:
+                record = record._replace(owner=owner)
+                writes.append(write_job(record))
+            if not writes or self._stopped:
+                return True
+            expected = [Expectation(job_key(record.job), version)]
+            outcome = self._world.rows.commit(expected, writes)
+            if isinstance(outcome, Err):
+                log_event("job:checkpoint-failed", job=record.job, error=str(outcome.err_value))
+                return isinstance(outcome.err_value, ConditionFailed)
+            if owner != self._row.record.owner:
+                self._row = JobRow(record, outcome.ok_value.version)
+            for run, partial in kept:
+                run.saved_event = partial.last_event
+        return True
 
     def stop(self, reason: str) -> None:
         """End all runs; the job goes on elsewhere or has ended."""
@@ -292,8 +368,7 @@
                 self._read_events(run, worker, answer)
                 answer.close()
                 self._release(run)
-                output = b"\n".join(run.events).decode(errors="replace")
-                self._finish(run, output, "complete")
+                self._finish(run, run.output, "complete")
                 return 0.0
             return self._judge_status(run, worker, answer)
         except WorkerFailure as failure:
@@ -307,9 +382,7 @@
         while data := answer.read_some(_STALL_SECONDS):
             self._tools.admission.workers.note_alive(worker.id)
             for event in splitter.feed(data):
-                if event.id is not None:
-                    run.last_event = event.id
-                run.events.append(event.data)
+                run.events.append((event.id, event.data))
         if splitter.rest or not run.events:
             raise WorkerFailure("the stream ended early", Verdict.MAY_HAVE_RUN)
 
@@ -326,7 +399,7 @@
             self._finish(run, None, "the worker says it can never be done")
         elif answer.status == _FAILED_STATUS and not answer.not_run:
             run.failures += 1
-            run.forget_events()
+            run.events = []
             if run.failures >= self._route.max_runs:
                 self._finish(run, None, f"failed {run.failures} times")
         run.avoid = {worker.id}
@@ -375,6 +448,8 @@
         position = self._results
         last = len(self._open) == 1
         writes = [write_result(record.job, position, result)]
+        if self._open[result.id].saved_event is not None:
+            writes.append(RowWrite(partial_key(record.job, result.id), None))
         if last:
             record = record._replace(state=DONE)
             writes += [write_job(record), *drop_input(record.job, self._input_bytes)]
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -1,6 +1,7 @@
 """Guards batch jobs: accepted once, each item listed once, taken over, ended."""
 
 import base64
+import threading
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -12,9 +13,11 @@
 from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_route, make_service, make_tools
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.jobs import keeper as keeper_module
+from trefoilreach._internal.coordination.jobs import running as running_module
 from trefoilreach._internal.coordination.jobs.keeper import JobKeeper, JobTools
 from trefoilreach._internal.coordination.jobs.records import (
     INPUT_TABLE,
+    PARTIAL_TABLE,
     RESULT_TABLE,
     find_part,
     job_key,
@@ -203,6 +206,62 @@
     def __exit__(self, *error: object) -> None: ...
 
 
+def test_stopping_daemon_hands_its_jobs_over_with_their_events(stack: ExitStack) -> None:
+    """Guards against batch work that each planned stop throws away."""
+    gate = threading.Event()
+
+    def decide(dispatch: Dispatch) -> Script:
+        if dispatch.resume_after is None:
+            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
+        return whole(dispatch)
+
+    fleet = Fleet(stack, decide)
+    stopping = fleet.start("d0")
+    stopping.submit("j1", CHECKED, make_document(3))
+    wait_until(lambda: len(fleet.link.answers) == 3 and fleet.link.answers[2].left == [EVENTS[2]])
+    time.sleep(0.05)
+    stopping.stop()
+    heir = fleet.start("d1")
+    results = read_until(heir, "j1", 3)
+    assert all(result.output == OUTPUT for result in results)
+    assert {dispatch.resume_after for dispatch in fleet.link.sent[3:6]} == {2}
+    fleet.link.decide = whole
+    stopping.submit("j2", CHECKED, make_document(2))
+    assert len(read_until(heir, "j2", 2)) == 2
+    gate.set()
+
+
+def test_events_of_a_killed_daemon_are_gone_on_with(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a loss of power that throws away all batch work in flight."""
+    monkeypatch.setattr(running_module, "_CHECKPOINT_SECONDS", 0.1)
+    gate = threading.Event()
+
+    def decide(dispatch: Dispatch) -> Script:
+        if dispatch.resume_after is None:
+            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
+        return whole(dispatch)
+
+    fleet = Fleet(stack, decide)
+    fleet.start("d0").submit("j1", CHECKED, make_document(2))
+    read = lambda: fleet.rows.read(PARTIAL_TABLE, find_part("j1")).ok_value.rows  # noqa: E731
+    wait_until(lambda: len(read()) == 2)
+    # The keeper of the first daemon goes on in this process; only its row is taken from it.
+    heir = fleet.start("d1")
+    assert all(result.output == OUTPUT for result in read_until(heir, "j1", 2))
+    assert {dispatch.resume_after for dispatch in fleet.link.sent[2:]} == {2}
+    gate.set()
+    wait_until(lambda: read() == [])
+
+
+def wait_until(check: Callable[[], bool], limit: float = 3.0) -> None:
+    end = time.monotonic() + limit
+    while not check():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
 def test_item_that_can_never_be_done_is_given_up(stack: ExitStack) -> None:
     def decide(dispatch: Dispatch) -> Script:
         return (
