Serve metrics on an address of their own; count log lines that are left out

Counters by kind of log line stay complete while lines are bounded; histograms of the wait for a slot and of the lateness of batch items. Found by the tests: the stand-in worker took a load report for a request, and a closed standard output ended the log's thread.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
@@ -59,6 +59,9 @@
         if exchange.headers.get(names.EXPECTED_WORKER) != self.name:
             exchange.reply({}, 421, echo)
             return
+        if exchange.path == names.LOAD_PATH:
+            exchange.reply({"running": self._running, "waiting": 0})
+            return
         with self._lock:
             free = self._running < self.slots
             self._running += free
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -433,13 +433,15 @@
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
         if output is not None:
             self._world.length.note(run.run_seconds or _FIRST_RUN_SECONDS)
+        late = self._tools.clock.now() - self._times.due
+        self._tools.metrics.note_item(late)
         log_event(
             "item:listed" if not self._stopped else "item:dropped",
             request_id=run.item.id,
             job=self._row.record.job,
             completed=output is not None,
             reason=reason,
-            late_seconds=round(self._tools.clock.now() - self._times.due, 3),
+            late_seconds=round(late, 3),
         )
 
     def _commit(self, result: ItemResult) -> bool:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -25,6 +25,7 @@
     rank_online,
 )
 from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.serving import (
@@ -96,6 +97,7 @@
     buckets: SharedBuckets
     crashes: CrashList
     link: WorkerLink
+    metrics: MetricsPage
 
 
 class Attempt(NamedTuple):
@@ -278,12 +280,14 @@
         if self._now >= latest:
             raise self._give_up("no time left to run")
         ticket = Ticket(request)
+        begun = self._now
         self._tools.admission.submit(ticket)
         if not granted.is_set():
             self._tools.clock.wait(granted, latest - self._now)
         if ticket.worker is None and self._tools.admission.withdraw(ticket):
             reason = _CALLER_LEFT if self._left.left else "no slot became free in time"
             raise self._give_up(reason)
+        self._tools.metrics.note_slot_wait(self._now - begun)
         worker = self._tools.admission.workers.find(ticket.worker or "")
         if self._left.left or worker is None:
             self._tools.admission.release(ticket)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -13,7 +13,6 @@
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.deployment import Deployment
 from trefoilreach._internal.logs import log_event
-from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.serving import (
     DesiredState,
@@ -59,7 +58,7 @@
         self.admission = admission
         self.online = online
         self.freshness = Freshness(clock, deployment.revocation_seconds)
-        self.metrics = MetricsPage()
+        self.metrics = online.tools.metrics
         self.index: RouteIndex | None = None
         self.leaving = False
         self._decode = decode
--- a/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
@@ -13,7 +13,8 @@
     :param first_start: whether the whole system starts for the first time.
     :param front: where callers connect.
     :param checks: addresses of the small HTTP server for readiness, entry points and peers.
-    :param control_port: port at which peers and the metrics page are served.
+    :param control_port: port at which peers are served.
+    :param metrics_port: port of the metrics page.
     :param peer_port: port of the datagrams between daemons, the same on all VMs.
     :param seeds: hosts of daemons that may be up when the store is not.
     :param store: address of the platform's store.
@@ -30,6 +31,7 @@
     front: Address
     checks: tuple[Address, ...]
     control_port: int
+    metrics_port: int
     peer_port: int
     seeds: tuple[str, ...]
     store: Address
--- a/packages/trefoilreach/src/trefoilreach/_internal/logs.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/logs.py
@@ -73,14 +73,20 @@
     """Writes log lines to a pipe from a thread of its own, so that nothing waits for its reader.
 
     :param lost: called with the number of lines left out so far.
+    :param counted: called with the kind of each line, also of those left out.
     """
 
     def __init__(
-        self, clock: Clock, output: BinaryIO, lost: Callable[[int], None] = lambda lines: None
+        self,
+        clock: Clock,
+        output: BinaryIO,
+        lost: Callable[[int], None] = lambda lines: None,
+        counted: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._clock = clock
         self._output = output
         self._lost = lost
+        self._counted = counted
         self._ready = threading.Condition()
         self._lines: deque[bytes] = deque()
         self._limits: dict[str, _KindLimit] = {}
@@ -96,6 +102,7 @@
         """Take one line, or leave it out."""
         now = self._clock.now()
         kind = str(message.get("message_type", ""))
+        self._counted(kind)
         with self._ready:
             limit = self._limits.get(kind)
             if limit is None:
@@ -123,10 +130,16 @@
                 self._ready.wait_for(lambda: bool(self._lines) or self._closed)
                 if not self._lines:
                     return
+                lines = len(self._lines)
                 data = b"".join(self._lines)
                 self._lines.clear()
-            self._output.write(data)
-            self._output.flush()
+            try:
+                self._output.write(data)
+                self._output.flush()
+            except (OSError, ValueError):
+                # Nobody reads the output any more, so there is nowhere to say so but here.
+                self._lines_lost += lines
+                self._lost(self._lines_lost)
 
 
 def _encode_line(message: dict[str, Any]) -> bytes:
@@ -138,12 +151,21 @@
 _LIBRARY_FIELDS = {"task_uuid", "task_level"}
 
 
-def open_bounded_log(clock: Clock, vm: str, stack: ExitStack) -> BoundedLog:
-    """Send log lines to standard output until the exit stack closes."""
-    log = BoundedLog(clock, sys.stdout.buffer)
+def open_bounded_log(
+    clock: Clock,
+    vm: str,
+    stack: ExitStack,
+    lost: Callable[[int], None],
+    counted: Callable[[str], None],
+) -> None:
+    """Send log lines to standard output until the exit stack closes.
+
+    :param lost: called with the number of lines left out so far.
+    :param counted: called with the kind of each line, also of those left out.
+    """
+    log = BoundedLog(clock, sys.stdout.buffer, lost, counted)
     log.start()
     stack.callback(log.close)
     eliot.add_destinations(log)
     stack.callback(eliot.remove_destination, log)
     eliot.add_global_fields(vm=vm)
-    return log
--- a/packages/trefoilreach/src/trefoilreach/_internal/metrics_page.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/metrics_page.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 _SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
+_LATENESS_BUCKETS = (-15.0, -10.0, -5.0, -2.0, 0.0, 2.0, 5.0, 10.0, 20.0, 40.0)
 
 
 class MetricsPage:
@@ -21,9 +22,21 @@
             buckets=_SECONDS_BUCKETS,
             registry=self._registry,
         )
+        self._slot_wait = Histogram(
+            "trefoilreach_slot_wait_seconds",
+            "Time that online requests waited for a slot.",
+            buckets=_SECONDS_BUCKETS,
+            registry=self._registry,
+        )
+        self._item_lateness = Histogram(
+            "trefoilreach_item_lateness_seconds",
+            "Time from the due time of a batch item to its result; negative when early.",
+            buckets=_LATENESS_BUCKETS,
+            registry=self._registry,
+        )
         self._events = Counter(
             "trefoilreach_events",
-            "Things that happened, by kind.",
+            "Log lines by kind, with those left out.",
             ["kind"],
             registry=self._registry,
         )
@@ -36,8 +49,16 @@
         self._answers.labels(str(status)).inc()
         self._seconds.observe(seconds)
 
+    def note_slot_wait(self, seconds: float) -> None:
+        """Record how long an online request waited for a slot."""
+        self._slot_wait.observe(seconds)
+
+    def note_item(self, late_seconds: float) -> None:
+        """Record how late a batch item was listed."""
+        self._item_lateness.observe(late_seconds)
+
     def note_event(self, kind: str) -> None:
-        """Count something that happened."""
+        """Count a log line, also one that is left out."""
         self._events.labels(kind).inc()
 
     def set_log_lines_lost(self, lines: int) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
@@ -11,6 +11,8 @@
 _DEFAULT_PATH = "/etc/trefoilreach/boot.conf"
 _MILLISECONDS = 1000.0
 _NEVER_SECONDS = 1e9
+# The settings name no port for metrics; deploy/system.toml states this one to the platform.
+_METRICS_PORT = 9464
 
 
 def settings_path() -> Path:
@@ -46,6 +48,7 @@
         front=fields.address("listen.front"),
         checks=tuple(dict.fromkeys([*checks, control])),
         control_port=control[1],
+        metrics_port=_METRICS_PORT,
         peer_port=int(fields.number("portRange", ports[0])),
         seeds=tuple(
             entry.rpartition(":")[0] for entry in fields.text("seeds", "").split(",") if entry
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -27,6 +27,7 @@
 from trefoilreach._internal.coordination.serving.workers import RETURN_GRACE_SECONDS
 from trefoilreach._internal.deployment import Deployment
 from trefoilreach._internal.logs import log_event, open_bounded_log
+from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.platform.desired_state import decode_desired_state, decode_worker
 from trefoilreach._internal.platform.ingress import ChecksApplication, FrontApplication
@@ -66,6 +67,7 @@
         self._path = path
         self._clock = clock or SystemClock()
         self._started_at = self._clock.now()
+        self._metrics = MetricsPage()
         self._stop = threading.Event()
         self._reload = threading.Event()
         self._store_answered_at = self._started_at - 1e6
@@ -74,7 +76,14 @@
     def run(self) -> None:
         """Serve until :meth:`stop` is called."""
         with ExitStack() as stack:
-            open_bounded_log(self._clock, self._deployment.vm, stack)
+            metrics = self._metrics
+            open_bounded_log(
+                self._clock,
+                self._deployment.vm,
+                stack,
+                metrics.set_log_lines_lost,
+                metrics.note_event,
+            )
             server = self._open(stack)
             gc.collect()
             gc.freeze()
@@ -105,7 +114,9 @@
         self._admission = Admission(clock, deployment.vm)
         self._buckets = SharedBuckets(clock, deployment.quota_bound)
         self._crashes = CrashList(clock)
-        tools = ServingTools(clock, self._admission, self._buckets, self._crashes, link)
+        tools = ServingTools(
+            clock, self._admission, self._buckets, self._crashes, link, self._metrics
+        )
         self._exchange = Exchange(clock, self._identify(), self._seeds())
         self._service = ServingService(
             clock,
@@ -193,7 +204,8 @@
         stack.callback(server.close)
         server.start()
         checks = ChecksApplication(self._service)
-        for host, port in self._deployment.checks:
+        metrics_address = (self._deployment.host, self._deployment.metrics_port)
+        for host, port in [*self._deployment.checks, metrics_address]:
             check_server = HttpServer(checks, host, port, _CHECK_THREADS, self._clock)
             stack.callback(check_server.close)
             check_server.start()
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -13,6 +13,7 @@
 from trefoilreach._internal.coordination.serving.crashes import CrashList
 from trefoilreach._internal.coordination.serving.link import Call, Dispatch, WorkerFailure
 from trefoilreach._internal.coordination.serving.online import ServingTools
+from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import (
     RouteKind,
@@ -151,7 +152,7 @@
     for entry in make_workers(workers):
         admission.workers.put(entry)
     buckets = SharedBuckets(clock, QuotaBound())
-    return ServingTools(clock, admission, buckets, CrashList(clock), link)
+    return ServingTools(clock, admission, buckets, CrashList(clock), link, MetricsPage())
 
 
 def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
