Judge workers by the outcomes that all daemons see; try a worker's failure elsewhere where allowed

Load pattern: a worker that fails part of its requests with a good health probe. The counts of all daemons ride on reports; a doubtful worker is used when the others are full. One bad request, or sick answers everywhere, shut no worker out.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
@@ -9,6 +9,7 @@
 
 from trefoilreach._internal.coordination.quota.shared import Use
 from trefoilreach._internal.coordination.serving.board import PeerLoad, Runs, Waiting
+from trefoilreach._internal.coordination.serving.outcomes import Outcomes
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
     AccountUse,
     Crash,
@@ -16,6 +17,7 @@
     JobProgress,
     Report,
     Waiter,
+    WorkerOutcomes,
     WorkerRuns,
 )
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Identity as IdentityEntry
@@ -61,6 +63,7 @@
     :param uses: admissions by account; a peer's report may have only those that changed.
     :param jobs: number of results of the batch jobs that the sender runs; likewise.
     :param suspects: workers that do not answer the sender.
+    :param outcomes: requests by worker, good and bad; in a peer's report those that changed.
     """
 
     accepting: bool
@@ -74,6 +77,7 @@
     jobs: Mapping[str, int]
     suspects: tuple[str, ...]
     crashes: tuple[CrashedRun, ...]
+    outcomes: Mapping[str, Outcomes]
 
     def load(self, now: float) -> PeerLoad:
         """Return the part that concerns slots."""
@@ -101,6 +105,7 @@
         self._sequence = 0
         self._uses: Mapping[str, Use] = {}
         self._jobs: Mapping[str, int] = {}
+        self._outcomes: Mapping[str, Outcomes] = {}
 
     def encode(self, statement: Statement, now: float, whole: bool) -> bytes:
         """Return the datagram of the next report; times become durations before ``now``."""
@@ -108,7 +113,9 @@
         # A change that was lost is made good by the next whole report.
         uses = _find_changes({} if whole else self._uses, statement.uses)
         jobs = _find_changes({} if whole else self._jobs, statement.jobs)
+        outcomes = _find_changes({} if whole else self._outcomes, statement.outcomes)
         self._uses, self._jobs = statement.uses, statement.jobs
+        self._outcomes = statement.outcomes
         identity = self._identity
         report = Report(
             vm=identity.vm,
@@ -126,6 +133,7 @@
             jobs=[JobProgress(job, count) for job, count in jobs.items()][-_JOBS_KEPT:] or None,
             suspects=list(statement.suspects) or None,
             crashes=[Crash(*crash) for crash in statement.crashes[-_CRASHES_KEPT:]] or None,
+            outcomes=[WorkerOutcomes(name, *o) for name, o in outcomes.items()] or None,
         )
         return encode(Datagram(report=report))
 
@@ -192,6 +200,7 @@
         jobs={entry.job: entry.results for entry in report.jobs or ()},
         suspects=tuple(report.suspects or ()),
         crashes=tuple(CrashedRun(c.fingerprint, c.worker) for c in report.crashes or ()),
+        outcomes={entry.worker: Outcomes(entry.good, entry.bad) for entry in report.outcomes or ()},
     )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -368,6 +368,7 @@
                 self._read_events(run, worker, answer)
                 answer.close()
                 self._release(run)
+                self._tools.admission.outcomes.note(worker.id, good=True)
                 self._finish(run, run.output, "complete")
                 return 0.0
             return self._judge_status(run, worker, answer)
@@ -399,6 +400,7 @@
             self._finish(run, None, "the worker says it can never be done")
         elif answer.status == _FAILED_STATUS and not answer.not_run:
             run.failures += 1
+            self._tools.admission.outcomes.note(worker.id, good=False)
             run.events = []
             if run.failures >= self._route.max_runs:
                 self._finish(run, None, f"failed {run.failures} times")
@@ -414,6 +416,7 @@
         log_event(
             "item:attempt-failed", request_id=run.item.id, worker=worker.id, reason=str(failure)
         )
+        self._tools.admission.outcomes.note(worker.id, good=False)
         dead = not failure.silent and self._tools.link.is_dead(worker)
         if dead and not failure.unreachable:
             fingerprint = find_fingerprint(self._row.record.account, run.item.target, run.item.body)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -12,6 +12,7 @@
     Waiting,
     WorkerLoad,
 )
+from trefoilreach._internal.coordination.serving.outcomes import OutcomeBoard
 from trefoilreach._internal.coordination.serving.overload import Pressure
 from trefoilreach._internal.coordination.serving.turns import BATCH_URGENCY, batch_reserve
 from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
@@ -63,6 +64,7 @@
         self._batch_running: dict[str, list[Ticket]] = {}
         self._leftovers: dict[str, int] = {}
         self.workers = WorkerDirectory(clock, self.pump)
+        self.outcomes = OutcomeBoard(clock)
         self.wake: Action = lambda: None
         self.live_daemons: Callable[[], int] = lambda: 1
 
@@ -195,7 +197,7 @@
         ranked = sorted(
             ((ticket.request.rank(now), ticket) for ticket in tickets), key=lambda pair: pair[0]
         )
-        loads = self._board.loads(self.workers.usable(service))
+        loads = self._load_workers(service)
         actions: list[Action] = []
         passed = 0
         for rank, ticket in ranked:
@@ -213,6 +215,15 @@
             actions.append(lambda t=ticket, w=worker: t.request.granted(w))  # type: ignore[misc]
         return actions
 
+    def _load_workers(self, service: str) -> list[WorkerLoad]:
+        """Return the usable workers with their load and what is held against them."""
+        workers = self.workers.usable(service)
+        doubtful = self.outcomes.find_doubtful([worker.id for worker in workers])
+        return [
+            load._replace(doubtful=True) if load.worker.id in doubtful else load
+            for load in self._board.loads(workers)
+        ]
+
     def _place(self, ticket: Ticket, worker: str) -> None:
         self._waiting[ticket.request.service].remove(ticket)
         ticket.worker = worker
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/board.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/board.py
@@ -48,11 +48,15 @@
 
 
 class WorkerLoad(NamedTuple):
-    """One worker with what runs there."""
+    """One worker with what runs there.
+
+    :param doubtful: whether it fails many requests; others go first.
+    """
 
     worker: WorkerEntry
     online: int
     batch: int
+    doubtful: bool = False
 
     @property
     def free(self) -> int:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/choice.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/choice.py
@@ -17,9 +17,10 @@
 
     A free slot goes before one that batch work would have to give up. Among workers with a
     free slot, the shared part of the prompt decides, so that the same part meets the same
-    cache from every daemon.
+    cache from every daemon. A doubtful worker is chosen only when the others are full.
     """
     usable = [load for load in loads if load.online_room > 0 and load.worker.id not in avoid]
+    usable = [load for load in usable if not load.doubtful] or usable
     free = [load for load in usable if load.free > 0]
     if free:
         if shared_part:
@@ -35,4 +36,5 @@
     free = [load for load in loads if load.free > 0 and load.worker.id not in avoid]
     if not free:
         return None
-    return max(free, key=lambda load: (load.free, load.worker.id)).worker.id
+    best = max(free, key=lambda load: (not load.doubtful, load.free, load.worker.id))
+    return best.worker.id
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -347,6 +347,10 @@
         if answer.status < 300 and not answer.receipt:
             self._note_run(attempt.worker, "the answer has no receipt")
             return None
+        if answer.status >= 500 and self._may_repeat():
+            self._note_run(attempt.worker, f"worker answered {answer.status}")
+            return None
+        self._note_outcome(attempt.worker, good=answer.status < 500)
         self._door.note_run(self._now - begun)
         self._log_end("answered", attempt.worker, answer.status)
         return OnlineAnswer(answer.status, answer.headers, body)
@@ -378,6 +382,7 @@
                 yield b"".join(event.raw for event in events)
                 relay, events = self._next_events(relay)
             self._door.note_run(self._now - begun)
+            self._note_outcome(relay.worker, good=True)
             self._log_end("streamed", relay.worker, 200)
         finally:
             relay.close()
@@ -450,6 +455,7 @@
         self._may_have_run = True
         self._runs += counts
         self._avoid.add(worker.id)
+        self._note_outcome(worker, good=False)
         log_event(
             "request:attempt-failed",
             request_id=request.call.request_id,
@@ -463,6 +469,13 @@
         if self._tools.crashes.is_blocked(request.fingerprint):
             raise self._give_up("this request crashed the workers that ran it")
 
+    def _may_repeat(self) -> bool:
+        """Return whether another run is allowed after the present one."""
+        return self._request.route.repeatable and self._runs + 1 < self._request.route.max_runs
+
+    def _note_outcome(self, worker: WorkerEntry, good: bool) -> None:
+        self._tools.admission.outcomes.note(worker.id, good)
+
     def _note_unrun(self, worker: WorkerEntry, reason: str) -> None:
         self._unrun += 1
         self._avoid.add(worker.id)
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
@@ -38,6 +38,13 @@
   2: string worker,
 }
 
+// Requests of the sender at one worker since the sender started.
+struct WorkerOutcomes {
+  1: string worker,
+  2: i32 good,
+  3: i32 bad,
+}
+
 // What is in whole reports only.
 struct Identity {
   1: string host,
@@ -63,6 +70,7 @@
   12: optional list<JobProgress> jobs,      // likewise
   13: optional list<string> suspects,       // workers that do not answer the sender
   14: optional list<Crash> crashes,
+  15: optional list<WorkerOutcomes> outcomes,   // those that changed, like accounts
 }
 
 // Asks a peer how fresh its view of the desired state is.
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
@@ -389,6 +389,85 @@
         return not (self == other)
 
 
+class WorkerOutcomes(object):
+    """
+    Attributes:
+     - worker
+     - good
+     - bad
+
+    """
+
+
+    def __init__(self, worker=None, good=None, bad=None,):
+        self.worker = worker
+        self.good = good
+        self.bad = bad
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.good = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.bad = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerOutcomes')
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 1)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.good is not None:
+            oprot.writeFieldBegin('good', TType.I32, 2)
+            oprot.writeI32(self.good)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.I32, 3)
+            oprot.writeI32(self.bad)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Identity(object):
     """
     Attributes:
@@ -518,11 +597,12 @@
      - jobs
      - suspects
      - crashes
+     - outcomes
 
     """
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, outcomes=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
@@ -537,6 +617,7 @@
         self.jobs = jobs
         self.suspects = suspects
         self.crashes = crashes
+        self.outcomes = outcomes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -653,6 +734,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.outcomes = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = WorkerOutcomes()
+                        _elem41.read(iprot)
+                        self.outcomes.append(_elem41)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -698,43 +790,50 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter36 in self.runs:
-                iter36.write(oprot)
+            for iter42 in self.runs:
+                iter42.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiters is not None:
             oprot.writeFieldBegin('waiters', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waiters))
-            for iter37 in self.waiters:
-                iter37.write(oprot)
+            for iter43 in self.waiters:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter38 in self.accounts:
-                iter38.write(oprot)
+            for iter44 in self.accounts:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter39 in self.jobs:
-                iter39.write(oprot)
+            for iter45 in self.jobs:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter40 in self.suspects:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter46 in self.suspects:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter41 in self.crashes:
-                iter41.write(oprot)
+            for iter47 in self.crashes:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.outcomes is not None:
+            oprot.writeFieldBegin('outcomes', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
+            for iter48 in self.outcomes:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1004,10 +1103,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1024,8 +1123,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter48 in self.addresses:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.addresses:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1183,6 +1282,13 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'worker', 'UTF8', None, ),  # 2
 )
+all_structs.append(WorkerOutcomes)
+WorkerOutcomes.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'good', None, None, ),  # 2
+    (3, TType.I32, 'bad', None, None, ),  # 3
+)
 all_structs.append(Identity)
 Identity.thrift_spec = (
     None,  # 0
@@ -1210,6 +1316,7 @@
     (12, TType.LIST, 'jobs', (TType.STRUCT, [JobProgress, None], False), None, ),  # 12
     (13, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 14
+    (15, TType.LIST, 'outcomes', (TType.STRUCT, [WorkerOutcomes, None], False), None, ),  # 15
 )
 all_structs.append(FreshnessQuery)
 FreshnessQuery.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -226,6 +226,7 @@
             jobs=self._jobs.progress(),
             suspects=self._admission.workers.suspects,
             crashes=self._crashes.reported(),
+            outcomes=self._admission.outcomes.stated(),
         )
 
     def _hear(self, peer: Peer, new: bool) -> None:
@@ -233,6 +234,7 @@
         older = statement.uptime > self._uptime
         self._buckets.hear(identity.vm, identity.incarnation, statement.uses, older)
         self._crashes.hear(statement.crashes)
+        self._admission.outcomes.hear(identity.vm, identity.incarnation, statement.outcomes)
         self._admission.workers.hear_suspects(statement.suspects)
         self._jobs.hear(statement.jobs)
         self._admission.hear(identity.vm, statement.load(self._clock.now()))
@@ -240,6 +242,7 @@
     def _lose(self, peer: Peer) -> None:
         self._admission.forget(peer.identity.vm)
         self._buckets.forget(peer.identity.vm, peer.identity.incarnation)
+        self._admission.outcomes.forget(peer.identity.vm, peer.identity.incarnation)
 
     def _confirm(self, version: int, at: float) -> None:
         """Take a peer's word on the newest desired state."""
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -150,6 +150,18 @@
     assert len(case.link.sent) == 2
 
 
+def test_failure_of_a_worker_is_tried_elsewhere_where_the_route_allows() -> None:
+    """Guards against a sick worker whose errors reach callers that could have been served."""
+    sick = Script(status=500, stream=False, pieces=(b"sick",))
+    case = Case(RESUMABLE, sick, WHOLE)
+    answer = case.run()
+    assert answer.events is not None and b"".join(answer.events) == b"".join(EVENTS)
+    answer = Case(ONCE, sick).run()
+    assert (answer.status, answer.body) == (500, b"sick")
+    answer = Case(RESUMABLE, sick, sick).run()
+    assert (answer.status, answer.body) == (500, b"sick")
+
+
 def test_request_of_dead_workers_is_not_sent_to_a_fourth() -> None:
     """Guards against a request that crashes one worker after the other."""
     route = make_route(max_runs=9)
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -23,10 +23,13 @@
     Runs,
     SlotBoard,
     Waiting,
+    WorkerLoad,
 )
+from trefoilreach._internal.coordination.serving.choice import choose_batch, choose_online
 from trefoilreach._internal.coordination.serving.crashes import CrashList, find_fingerprint
 from trefoilreach._internal.coordination.serving.freshness import Freshness
 from trefoilreach._internal.coordination.serving.leftovers import LeftoverWatch, count_leftovers
+from trefoilreach._internal.coordination.serving.outcomes import OutcomeBoard, Outcomes
 from trefoilreach._internal.coordination.serving.overload import DoorPolicy, Pressure
 from trefoilreach._internal.coordination.serving.turns import (
     BatchNeed,
@@ -351,6 +354,59 @@
     assert count_leftovers(reported=5, known_before=1, known_now=4) == 1
 
 
+NAMES = [f"w{number}" for number in range(6)]
+
+
+def play_outcomes(failing: dict[str, int], seconds: float) -> list[OutcomeBoard]:
+    """Let twelve daemons send each worker a request every 2.5 s; some fail each n-th."""
+    clock = ManualClock(100.0)
+    fleet = [OutcomeBoard(clock) for _ in range(12)]
+    for step in range(int(seconds * 28)):
+        clock.advance(1.0 / 28.0)
+        worker, vm = NAMES[step % 6], (step // 6) % 12
+        bad = worker in failing and (step // 6) % failing[worker] == 0
+        fleet[vm].note(worker, good=not bad)
+        for number, board in enumerate(fleet):
+            if number != vm:
+                board.hear(f"d{vm}", 1, fleet[vm].stated())
+    return fleet
+
+
+def test_worker_that_fails_every_second_request_is_found_by_all_daemons() -> None:
+    """Guards against callers that meet a sick worker for as long as each daemon learns alone."""
+    fleet = play_outcomes({"w2": 2}, 5.0)
+    assert all(board.find_doubtful(NAMES) == {"w2"} for board in fleet)
+    fleet[0]._clock.advance(6.0)
+    assert all(board.find_doubtful(NAMES) == set() for board in fleet)
+
+
+def test_answers_lost_now_and_then_shut_no_worker_out() -> None:
+    fleet = play_outcomes(dict.fromkeys(NAMES, 12), 10.0)
+    assert all(board.find_doubtful(NAMES) == set() for board in fleet)
+
+
+def test_single_bad_request_shuts_no_worker_out() -> None:
+    """Guards against one angry caller that takes workers from all others."""
+    board = OutcomeBoard(ManualClock(1.0))
+    for worker in NAMES:
+        board.note(worker, good=False)
+        board.note(worker, good=False)
+    assert board.find_doubtful(NAMES) == set()
+
+
+def test_no_more_workers_are_shut_out_than_the_load_can_bear() -> None:
+    fleet = play_outcomes(dict.fromkeys(NAMES[:4], 2), 5.0)
+    assert fleet[0].find_doubtful(NAMES) == set()
+
+
+def test_doubtful_worker_is_used_when_the_others_are_full() -> None:
+    sound = WorkerLoad(ENTRY, 7, 0)
+    doubtful = WorkerLoad(ENTRY._replace(id="w2"), 0, 0, doubtful=True)
+    assert choose_online([sound, doubtful], "p") == "w1"
+    assert choose_online([sound._replace(online=8), doubtful], "p") == "w2"
+    assert choose_batch([sound, doubtful]) == "w1"
+
+
 def test_report_survives_its_way() -> None:
     identity = Identity("vm", 7, "10.0.0.1", 7000, 7001, "10.0.0.1:80", "a")
     statement = Statement(
@@ -365,6 +421,7 @@
         jobs={"j1": 4},
         suspects=("w2",),
         crashes=(CrashedRun("f", "w3/1"),),
+        outcomes={"w1": Outcomes(7, 2)},
     )
     writer = ReportWriter(identity)
     datagram = decode(writer.encode(statement, 100.0, whole=True))
