Name the sender in reports to whoever is not heard; count failed runs over owners

Cause: reports between whole ones do not name their sender. Change: reports to silent addresses are whole; a job that has just changed its owner is left alone for 3 s; failed runs are kept with an item's events.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -158,27 +158,30 @@
                 self._changed.wait_for(lambda: self._dirty or self._stopped, _REPORT_SECONDS)
                 if self._stopped:
                     return
-            targets = self._find_targets()
+            targets, whole = self._find_targets()
             pause = last + len(targets) / _DATAGRAMS_PER_SECOND - self._clock.now()
             if pause > 0:
                 self._clock.sleep(pause)
             with self._changed:
                 self._dirty = False
             last = self._clock.now()
-            self._send_report(targets)
+            self._send_report(targets, whole)
 
-    def _send_report(self, targets: list[Address]) -> None:
+    def _send_report(self, targets: list[Address], whole: bool) -> None:
         assert self._hooks is not None
         now = self._clock.now()
-        whole = now - self._whole_at >= _WHOLE_REPORT_SECONDS
+        whole = whole or now - self._whole_at >= _WHOLE_REPORT_SECONDS
         if whole:
             self._whole_at = now
         data = self._writer.encode(self._hooks.state(), now, whole)
         for address in targets:
             self._send_to(data, address)
 
-    def _find_targets(self) -> list[Address]:
-        """Return the live peers, and from time to time those that are not heard."""
+    def _find_targets(self) -> tuple[list[Address], bool]:
+        """Return the live peers, and from time to time those that are not heard.
+
+        Whoever is not heard may not know this daemon, so its report has to be a whole one.
+        """
         now = self._clock.now()
         gone: list[Peer] = []
         late: list[str] = []
@@ -193,17 +196,19 @@
             targets = {_address(peer) for peer in self._peers.values() if not peer.is_late(now)}
             silent = [a for a in [*self._known, *self._seeds] if a not in targets]
             silent += [_address(p) for p in self._peers.values() if p.is_late(now)]
-            for address in silent:
-                if now - self._known.get(address, 0.0) >= _SILENT_RETRY_SECONDS or not targets:
-                    self._known[address] = now
-                    targets.add(address)
+            due = {
+                address
+                for address in silent
+                if now - self._known.get(address, 0.0) >= _SILENT_RETRY_SECONDS or not targets
+            }
+            self._known.update(dict.fromkeys(due, now))
         assert self._hooks is not None
         for vm in late:
             log_event("peer:late", vm_heard=vm, after_seconds=PEER_LATE_SECONDS)
         for peer in gone:
             log_event("peer:gone", vm_heard=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
             self._hooks.lost(peer)
-        return list(targets)
+        return [*targets, *due], bool(due)
 
     def _send_to(self, data: bytes, address: Address) -> None:
         try:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -63,6 +63,9 @@
 _RUN_THREADS = 64
 # A daemon that has just started has not heard its peers yet.
 _SETTLING_SECONDS = 1.2
+# An owner that this daemon has not heard of yet: two daemons that do not hear each other must
+# not take a job from each other at every look.
+_OWNER_SETTLING_SECONDS = 3.0
 # An owner without the store for this long cannot list results; another one runs the rest.
 _OWNER_WITHOUT_STORE_SECONDS = 4.0
 # Tries of a conditional write whose answer was lost, and the time for all of them.
@@ -111,6 +114,7 @@
         self._lock = threading.RLock()
         self._known: dict[str, JobRow] = {}
         self._runs: dict[str, JobRun] = {}
+        self._taken_at: dict[str, float] = {}
         self._progress: dict[str, int] = {}
         self._progressed = threading.Condition()
         self._executor = ThreadPoolExecutor(_RUN_THREADS, thread_name_prefix="item")
@@ -401,6 +405,8 @@
             known = self._known.get(row.record.job)
             if known is not None and known.version >= row.version:
                 return
+            if known is not None and known.record.owner != row.record.owner:
+                self._taken_at[row.record.job] = self._clock.now()
             self._known[row.record.job] = row
             run = self._runs.get(row.record.job)
         if run is not None and (row.record.state == ENDED or row.record.owner != self._owner):
@@ -462,10 +468,13 @@
         }
 
     def _orphans(self, owners: set[str]) -> Iterator[JobRow]:
+        now = self._clock.now()
         for job, row in list(self._known.items()):
             if row.record.state != OPEN or job in self._runs:
                 continue
-            if row.record.owner == self._owner or row.record.owner not in owners:
+            recent = now - self._taken_at.get(job, float("-inf")) < _OWNER_SETTLING_SECONDS
+            lost = row.record.owner not in owners and not recent
+            if lost or row.record.owner in ("", self._owner):
                 yield row
 
     def _take(self, row: JobRow) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
@@ -72,14 +72,17 @@
 
 
 class Partial(NamedTuple):
-    """Events of an item so far.
+    """What an item has so far.
 
-    :param output: their data, joined like a whole output.
+    :param last_event: number of its last event; None without events.
+    :param output: data of its events, joined like a whole output.
+    :param failures: runs that the worker said had failed.
     """
 
     id: str
-    last_event: int
+    last_event: int | None
     output: str
+    failures: int
 
 
 class ItemResult(NamedTuple):
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -111,10 +111,10 @@
         self.item = item
         # Number and data of each event; replaced as a whole, appended by one thread.
         self.events: list[tuple[int | None, bytes]] = []
-        if begun is not None:
+        if begun is not None and begun.last_event is not None:
             self.events = [(begun.last_event, begun.output.encode())]
-        self.saved_event = self.last_event
-        self.failures = 0
+        self.failures = 0 if begun is None else begun.failures
+        self.saved = begun
         self.run_seconds = 0.0
         self.avoid: set[str] = set()
         self.ticket: Ticket | None = None
@@ -134,10 +134,11 @@
         """Return the events so far; None when there is nothing new to keep."""
         events = list(self.events)
         last = events[-1][0] if events else None
-        if last is None or last == self.saved_event:
+        before = (None, 0) if self.saved is None else (self.saved.last_event, self.saved.failures)
+        if (last, self.failures) == before:
             return None
         output = b"\n".join(data for _, data in events).decode(errors="replace")
-        return Partial(self.item.id, last, output)
+        return Partial(self.item.id, last, output, self.failures)
 
 
 class JobRun:
@@ -244,7 +245,7 @@
             if owner != self._row.record.owner:
                 self._row = JobRow(record, outcome.ok_value.version)
             for run, partial in kept:
-                run.saved_event = partial.last_event
+                run.saved = partial
         return True
 
     def stop(self, reason: str) -> None:
@@ -453,7 +454,7 @@
         position = self._results
         last = len(self._open) == 1
         writes = [write_result(record.job, position, result)]
-        if self._open[result.id].saved_event is not None:
+        if self._open[result.id].saved is not None:
             writes.append(RowWrite(partial_key(record.job, result.id), None))
         if last:
             record = record._replace(state=DONE)
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -262,6 +262,33 @@
         time.sleep(0.01)
 
 
+def test_failed_runs_count_over_owners(stack: ExitStack, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an item that fails at each run and is run anew by each owner."""
+    monkeypatch.setattr(running_module, "_CHECKPOINT_SECONDS", 0.05)
+    monkeypatch.setattr(running_module, "_RETRY_SECONDS", 1.0)
+    fleet = Fleet(stack, lambda dispatch: Script(status=500, stream=False))
+    first = fleet.start("d0")
+    first.submit("j1", CHECKED, make_document(1))
+    wait_until(lambda: len(fleet.rows.read(PARTIAL_TABLE, find_part("j1")).ok_value.rows) == 1)
+    first.stop()
+    monkeypatch.setattr(running_module, "_RETRY_SECONDS", 0.05)
+    assert read_until(fleet.start("d1"), "j1", 1)[0].output is None
+    assert len(fleet.link.sent) == ROUTE.max_runs
+
+
+def test_daemons_that_do_not_hear_each_other_do_not_take_a_job_at_every_look(
+    stack: ExitStack,
+) -> None:
+    """Guards against a job whose items are cut at each look of two daemons."""
+    fleet = Fleet(stack, whole)
+    first, second = fleet.start("d0", workers=0), fleet.start("d1", workers=0)
+    first.submit("j1", CHECKED, make_document(1))
+    time.sleep(1.0)
+    versions = {keeper._known["j1"].version for keeper in (first, second)}
+    assert len(versions) == 1
+    assert versions.pop() <= 2
+
+
 def test_item_that_can_never_be_done_is_given_up(stack: ExitStack) -> None:
     def decide(dispatch: Dispatch) -> Script:
         return (
