--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -268,7 +268,9 @@
             uptime = 0.0
             if known is not None:
                 before, after = known.identity.incarnation, report.incarnation
-                if (before, known.sequence) >= (after, report.sequence):
+                # Incarnations come from the time of day, which may have been set back.
+                restarted = new and known.is_late(now)
+                if (before, known.sequence) >= (after, report.sequence) and not restarted:
                     return
                 uptime = known.statement.uptime + now - known.heard_at
             peer = Peer(identity, report.sequence, now, read_statement(report, now, uptime))
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -10,9 +10,6 @@
 from pathlib import Path
 from types import FrameType
 
-import orjson
-from result import Err
-
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.exchange.exchange import Exchange, Hooks, Peer
 from trefoilreach._internal.coordination.exchange.reports import Identity, Statement
@@ -23,20 +20,17 @@
 from trefoilreach._internal.coordination.serving.leftovers import LeftoverWatch
 from trefoilreach._internal.coordination.serving.online import OnlineRunner, ServingTools
 from trefoilreach._internal.coordination.serving.service import ServingService
-from trefoilreach._internal.coordination.serving.watch import FeedHooks, FeedWatch, Watched
-from trefoilreach._internal.coordination.serving.workers import RETURN_GRACE_SECONDS
 from trefoilreach._internal.deployment import Deployment
 from trefoilreach._internal.logs import log_event, open_bounded_log
 from trefoilreach._internal.metrics_page import MetricsPage
-from trefoilreach._internal.platform import names
-from trefoilreach._internal.platform.desired_state import decode_desired_state, decode_worker
+from trefoilreach._internal.platform.desired_state import decode_desired_state
 from trefoilreach._internal.platform.ingress import ChecksApplication, FrontApplication
 from trefoilreach._internal.platform.job_calls import PlatformJobCalls
 from trefoilreach._internal.platform.settings import load_deployment, settings_path
 from trefoilreach._internal.platform.store import PlatformBlobs, PlatformRows, StoreClient
 from trefoilreach._internal.platform.workers import PlatformWorkers
+from trefoilreach._internal.serving_feeds import DeploymentFeeds
 from trefoilreach._internal.settings import SettingsError
-from trefoilreach._internal.state.rows import RowKey, RowWrite, StoredRow
 from trefoilreach._internal.state.serving import rank_by_hash
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
 from trefoilreach._internal.transport.http_server import HttpServer
@@ -44,11 +38,6 @@
 # Threads for requests: each stream and each waiting request holds one.
 _FRONT_THREADS = 96
 _CHECK_THREADS = 2
-# The desired state is confirmed once a second; a view of this age costs the store one call.
-_DESIRED_STATE_WAIT_SECONDS = 1.0
-_WORKERS_WAIT_SECONDS = 2.0
-_MEMBERS_WAIT_SECONDS = 4.0
-_MEMBER_TABLE = "members"
 _TICK_SECONDS = 0.3
 _STALE_SECONDS = 1.2
 _SETTINGS_LOOK_SECONDS = 2.0
@@ -70,8 +59,6 @@
         self._metrics = MetricsPage()
         self._stop = threading.Event()
         self._reload = threading.Event()
-        self._store_answered_at = self._started_at - 1e6
-        self._store_regained_at = self._started_at
 
     def run(self) -> None:
         """Serve until :meth:`stop` is called."""
@@ -108,7 +95,7 @@
         deployment, clock = self._deployment, self._clock
         self._store = StoreClient(*deployment.store, clock)
         stack.callback(self._store.close)
-        self._rows = PlatformRows(self._store)
+        rows = PlatformRows(self._store)
         link = PlatformWorkers(clock)
         stack.callback(link.close)
         self._admission = Admission(clock, deployment.vm)
@@ -128,14 +115,16 @@
         )
         self._service.add_listener(lambda state: self._buckets.configure(state.accounts))
         self._jobs = JobKeeper(
-            JobTools(clock, self._rows, PlatformBlobs(self._store), tools, self._service)
+            JobTools(clock, rows, PlatformBlobs(self._store), tools, self._service)
         )
+        self._feeds = DeploymentFeeds(clock, rows, self._service, self._jobs.store_clock.note)
         self._leftovers = LeftoverWatch(clock, self._admission, link, self._reads_load_of)
         self._late_peers: set[str] = set()
         self._admission.wake = self._exchange.wake
         self._admission.live_daemons = lambda: len(self._exchange.live) + 1
         self._start_exchange(stack)
-        self._start_watches(stack)
+        self._feeds.start(stack)
+        self._start_tick(stack)
         self._jobs.start(stack)
         self._leftovers.start(stack)
         if not deployment.first_start:
@@ -171,28 +160,7 @@
         )
         self._exchange.start(hooks, stack)
 
-    def _start_watches(self, stack: ExitStack) -> None:
-        watches = [
-            (
-                Watched(names.OPERATOR_TABLE, [""], _DESIRED_STATE_WAIT_SECONDS),
-                FeedHooks(
-                    lambda rows, regained: self._take_desired_state(rows),
-                    self._take_desired_state,
-                    self._note_store_answer,
-                ),
-            ),
-            (
-                Watched(names.WORKER_TABLE, [""], _WORKERS_WAIT_SECONDS),
-                FeedHooks(self._replace_workers, self._change_workers),
-            ),
-            (
-                Watched(_MEMBER_TABLE, [""], _MEMBERS_WAIT_SECONDS),
-                FeedHooks(self._replace_members, self._change_members),
-            ),
-        ]
-        self._members: dict[str, tuple[str, int]] = {}
-        for watched, hooks in watches:
-            FeedWatch(self._clock, self._rows, watched, hooks).start(stack)
+    def _start_tick(self, stack: ExitStack) -> None:
         stop = threading.Event()
         stack.callback(stop.set)
         threading.Thread(target=self._tick, args=(stop,), name="tick", daemon=True).start()
@@ -219,7 +187,7 @@
             leaving=service.leaving,
             config_version=service.version,
             uptime=self._uptime,
-            store_age=self._clock.now() - self._store_answered_at,
+            store_age=self._feeds.store_age,
             runs=self._admission.runs(),
             waiting=self._admission.waiting(),
             uses=self._buckets.own_use(),
@@ -249,66 +217,6 @@
         if version == self._service.version:
             self._service.freshness.confirm(at)
 
-    def _take_desired_state(self, rows: list[StoredRow]) -> None:
-        for row in rows:
-            if row.name.key == names.DESIRED_STATE_KEY and not row.deleted:
-                self._service.adopt(row.value, "store")
-
-    def _note_store_answer(self, at: float, store_ms: float) -> None:
-        self._store_answered_at = self._clock.now()
-        self._jobs.store_clock.note(store_ms)
-        if self._service.index is not None:
-            self._service.freshness.confirm(at)
-
-    def _replace_workers(self, rows: list[StoredRow], regained: bool) -> None:
-        if regained:
-            self._store_regained_at = self._clock.now()
-        entries = [decode_worker(row.name.key, row.value) for row in rows]
-        for entry in entries:
-            if isinstance(entry, Err):
-                log_event("worker:undecodable", error=str(entry.err_value))
-        found = [entry.ok_value for entry in entries if not isinstance(entry, Err)]
-        self._admission.workers.replace(found, self._store_regained_at + RETURN_GRACE_SECONDS)
-
-    def _change_workers(self, rows: list[StoredRow]) -> None:
-        workers = self._admission.workers
-        for row in rows:
-            if row.deleted:
-                workers.drop(row.name.key, self._store_regained_at + RETURN_GRACE_SECONDS)
-                continue
-            entry = decode_worker(row.name.key, row.value)
-            if isinstance(entry, Err):
-                log_event("worker:undecodable", error=str(entry.err_value))
-                workers.drop(row.name.key)
-            else:
-                workers.put(entry.ok_value)
-
-    def _replace_members(self, rows: list[StoredRow], regained: bool) -> None:
-        self._members = {}
-        self._change_members(rows)
-        own = self._members.get(self._deployment.vm)
-        if own != (self._deployment.host, self._deployment.peer_port):
-            self._register()
-
-    def _change_members(self, rows: list[StoredRow]) -> None:
-        for row in rows:
-            if row.deleted:
-                self._members.pop(row.name.key, None)
-                continue
-            body = orjson.loads(row.value)
-            self._members[row.name.key] = (body["host"], body["port"])
-        self._exchange.set_known(self._members.values())
-
-    def _register(self) -> None:
-        """Write where this daemon is, for daemons that start later."""
-        deployment = self._deployment
-        value = orjson.dumps({"host": deployment.host, "port": deployment.peer_port})
-        name = RowKey(_MEMBER_TABLE, "", deployment.vm)
-        written = self._rows.commit([], [RowWrite(name, value)])
-        if isinstance(written, Err):
-            # Seeds and peers still name this daemon; the next whole read tries again.
-            log_event("member:not-registered", error=str(written.err_value))
-
     def _tick(self, stop: threading.Event) -> None:
         """Look after what no message wakes."""
         while not self._clock.wait(stop, _TICK_SECONDS):
@@ -335,7 +243,7 @@
     def _fetch_from_peer(self) -> None:
         """Read a newer desired state from a peer when the store does not answer."""
         peer = self._service.newest_peer()
-        if peer is None or self._clock.now() - self._store_answered_at < _STALE_SECONDS:
+        if peer is None or self._feeds.store_age < _STALE_SECONDS:
             return
         identity = peer.identity
         pool = HttpPool(identity.host, identity.control_port, self._clock, _PEER_FETCH_SECONDS)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_feeds.py
@@ -0,0 +1,139 @@
+"""Follows what the operator, the workers and the daemons write to the platform's store."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import orjson
+from result import Err, Ok
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.serving.service import ServingService
+from trefoilreach._internal.coordination.serving.watch import FeedHooks, FeedWatch, Watched
+from trefoilreach._internal.coordination.serving.workers import RETURN_GRACE_SECONDS
+from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.platform import names
+from trefoilreach._internal.platform.desired_state import decode_worker
+from trefoilreach._internal.state.rows import RowKey, RowStore, RowWrite, StoredRow
+
+# The desired state is confirmed once a second, at the cost of one call; a withdrawn key must
+# fail within some seconds.
+_DESIRED_STATE_WAIT_SECONDS = 1.0
+# A feed that has gone silent is noticed a second after its wait; a leaving worker must get no
+# request after two to three seconds.
+_WORKERS_WAIT_SECONDS = 2.0
+_MEMBERS_WAIT_SECONDS = 4.0
+_MEMBER_TABLE = "members"
+
+
+class DeploymentFeeds:
+    """Desired state, worker entries, and the addresses of the daemons.
+
+    :param note_store_time: called with the store's clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rows: RowStore,
+        service: ServingService,
+        note_store_time: Callable[[float], None],
+    ) -> None:
+        self._clock = clock
+        self._rows = rows
+        self._service = service
+        self._workers = service.admission.workers
+        self._deployment = service.deployment
+        self._note_store_time = note_store_time
+        self._answered_at = float("-inf")
+        self._regained_at = clock.now()
+        self._undecodable = False
+        self._members: dict[str, tuple[str, int]] = {}
+
+    @property
+    def store_age(self) -> float:
+        """Seconds since the store last answered; infinite before the first time."""
+        return self._clock.now() - self._answered_at
+
+    def start(self, stack: ExitStack) -> None:
+        """Follow the tables until the exit stack closes."""
+        self._follow(
+            stack,
+            Watched(names.OPERATOR_TABLE, [""], _DESIRED_STATE_WAIT_SECONDS),
+            FeedHooks(self._replace_state, self._change_state, self._note_answer),
+        )
+        self._follow(
+            stack,
+            Watched(names.WORKER_TABLE, [""], _WORKERS_WAIT_SECONDS),
+            FeedHooks(self._replace_workers, self._change_workers),
+        )
+        self._follow(
+            stack,
+            Watched(_MEMBER_TABLE, [""], _MEMBERS_WAIT_SECONDS),
+            FeedHooks(self._replace_members, self._change_members),
+        )
+
+    def _follow(self, stack: ExitStack, watched: Watched, hooks: FeedHooks) -> None:
+        FeedWatch(self._clock, self._rows, watched, hooks).start(stack)
+
+    def _replace_state(self, rows: list[StoredRow], regained: bool) -> None:
+        self._change_state(rows)
+
+    def _change_state(self, rows: list[StoredRow]) -> None:
+        for row in rows:
+            if row.name.key == names.DESIRED_STATE_KEY and not row.deleted:
+                self._undecodable = not self._service.adopt(row.value, "store")
+
+    def _note_answer(self, at: float, store_ms: float) -> None:
+        self._answered_at = self._clock.now()
+        self._note_store_time(store_ms)
+        # A newer version that cannot be read may have withdrawn a key.
+        if self._service.index is not None and not self._undecodable:
+            self._service.freshness.confirm(at)
+
+    def _replace_workers(self, rows: list[StoredRow], regained: bool) -> None:
+        if regained:
+            self._regained_at = self._clock.now()
+        entries = [decode_worker(row.name.key, row.value) for row in rows]
+        for entry in entries:
+            if isinstance(entry, Err):
+                log_event("worker:undecodable", error=str(entry.err_value))
+        found = [entry.ok_value for entry in entries if isinstance(entry, Ok)]
+        self._workers.replace(found, self._regained_at + RETURN_GRACE_SECONDS)
+
+    def _change_workers(self, rows: list[StoredRow]) -> None:
+        for row in rows:
+            if row.deleted:
+                self._workers.drop(row.name.key, self._regained_at + RETURN_GRACE_SECONDS)
+                continue
+            entry = decode_worker(row.name.key, row.value)
+            if isinstance(entry, Err):
+                log_event("worker:undecodable", error=str(entry.err_value))
+                self._workers.drop(row.name.key)
+            else:
+                self._workers.put(entry.ok_value)
+
+    def _replace_members(self, rows: list[StoredRow], regained: bool) -> None:
+        self._members = {}
+        self._change_members(rows)
+        own = self._members.get(self._deployment.vm)
+        if own != (self._deployment.host, self._deployment.peer_port):
+            self._register()
+
+    def _change_members(self, rows: list[StoredRow]) -> None:
+        for row in rows:
+            if row.deleted:
+                self._members.pop(row.name.key, None)
+                continue
+            body = orjson.loads(row.value)
+            self._members[row.name.key] = (body["host"], body["port"])
+        self._service.exchange.set_known(self._members.values())
+
+    def _register(self) -> None:
+        """Write where this daemon is, for daemons that start later."""
+        deployment = self._deployment
+        value = orjson.dumps({"host": deployment.host, "port": deployment.peer_port})
+        name = RowKey(_MEMBER_TABLE, "", deployment.vm)
+        written = self._rows.commit([], [RowWrite(name, value)])
+        if isinstance(written, Err):
+            # Seeds and peers still name this daemon; the next whole read tries again.
+            log_event("member:not-registered", error=str(written.err_value))
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -8,7 +8,12 @@
 import pytest
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.exchange.exchange import Exchange, Hooks, Peer
-from trefoilreach._internal.coordination.exchange.reports import Identity, Statement, decode
+from trefoilreach._internal.coordination.exchange.reports import (
+    Identity,
+    ReportWriter,
+    Statement,
+    decode,
+)
 
 STATEMENT = Statement(
     accepting=True,
@@ -77,6 +82,29 @@
         assert datagram.report.identity is not None
 
 
+def test_daemon_that_restarts_with_its_clock_set_back_is_heard(stack: ExitStack) -> None:
+    """Guards against reports that are taken for old ones because incarnations are times of day."""
+    node = Node(stack, "a", [])
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    stack.callback(sender.close)
+
+    def report(incarnation: int) -> None:
+        identity = Identity("b", incarnation, *sender.getsockname(), 0, "b:80", "a")
+        data = ReportWriter(identity).encode(STATEMENT, 0.0, whole=True)
+        sender.sendto(data, node.address)
+
+    sender.bind(("127.0.0.1", 0))
+    report(500)
+    wait_until(lambda: node.heard)
+    # What an ended process sent may still be on its way.
+    report(400)
+    time.sleep(1.2)
+    assert [peer.identity.incarnation for peer in node.heard] == [500]
+    report(400)
+    wait_until(lambda: len(node.heard) == 2)
+    assert node.exchange.peers[0].identity.incarnation == 400
+
+
 def test_daemons_find_each_other_through_one_seed(stack: ExitStack) -> None:
     first = Node(stack, "a", [])
     others = [Node(stack, name, [first.address]) for name in ("b", "c", "d")]
--- /dev/null
+++ b/tests/unit/test_feeds.py
@@ -0,0 +1,83 @@
+"""Guards what a daemon believes after odd or missing entries in the platform's store."""
+
+from types import SimpleNamespace
+from typing import Any
+
+import orjson
+from result import Err
+from test_platform_wire import WORKER, make_state
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.serving.freshness import Freshness
+from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
+from trefoilreach._internal.platform.desired_state import decode_desired_state
+from trefoilreach._internal.serving_feeds import DeploymentFeeds
+from trefoilreach._internal.state.rows import MemoryRows, RowKey, StoredRow
+
+
+class Daemon:
+    """The feeds with what they change."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.workers = WorkerDirectory(self.clock, lambda: None)
+        self.freshness = Freshness(self.clock, 5.0)
+        self.adopted: list[int] = []
+        service: Any = SimpleNamespace(
+            admission=SimpleNamespace(workers=self.workers),
+            deployment=SimpleNamespace(vm="a", host="10.0.0.1", peer_port=7),
+            exchange=SimpleNamespace(set_known=lambda addresses: None),
+            freshness=self.freshness,
+            index=object(),
+            adopt=self._adopt,
+        )
+        self.feeds = DeploymentFeeds(self.clock, MemoryRows(), service, lambda store_ms: None)
+
+    def _adopt(self, document: bytes, source: str) -> bool:
+        decoded = decode_desired_state(document)
+        if isinstance(decoded, Err):
+            return False
+        self.adopted.append(decoded.ok_value.version)
+        return True
+
+    def take_state(self, document: bytes) -> None:
+        self.feeds._change_state([StoredRow(RowKey("op", "", "config"), document, 1)])
+        self.feeds._note_answer(self.clock.now(), 0.0)
+
+
+def make_rows(*names: str, value: bytes = orjson.dumps(WORKER)) -> list[StoredRow]:
+    return [StoredRow(RowKey("servers", "", name), value, 1) for name in names]
+
+
+def test_keys_end_when_a_newer_state_cannot_be_read() -> None:
+    """Guards against a withdrawn key that lives on because its withdrawal was not understood."""
+    daemon = Daemon()
+    daemon.take_state(make_state())
+    assert daemon.adopted == [3] and daemon.freshness.keys_valid
+    daemon.clock.advance(4.0)
+    daemon.take_state(b"{")
+    daemon.clock.advance(2.0)
+    assert not daemon.freshness.keys_valid
+    daemon.take_state(make_state(version=4))
+    assert daemon.freshness.keys_valid
+
+
+def test_entry_of_another_writer_leaves_the_other_workers_alone() -> None:
+    daemon = Daemon()
+    daemon.clock.advance(10.0)
+    daemon.feeds._replace_workers(make_rows("w1", "w2") + make_rows("odd", value=b"{"), False)
+    assert [entry.id for entry in daemon.workers.usable("s")] == ["w1", "w2"]
+    daemon.feeds._change_workers(make_rows("w1", value=b"[]"))
+    assert [entry.id for entry in daemon.workers.usable("s")] == ["w2"]
+
+
+def test_entries_are_kept_for_a_moment_after_an_outage_only() -> None:
+    daemon = Daemon()
+    daemon.feeds._replace_workers(make_rows("w1", "w2"), False)
+    daemon.clock.advance(10.0)
+    daemon.feeds._replace_workers(make_rows("w2"), True)
+    assert len(daemon.workers.usable("s")) == 2
+    daemon.clock.advance(2.5)
+    assert [entry.id for entry in daemon.workers.usable("s")] == ["w2"]
+    gone = StoredRow(RowKey("servers", "", "w2"), b"", 9, deleted=True)
+    daemon.feeds._change_workers([gone])
+    assert daemon.workers.usable("s") == []
