Split the modules of online requests and batch jobs by job; keep large outputs as objects

Moved only, but for: an output that does not fit in a row goes to an object (it could never be listed before; test_output_that_does_not_fit_in_a_row_is_read_whole failed), bodies over the operator's limit are refused with 413, and unused names are gone.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
@@ -86,10 +86,15 @@
 
 
 class ItemResult(NamedTuple):
-    """Outcome of an item; ``output`` is None for one that was given up."""
+    """Outcome of an item.
+
+    :param output: None for an item that was given up.
+    :param output_blob: object with an output that does not fit in a row.
+    """
 
     id: str
     output: str | None
+    output_blob: str = ""
 
 
 class StoreTime:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -42,12 +42,18 @@
     WorkerAnswer,
     WorkerFailure,
 )
-from trefoilreach._internal.coordination.serving.online import ServingTools
+from trefoilreach._internal.coordination.serving.request import ServingTools
 from trefoilreach._internal.coordination.serving.turns import BatchNeed, rank_batch
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.event_stream import EventSplitter
 from trefoilreach._internal.protocol.verdict import Verdict
-from trefoilreach._internal.state.rows import ConditionFailed, Expectation, RowStore, RowWrite
+from trefoilreach._internal.state.rows import (
+    BlobStore,
+    ConditionFailed,
+    Expectation,
+    RowStore,
+    RowWrite,
+)
 from trefoilreach._internal.state.serving import ServingRoute, WorkerEntry
 from trefoilreach._internal.transport.http_client import Interrupt
 
@@ -97,6 +103,7 @@
 
     tools: ServingTools
     rows: RowStore
+    blobs: BlobStore
     executor: Executor
     length: RunLength
 
@@ -432,7 +439,8 @@
         result = ItemResult(run.item.id, output)
         with self._commit_lock:
             while run.item.id in self._open and not self._stopped:
-                if self._commit(result):
+                stored = self._store_output(result)
+                if stored is not None and self._commit(stored):
                     break
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
         if output is not None:
@@ -448,6 +456,18 @@
             late_seconds=round(late, 3),
         )
 
+    def _store_output(self, result: ItemResult) -> ItemResult | None:
+        """Write an output that does not fit in a row; return None when the store did not."""
+        data = (result.output or "").encode()
+        if len(data) <= PIECE_BYTES:
+            return result
+        name = f"output-{self._row.record.job}-{result.id}"
+        written = self._world.blobs.put(name, data)
+        if isinstance(written, Err):
+            log_event("job:output-failed", request_id=result.id, error=str(written.err_value))
+            return None
+        return result._replace(output="", output_blob=name)
+
     def _commit(self, result: ItemResult) -> bool:
         """Write one result at the next position; return whether that is settled."""
         record, version = self._row
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -14,7 +14,7 @@
 )
 from trefoilreach._internal.coordination.serving.outcomes import OutcomeBoard
 from trefoilreach._internal.coordination.serving.overload import Pressure
-from trefoilreach._internal.coordination.serving.turns import BATCH_URGENCY, batch_reserve
+from trefoilreach._internal.coordination.serving.turns import batch_reserve
 from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
 from trefoilreach._internal.coordination.serving.yielding import count_to_yield
 from trefoilreach._internal.logs import log_event
@@ -280,8 +280,3 @@
     if batch:
         return load._replace(batch=load.batch + 1)
     return load._replace(online=load.online + 1)
-
-
-def is_batch(waiting: Waiting) -> bool:
-    """Return whether a place in the order is that of a batch item."""
-    return waiting.urgency >= BATCH_URGENCY
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -1,23 +1,21 @@
 """Runs one online request: admission, attempts, relay, resume, final answer."""
 
 import threading
-from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from collections.abc import Iterator
 
-from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.quota.shared import SharedBuckets
-from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.board import Waiting, WorkerLoad
+from trefoilreach._internal.coordination.serving.caller import CallerWatch
 from trefoilreach._internal.coordination.serving.choice import choose_online
-from trefoilreach._internal.coordination.serving.crashes import CrashList
-from trefoilreach._internal.coordination.serving.link import (
-    Call,
-    Dispatch,
-    WorkerAnswer,
-    WorkerFailure,
-    WorkerLink,
-)
+from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerAnswer, WorkerFailure
 from trefoilreach._internal.coordination.serving.overload import DoorPolicy
+from trefoilreach._internal.coordination.serving.relay import FIRST_EVENT_SECONDS, Relay
+from trefoilreach._internal.coordination.serving.request import (
+    Attempt,
+    OnlineAnswer,
+    OnlineRequest,
+    ServingTools,
+)
 from trefoilreach._internal.coordination.serving.turns import (
     OnlineNeed,
     find_online_need,
@@ -25,24 +23,12 @@
     rank_online,
 )
 from trefoilreach._internal.logs import log_decision, log_event
-from trefoilreach._internal.metrics_page import MetricsPage
-from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
+from trefoilreach._internal.protocol.event_stream import StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.serving import (
-    RouteKind,
-    ServingAccount,
-    ServingRoute,
-    WorkerEntry,
-)
+from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
 from trefoilreach._internal.transport.http_client import Interrupt
 from trefoilreach._internal.transport.http_server import AnswerCut
 
-# A worker with a free slot gives the first event within some 50 ms, a slow one within 0.3 s.
-_FIRST_EVENT_SECONDS = 0.8
-# A pause in a stream after which another worker goes on with it: twice the longest pause
-# that is on time.
-_STALL_FACTOR = 2.0
-_MIN_STALL_SECONDS = 0.3
 # Attempts that end without a run, such as a full queue or another worker at the address.
 _MOST_UNRUN_ATTEMPTS = 6
 _FULL_WORKER_SECONDS = 0.05
@@ -52,62 +38,6 @@
 _CALLER_LEFT = "the caller left"
 
 
-class OnlineRequest(NamedTuple):
-    """A request whose route and key have been checked.
-
-    :param received_at: by the daemon's clock.
-    :param time_left: seconds that its caller will wait from then on.
-    :param resume_after: last event that the caller has.
-    """
-
-    call: Call
-    route: ServingRoute
-    account: ServingAccount | None
-    received_at: float
-    time_left: float
-    shared_part: str
-    resume_after: int | None
-    fingerprint: str
-
-    @property
-    def end(self) -> float:
-        """Time of the final answer at the latest."""
-        return self.received_at + min(self.time_left, self.route.timeout_seconds)
-
-    @property
-    def account_name(self) -> str:
-        """Name of the client account; empty on a route that is open to all."""
-        return "" if self.account is None else self.account.name
-
-
-class OnlineAnswer(NamedTuple):
-    """An answer for the caller; the body of a stream comes piece by piece."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes | None
-    events: Iterator[bytes] | None = None
-
-
-class ServingTools(NamedTuple):
-    """What online requests and batch items are run with."""
-
-    clock: Clock
-    admission: Admission
-    buckets: SharedBuckets
-    crashes: CrashList
-    link: WorkerLink
-    metrics: MetricsPage
-
-
-class Attempt(NamedTuple):
-    """A slot at a worker, and the answer that came from it."""
-
-    ticket: Ticket
-    worker: WorkerEntry
-    answer: WorkerAnswer
-
-
 class OnlineRunner:
     """Runs online requests."""
 
@@ -122,7 +52,7 @@
             found = self._doors.setdefault(service, DoorPolicy())
         return found
 
-    def run(self, request: OnlineRequest, left: "CallerWatch") -> OnlineAnswer:
+    def run(self, request: OnlineRequest, left: CallerWatch) -> OnlineAnswer:
         """Run a request.
 
         :raises Refusal: when it gets no answer from a worker.
@@ -147,36 +77,6 @@
             raise Refusal(429, "over_rate", message, retry_after=wait)
 
 
-class CallerWatch:
-    """Whether a request's caller has left; wakes whatever waits for it."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._left = False
-        self._listeners: list[Callable[[], None]] = []
-
-    @property
-    def left(self) -> bool:
-        """Whether the caller has left."""
-        return self._left
-
-    def mark(self) -> None:
-        """Note that the caller has left."""
-        with self._lock:
-            self._left = True
-            listeners = list(self._listeners)
-        for listener in listeners:
-            listener()
-
-    def listen(self, listener: Callable[[], None]) -> None:
-        """Call a function when the caller leaves, at once if it has left."""
-        with self._lock:
-            self._listeners.append(listener)
-            left = self._left
-        if left:
-            listener()
-
-
 class _Run:
     """The attempts of one request."""
 
@@ -325,7 +225,7 @@
             request.received_at + request.time_left - self._now,
             self._last_event,
         )
-        timeout = min(left, _FIRST_EVENT_SECONDS) if request.route.repeatable else left
+        timeout = min(left, FIRST_EVENT_SECONDS) if request.route.repeatable else left
         return self._tools.link.open(dispatch, max(timeout, _FINAL_ANSWER_SECONDS), interrupt)
 
     def _read_answer(self, attempt: Attempt) -> OnlineAnswer | None:
@@ -362,7 +262,7 @@
             self._tools.admission.release(attempt.ticket)
             self._note_run(attempt.worker, "the answer has no receipt")
             return None
-        relay = _Relay(self, attempt)
+        relay = Relay(self._tools, self._request, attempt)
         try:
             first = relay.read_events()
         except WorkerFailure as failure:
@@ -372,7 +272,7 @@
         headers = attempt.answer.headers
         return OnlineAnswer(200, headers, None, self._relay(relay, first))
 
-    def _relay(self, relay: "_Relay", events: list[StreamEvent]) -> Iterator[bytes]:
+    def _relay(self, relay: Relay, events: list[StreamEvent]) -> Iterator[bytes]:
         """Yield events over as many workers as it takes."""
         begun = self._now
         try:
@@ -387,7 +287,7 @@
         finally:
             relay.close()
 
-    def _next_events(self, relay: "_Relay") -> tuple["_Relay", list[StreamEvent]]:
+    def _next_events(self, relay: Relay) -> tuple[Relay, list[StreamEvent]]:
         """Return the next events with the worker that they come from."""
         while True:
             try:
@@ -396,7 +296,7 @@
                 relay.close()
                 relay = self._resume(relay, failure)
 
-    def _resume(self, broken: "_Relay", failure: WorkerFailure) -> "_Relay":
+    def _resume(self, broken: Relay, failure: WorkerFailure) -> Relay:
         """Return the rest of a broken stream from another worker.
 
         :raises AnswerCut: when it cannot go on.
@@ -414,7 +314,7 @@
                         worker=attempt.worker.id,
                         after_event=self._last_event,
                     )
-                    return _Relay(self, attempt, resumed=True)
+                    return Relay(self._tools, request, attempt, resumed=True)
                 answer.close()
                 self._tools.admission.release(attempt.ticket)
                 self._note_run(attempt.worker, f"worker answered {answer.status} to a resume")
@@ -529,52 +429,3 @@
             status=status,
             seconds=round(self._now - self._request.received_at, 3),
         )
-
-
-class _Relay:
-    """The events of one worker's answer."""
-
-    def __init__(self, run: _Run, attempt: Attempt, resumed: bool = False) -> None:
-        self._run = run
-        self._attempt = attempt
-        self._splitter = EventSplitter()
-        # A stream that broke after its last event has none left.
-        self._begun = resumed
-        self.ended = False
-
-    @property
-    def worker(self) -> WorkerEntry:
-        """The worker."""
-        return self._attempt.worker
-
-    def read_events(self) -> list[StreamEvent]:
-        """Return the next events; none at the complete end.
-
-        :raises WorkerFailure: when the stream breaks off, stalls or is out of time.
-        """
-        while not self.ended:
-            data = self._attempt.answer.read_some(self._find_timeout())
-            self._run._tools.admission.workers.note_alive(self.worker.id)
-            self.ended = not data
-            events = self._splitter.feed(data)
-            if events:
-                self._begun = True
-                return events
-        if self._splitter.rest:
-            raise WorkerFailure("the stream ended inside an event", Verdict.MAY_HAVE_RUN)
-        if not self._begun:
-            raise WorkerFailure("the stream ended without an event", Verdict.MAY_HAVE_RUN)
-        return []
-
-    def close(self) -> None:
-        """End the exchange and give the slot back."""
-        self._attempt.answer.close()
-        self._run._tools.admission.release(self._attempt.ticket)
-
-    def _find_timeout(self) -> float:
-        request = self._run._request
-        left = max(request.end - self._run._now, 0.001)
-        if not request.route.repeatable:
-            return left
-        stall = max(_MIN_STALL_SECONDS, _STALL_FACTOR * request.route.stall_seconds)
-        return min(left, stall if self._begun else _FIRST_EVENT_SECONDS)
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
@@ -0,0 +1,68 @@
+"""One online request, its answer, and what requests are run with."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.quota.shared import SharedBuckets
+from trefoilreach._internal.coordination.serving.admission import Admission, Ticket
+from trefoilreach._internal.coordination.serving.crashes import CrashList
+from trefoilreach._internal.coordination.serving.link import Call, WorkerAnswer, WorkerLink
+from trefoilreach._internal.metrics_page import MetricsPage
+from trefoilreach._internal.state.serving import ServingAccount, ServingRoute, WorkerEntry
+
+
+class OnlineRequest(NamedTuple):
+    """A request whose route and key have been checked.
+
+    :param received_at: by the daemon's clock.
+    :param time_left: seconds that its caller will wait from then on.
+    :param resume_after: last event that the caller has.
+    """
+
+    call: Call
+    route: ServingRoute
+    account: ServingAccount | None
+    received_at: float
+    time_left: float
+    shared_part: str
+    resume_after: int | None
+    fingerprint: str
+
+    @property
+    def end(self) -> float:
+        """Time of the final answer at the latest."""
+        return self.received_at + min(self.time_left, self.route.timeout_seconds)
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty on a route that is open to all."""
+        return "" if self.account is None else self.account.name
+
+
+class OnlineAnswer(NamedTuple):
+    """An answer for the caller; the body of a stream comes piece by piece."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | None
+    events: Iterator[bytes] | None = None
+
+
+class ServingTools(NamedTuple):
+    """What online requests and batch items are run with."""
+
+    clock: Clock
+    admission: Admission
+    buckets: SharedBuckets
+    crashes: CrashList
+    link: WorkerLink
+    metrics: MetricsPage
+
+
+class Attempt(NamedTuple):
+    """A slot at a worker, and the answer that came from it."""
+
+    ticket: Ticket
+    worker: WorkerEntry
+    answer: WorkerAnswer
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/turns.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/turns.py
@@ -19,8 +19,8 @@
 _RETURNED_SECONDS = 0.05
 _PRIORITIES = 4
 _LATE_URGENCY = _PRIORITIES
-BATCH_URGENCY = 2 * _PRIORITIES
-_LATE_BATCH_URGENCY = BATCH_URGENCY + 1
+_BATCH_URGENCY = 2 * _PRIORITIES
+_LATE_BATCH_URGENCY = _BATCH_URGENCY + 1
 # Every sixteenth slot stays free of batch work: online requests come and go at any moment,
 # and an item that is put into each gap would be cancelled by the next arrival.
 _BATCH_RESERVE_DIVISOR = 16
@@ -84,7 +84,7 @@
 def rank_batch(need: BatchNeed, now: float) -> Waiting:
     """Return the place of a batch item."""
     late = now + need.run_seconds > need.due
-    return Waiting(_LATE_BATCH_URGENCY if late else BATCH_URGENCY, need.due)
+    return Waiting(_LATE_BATCH_URGENCY if late else _BATCH_URGENCY, need.due)
 
 
 def batch_reserve(slots: int, online: int) -> int:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -35,19 +35,11 @@
     try:
         body = orjson.loads(data)
         limits = body.get("limits") or {}
-        defaults = RequestLimits()
         state = DesiredState(
             version=int(body["version"]),
             routes=tuple(_decode_route(route) for route in body.get("routes") or ()),
             accounts=tuple(_decode_account(entry) for entry in body.get("tenants") or ()),
-            limits=RequestLimits(
-                header_bytes=int(limits.get("maxHeaderBytes") or defaults.header_bytes),
-                body_bytes=int(limits.get("maxBodyBytes") or defaults.body_bytes),
-                idle_seconds=float(
-                    (limits.get("idleTimeoutMs") or defaults.idle_seconds * _MILLISECONDS)
-                    / _MILLISECONDS
-                ),
-            ),
+            limits=RequestLimits(int(limits.get("maxBodyBytes") or RequestLimits().body_bytes)),
             document=data,
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -8,12 +8,9 @@
 
 import orjson
 
+from trefoilreach._internal.coordination.serving.caller import CallerWatch
 from trefoilreach._internal.coordination.serving.crashes import find_fingerprint
-from trefoilreach._internal.coordination.serving.online import (
-    CallerWatch,
-    OnlineAnswer,
-    OnlineRequest,
-)
+from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.coordination.serving.service import ServingService
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.platform import names
@@ -69,6 +66,7 @@
         path = environ["PATH_INFO"]
         if path.startswith((names.JOB_PATH, names.ITEM_PATH)):
             return self._jobs.answer(environ)
+        self._check_size(environ)
         call = read_call(environ)
         parts = read_parts(environ.get("HTTP_X_PROMPT_PREFIX", ""))
         checked = self._service.check(call.host, call.target.split("?")[0], read_key(environ))
@@ -100,6 +98,16 @@
             on_disconnect(watch.mark)
         return self._service.online.run(request, watch)
 
+    def _check_size(self, environ: dict[str, Any]) -> None:
+        index = self._service.index
+        size = read_number(environ.get("CONTENT_LENGTH")) or 0
+        if index is not None and size > index.state.limits.body_bytes:
+            raise Refusal(
+                413,
+                "too_large",
+                f"the body has {size} bytes; allowed: {index.state.limits.body_bytes}",
+            )
+
     def _refuse(self, environ: dict[str, Any], refusal: Refusal) -> OnlineAnswer:
         log_event(
             "request:refused",
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/job_calls.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/job_calls.py
@@ -8,7 +8,7 @@
 from trefoilreach._internal.coordination.jobs.keeper import JobKeeper
 from trefoilreach._internal.coordination.jobs.records import ItemResult
 from trefoilreach._internal.coordination.serving.link import Call
-from trefoilreach._internal.coordination.serving.online import OnlineAnswer
+from trefoilreach._internal.coordination.serving.request import OnlineAnswer
 from trefoilreach._internal.coordination.serving.service import Checked, ServingService
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.platform.wire import read_key, read_number
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -9,10 +9,6 @@
 # The worker that must run the request; any other answers 421.
 EXPECTED_WORKER = "X-Target-Instance"
 NOT_RUN = "X-Not-Executed"
-PROMPT_PARTS = "X-Prompt-Prefix"
-# Prompt tokens and most output tokens, in spite of its name.
-TOKEN_LIMITS = "X-Token-Usage"
-WAIT_MS = "X-Wait-Ms"
 
 # Calls that arrive here.
 READY_PATH = "/trefoilreach/ready"
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -18,7 +18,8 @@
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashList
 from trefoilreach._internal.coordination.serving.leftovers import LeftoverWatch
-from trefoilreach._internal.coordination.serving.online import OnlineRunner, ServingTools
+from trefoilreach._internal.coordination.serving.online import OnlineRunner
+from trefoilreach._internal.coordination.serving.request import ServingTools
 from trefoilreach._internal.coordination.serving.service import ServingService
 from trefoilreach._internal.deployment import Deployment
 from trefoilreach._internal.logs import log_event, open_bounded_log
@@ -117,7 +118,7 @@
         self._jobs = JobKeeper(
             JobTools(clock, rows, PlatformBlobs(self._store), tools, self._service)
         )
-        self._feeds = DeploymentFeeds(clock, rows, self._service, self._jobs.store_clock.note)
+        self._feeds = DeploymentFeeds(clock, rows, self._service, self._jobs.table.store_clock.note)
         self._leftovers = LeftoverWatch(clock, self._admission, link, self._reads_load_of)
         self._late_peers: set[str] = set()
         self._admission.wake = self._exchange.wake
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -95,11 +95,9 @@
 
 
 class RequestLimits(NamedTuple):
-    """What a caller may send, and how long a connection may be idle."""
+    """What a caller may send."""
 
-    header_bytes: int = 16 * 1024
     body_bytes: int = 4 * 1024 * 1024
-    idle_seconds: float = 15.0
 
 
 class DesiredState(NamedTuple):
@@ -126,7 +124,6 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._by_key = {key: account for account in state.accounts for key in account.keys}
-        self._accounts = {account.name: account for account in state.accounts}
         self._by_name = {route.name: route for route in state.routes}
 
     @property
@@ -148,10 +145,6 @@
         """Return the account that holds a key."""
         return self._by_key.get(key)
 
-    def account_named(self, name: str) -> ServingAccount | None:
-        """Return the account of a name."""
-        return self._accounts.get(name)
-
 
 class WorkerEntry(NamedTuple):
     """A backend server as it registers itself.
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -129,7 +129,6 @@
         port: int,
         threads: int,
         clock: Clock,
-        header_limit: int = 256 * 1024,
     ) -> None:
         self._clock = clock
         self._server: BaseWSGIServer = waitress.create_server(
@@ -142,7 +141,6 @@
             channel_request_lookahead=_REQUEST_LOOKAHEAD,
             # waitress's own limit would answer without the API's error shape.
             max_request_body_size=8 * 1024**3,
-            max_request_header_size=header_limit,
             # select() cannot watch descriptors above 1023.
             asyncore_use_poll=True,
             ident="trefoilreach",
--- a/tests/functional/deployment.py
+++ b/tests/functional/deployment.py
@@ -177,6 +177,7 @@
             "routes": ROUTES,
             "services": [{"name": "pool"}],
             "tenants": tenants,
+            "limits": {"maxBodyBytes": 2_000_000},
         }
         self.platform.put(names.OPERATOR_TABLE, names.DESIRED_STATE_KEY, state)
 
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -46,6 +46,7 @@
     assert (seen.request_id, seen.account, seen.key_seen) == ("q1", "shop", False)
     assert daemon.call("POST", "/once/a", "q2", key="wrong").status == 401
     assert daemon.call("POST", "/nowhere/a", "q3").status == 404
+    assert daemon.call("POST", "/once/a", "q4", b"x" * 2_000_001).status == 413
     metrics = daemon.get_check("/metrics").body.decode()
     assert 'trefoilreach_answers_total{status="200"} 1.0' in metrics
 
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -12,7 +12,7 @@
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashList
 from trefoilreach._internal.coordination.serving.link import Call, Dispatch, WorkerFailure
-from trefoilreach._internal.coordination.serving.online import ServingTools
+from trefoilreach._internal.coordination.serving.request import ServingTools
 from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import (
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -120,6 +120,18 @@
     assert fleet.rows.read(INPUT_TABLE, find_part("j1")).ok_value.rows == []
 
 
+def test_output_that_does_not_fit_in_a_row_is_read_whole(stack: ExitStack) -> None:
+    """Guards against an item that can never be listed because its output is large."""
+    events = [f"id: {n}\ndata: {n} {'x' * 9000}\n\n".encode() for n in range(1, 9)]
+    fleet = Fleet(stack, lambda dispatch: Script(pieces=tuple(events)))
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    output = read_until(keeper, "j1", 1)[0].output
+    assert output is not None and len(output) > 65_536 and output.count("\n") == 7
+    rows = fleet.rows.read(RESULT_TABLE, find_part("j1")).ok_value.rows
+    assert all(len(row.value) < 1000 for row in rows)
+
+
 def test_resent_job_is_accepted_once(stack: ExitStack) -> None:
     """Guards against a job that runs twice because its first answer was lost."""
     fleet = Fleet(stack, whole)
@@ -284,7 +296,8 @@
     first, second = fleet.start("d0", workers=0), fleet.start("d1", workers=0)
     first.submit("j1", CHECKED, make_document(1))
     time.sleep(1.0)
-    versions = {keeper._known["j1"].version for keeper in (first, second)}
+    rows = [keeper.table.get("j1") for keeper in (first, second)]
+    versions = {row.version for row in rows if row is not None}
     assert len(versions) == 1
     assert versions.pop() <= 2
 
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -5,13 +5,10 @@
 
 import pytest
 from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from trefoilreach._internal.coordination.serving.caller import CallerWatch
 from trefoilreach._internal.coordination.serving.link import WorkerFailure
-from trefoilreach._internal.coordination.serving.online import (
-    CallerWatch,
-    OnlineAnswer,
-    OnlineRequest,
-    OnlineRunner,
-)
+from trefoilreach._internal.coordination.serving.online import OnlineRunner
+from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.serving import RouteKind, ServingRoute
 from trefoilreach._internal.transport.http_server import AnswerCut
