Give slow services their time; wait for a silent worker when no other run is allowed

Found in reading: a repeatable request was cut after 0.8 s whatever its route's target, and its last allowed run as well, though nothing could follow.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -9,7 +9,7 @@
 from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerAnswer, WorkerFailure
 from trefoilreach._internal.coordination.serving.overload import DoorPolicy
-from trefoilreach._internal.coordination.serving.relay import FIRST_EVENT_SECONDS, Relay
+from trefoilreach._internal.coordination.serving.relay import Relay, find_first_wait
 from trefoilreach._internal.coordination.serving.request import (
     Attempt,
     OnlineAnswer,
@@ -225,7 +225,7 @@
             request.received_at + request.time_left - self._now,
             self._last_event,
         )
-        timeout = min(left, FIRST_EVENT_SECONDS) if request.route.repeatable else left
+        timeout = min(left, find_first_wait(request.route)) if self._may_repeat() else left
         return self._tools.link.open(dispatch, max(timeout, _FINAL_ANSWER_SECONDS), interrupt)
 
     def _read_answer(self, attempt: Attempt) -> OnlineAnswer | None:
@@ -262,7 +262,7 @@
             self._tools.admission.release(attempt.ticket)
             self._note_run(attempt.worker, "the answer has no receipt")
             return None
-        relay = Relay(self._tools, self._request, attempt)
+        relay = Relay(self._tools, self._request, attempt, self._may_repeat())
         try:
             first = relay.read_events()
         except WorkerFailure as failure:
@@ -314,7 +314,7 @@
                         worker=attempt.worker.id,
                         after_event=self._last_event,
                     )
-                    return Relay(self._tools, request, attempt, resumed=True)
+                    return Relay(self._tools, request, attempt, self._may_repeat(), resumed=True)
                 answer.close()
                 self._tools.admission.release(attempt.ticket)
                 self._note_run(attempt.worker, f"worker answered {answer.status} to a resume")
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -8,10 +8,13 @@
 )
 from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
 from trefoilreach._internal.protocol.verdict import Verdict
-from trefoilreach._internal.state.serving import WorkerEntry
+from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
 
 # A worker with a free slot gives the first event within some 50 ms, a slow one within 0.3 s.
-FIRST_EVENT_SECONDS = 0.8
+_FIRST_EVENT_SECONDS = 0.8
+# Routes with larger targets have slower workers; a plain answer comes whole and takes longer.
+_STREAM_TARGET_FACTOR = 2.5
+_PLAIN_TARGET_FACTOR = 6.0
 # A pause in a stream after which another worker goes on with it: twice the longest pause
 # that is on time.
 _STALL_FACTOR = 2.0
@@ -19,18 +22,33 @@
 _LEAST_WAIT_SECONDS = 0.001
 
 
+def find_first_wait(route: ServingRoute) -> float:
+    """Return after how many seconds without an answer a request may go to another worker."""
+    if route.kind is RouteKind.STREAM:
+        return max(_FIRST_EVENT_SECONDS, _STREAM_TARGET_FACTOR * route.target_seconds)
+    return max(_FIRST_EVENT_SECONDS, _PLAIN_TARGET_FACTOR * route.target_seconds)
+
+
 class Relay:
     """Reads the events of an answer, and owns the slot that it holds.
 
+    :param movable: whether the stream may go on at another worker, so that a long pause is not
+        waited out.
     :param resumed: whether an earlier worker has sent the events before.
     """
 
     def __init__(
-        self, tools: ServingTools, request: OnlineRequest, attempt: Attempt, resumed: bool = False
+        self,
+        tools: ServingTools,
+        request: OnlineRequest,
+        attempt: Attempt,
+        movable: bool,
+        resumed: bool = False,
     ) -> None:
         self._tools = tools
         self._request = request
         self._attempt = attempt
+        self._movable = movable
         self._splitter = EventSplitter()
         # A stream that broke after its last event has none left.
         self._begun = resumed
@@ -68,7 +86,7 @@
     def _find_timeout(self) -> float:
         request = self._request
         left = max(request.end - self._tools.clock.now(), _LEAST_WAIT_SECONDS)
-        if not request.route.repeatable:
+        if not self._movable:
             return left
         stall = max(_MIN_STALL_SECONDS, _STALL_FACTOR * request.route.stall_seconds)
-        return min(left, stall if self._begun else FIRST_EVENT_SECONDS)
+        return min(left, stall if self._begun else find_first_wait(request.route))
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -84,6 +84,7 @@
         self.interrupt = interrupt
         self.left = list(script.pieces)
         self.closed = False
+        self.timeouts: list[float] = []
 
     status = property(lambda self: self.script.status)
     headers = property(lambda self: [("X-Response-Signature", "s")])
@@ -92,6 +93,7 @@
     is_event_stream = property(lambda self: self.script.stream)
 
     def read_some(self, timeout: float) -> bytes:
+        self.timeouts.append(timeout)
         if self.script.gate is not None and len(self.left) == 1:
             while not self.script.gate.wait(0.005):
                 if self.interrupt.reason:
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -8,6 +8,7 @@
 from trefoilreach._internal.coordination.serving.caller import CallerWatch
 from trefoilreach._internal.coordination.serving.link import WorkerFailure
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
+from trefoilreach._internal.coordination.serving.relay import find_first_wait
 from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.serving import RouteKind, ServingRoute
@@ -141,6 +142,26 @@
     case.assert_no_slot_taken()
 
 
+def test_silent_worker_is_waited_for_when_no_other_run_is_allowed() -> None:
+    """Guards against answers that are ended early although nothing is gained by it."""
+    broken = Script(pieces=(EVENTS[0],), broken=BROKEN)
+    case = Case(RESUMABLE, broken, Script(pieces=tuple(EVENTS[1:])))
+    answer = case.run()
+    assert answer.events is not None
+    list(answer.events)
+    first, second = (answer.timeouts for answer in case.link.answers)
+    assert max(first) <= 0.8
+    assert min(second) > 4.0
+
+
+def test_slow_services_are_given_their_time() -> None:
+    """Guards against plain answers that are cut and run again because they take a second."""
+    plain = make_route(kind=RouteKind.IDEMPOTENT, target_seconds=1.0)
+    assert find_first_wait(plain) >= 5.0
+    assert find_first_wait(RESUMABLE) == 0.8
+    assert find_first_wait(make_route(target_seconds=2.0)) >= 4.0
+
+
 def test_attempts_of_a_route_are_not_exceeded() -> None:
     case = Case(RESUMABLE, Script(failure=BROKEN), Script(failure=BROKEN), WHOLE)
     assert case.refuse().status == 502
