Keep a batch job whose run was given up; take its row's newer version

Cause: while the answer to a job's acceptance is lost, the owner also takes the job by its row; the run with the older version then fails, takes itself for replaced, and the daemon forgot the job, so that nobody went on with it. Ruled out: requests held for crashes (none noted), a full executor. Change: own rows are not taken while their acceptance runs; a run takes a newer version of its own row; nothing is forgotten.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -61,6 +61,8 @@
         self._clock = tools.clock
         self._lock = threading.RLock()
         self._runs: dict[str, JobRun] = {}
+        # Jobs whose rows may be there before their acceptance is known here.
+        self._accepting: set[str] = set()
         self._progress: dict[str, int] = {}
         self._progressed = threading.Condition()
         self._executor = ThreadPoolExecutor(_RUN_THREADS, thread_name_prefix="item")
@@ -114,10 +116,16 @@
         """
         # A daemon that stops accepts for whoever takes the job.
         owner = "" if self._stop.is_set() else self._owner
-        accepted = self._acceptance.accept(job, checked, data, owner)
-        if accepted is not None:
-            row, items = accepted
-            self._begin(row, items, Progress([], {}), len(data))
+        with self._lock:
+            self._accepting.add(job)
+        try:
+            accepted = self._acceptance.accept(job, checked, data, owner)
+            if accepted is not None:
+                row, items = accepted
+                self._begin(row, items, Progress([], {}), len(data))
+        finally:
+            with self._lock:
+                self._accepting.discard(job)
 
     def read(self, job: str, account: str, after: int, wait: float) -> JobPage:
         """Return results from a position on, waiting for the first.
@@ -215,10 +223,8 @@
                 self.hear({job: run.results})
                 with self._lock:
                     self._runs.pop(job, None)
-                if run.lost:
-                    self.table.forget(job)
-                else:
-                    self.table.learn(run.row)
+                # An old row is found out when it is to be changed.
+                self.table.learn(run.row)
 
     def _take_over(self) -> None:
         if self._clock.now() - self._started_at < _SETTLING_SECONDS:
@@ -246,7 +252,7 @@
     def _orphans(self, owners: set[str]) -> Iterator[JobRow]:
         for row in self.table.known():
             job, owner = row.record.job, row.record.owner
-            if row.record.state != OPEN or job in self._runs:
+            if row.record.state != OPEN or job in self._runs or job in self._accepting:
                 continue
             lost = owner not in owners and self.table.owner_age(job) > _OWNER_SETTLING_SECONDS
             if lost or owner in ("", self._owner):
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -26,6 +26,7 @@
     job_key,
     key_range,
     partial_key,
+    read_job,
     read_result,
     result_key,
     write_job,
@@ -178,7 +179,6 @@
         self._checkpoint_at = world.tools.clock.now()
         self._stopped = False
         self._taking = True
-        self.lost = False
 
     @property
     def row(self) -> JobRow:
@@ -486,7 +486,7 @@
         outcome = self._world.rows.commit(expected, writes)
         if isinstance(outcome, Err):
             if isinstance(outcome.err_value, ConditionFailed):
-                return self._settle_conflict(result)
+                return self._settle_conflict(result, outcome.err_value)
             log_event("job:commit-failed", job=record.job, error=str(outcome.err_value))
             return False
         if last:
@@ -494,9 +494,13 @@
         self._note_listed(result)
         return True
 
-    def _settle_conflict(self, result: ItemResult) -> bool:
+    def _settle_conflict(self, result: ItemResult, conflict: ConditionFailed) -> bool:
         """Find out whether an earlier try wrote the result, or the job has another owner."""
         record = self._row.record
+        for stored in conflict.rows:
+            if stored.name == job_key(record.job) and read_job(stored).record == record:
+                # Written again by this daemon, which takes its own jobs at a restart.
+                self._row = JobRow(record, stored.version)
         found = self._world.rows.read(RESULT_TABLE, find_part(record.job), *key_range(record.job))
         if isinstance(found, Err):
             return False
@@ -505,14 +509,18 @@
             self._results = len(listed) - 1
             self._note_listed(result)
             return True
-        if len(listed) == self._results:
+        if len(listed) == self._results and not self._is_current(conflict):
             # The positions agree, so the job's row has changed: another owner, or its end.
-            self.lost = True
             self.stop("its row has changed")
             return True
         self._results = len(listed)
         return False
 
+    def _is_current(self, conflict: ConditionFailed) -> bool:
+        """Return whether the job's row is the one that this run knows."""
+        name = job_key(self._row.record.job)
+        return any(row.name == name and row.version == self._row.version for row in conflict.rows)
+
     def _note_listed(self, result: ItemResult) -> None:
         with self._lock:
             self._results += 1
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
@@ -212,7 +213,7 @@
             loads = [
                 _add(load, ticket.batch) if load.worker.id == worker else load for load in loads
             ]
-            actions.append(lambda t=ticket, w=worker: t.request.granted(w))  # type: ignore[misc]
+            actions.append(partial(ticket.request.granted, worker))
         return actions
 
     def _load_workers(self, service: str) -> list[WorkerLoad]:
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -166,6 +166,44 @@
     assert (caught.value.status, caught.value.verdict) == (504, Verdict.MAY_HAVE_RUN)
 
 
+def test_own_row_of_another_version_is_no_loss_of_the_job(stack: ExitStack) -> None:
+    """Guards against a job that its owner drops and nobody takes.
+
+    While the answer to its acceptance was lost, the owner had also taken the job by its row;
+    the run with the older version failed, took itself for replaced, and forgot the job.
+    """
+    gate = threading.Event()
+    fleet = Fleet(stack, lambda dispatch: Script(pieces=tuple(EVENTS), gate=gate))
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(3))
+    row = keeper.table.get("j1")
+    assert row is not None
+    assert not isinstance(keeper.table.change(row, row.record), Err)
+    time.sleep(0.2)
+    gate.set()
+    assert len(read_until(keeper, "j1", 3)) == 3
+
+
+def test_job_with_a_lost_acceptance_is_run_once(stack: ExitStack) -> None:
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0")
+    time.sleep(0.3)
+    fleet.rows.faults = ["lost", "", "lost"]
+    keeper.submit("j1", CHECKED, make_document(5))
+    assert len(read_until(keeper, "j1", 5)) == 5
+    assert len(fleet.link.sent) == 5
+
+
+def test_job_that_its_owner_dropped_is_taken_again(stack: ExitStack) -> None:
+    """Guards against a job that is forgotten because a run of it was given up."""
+    fleet = Fleet(stack, whole)
+    keeper = fleet.start("d0", workers=0)
+    keeper.submit("j1", CHECKED, make_document(2))
+    run = keeper._runs["j1"]
+    run.stop("test")
+    wait_until(lambda: keeper._runs.get("j1") not in (None, run))
+
+
 def test_each_result_is_listed_once_through_lost_answers(stack: ExitStack) -> None:
     """Guards against an item at two positions, or a position with two results."""
     fleet = Fleet(stack, whole)
