--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -172,14 +172,20 @@
         server = HttpServer(front, *self._deployment.front, _FRONT_THREADS, self._clock)
         stack.callback(server.close)
         server.start()
-        checks = ChecksApplication(self._service)
-        metrics_address = (self._deployment.host, self._deployment.metrics_port)
-        for host, port in [*self._deployment.checks, metrics_address]:
-            check_server = HttpServer(checks, host, port, _CHECK_THREADS, self._clock)
-            stack.callback(check_server.close)
-            check_server.start()
+        for address in self._deployment.checks:
+            self._start_checks(stack, address)
+        try:
+            self._start_checks(stack, (self._deployment.host, self._deployment.metrics_port))
+        except OSError as error:
+            # Another program may have the port; a daemon without its page still serves.
+            log_event("metrics:not-served", port=self._deployment.metrics_port, error=str(error))
         return server
 
+    def _start_checks(self, stack: ExitStack, address: tuple[str, int]) -> None:
+        server = HttpServer(ChecksApplication(self._service), *address, _CHECK_THREADS, self._clock)
+        stack.callback(server.close)
+        server.start()
+
     def _state(self) -> Statement:
         """Return the statement of the next report."""
         service = self._service
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -5,6 +5,7 @@
 
 import base64
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -20,6 +21,9 @@
 from harness import ROOT, wait_until
 from trefoilreach._internal.platform import names
 
+# The daemons have fixed addresses, so these tests run one after the other.
+pytestmark = pytest.mark.xdist_group("deployment")
+
 
 @pytest.fixture
 def deployment(tmp_path: Path) -> Iterator[Deployment]:
@@ -199,6 +203,15 @@
     assert daemon.is_ready()
 
 
+def test_port_of_the_metrics_that_is_taken_stops_no_daemon(deployment: Deployment) -> None:
+    """Guards against a daemon that does not start because of its metrics page."""
+    deployment.add_worker()
+    with socket.create_server(("127.0.7.1", 9464)):
+        daemon = deployment.add_daemon()
+        assert daemon.call("POST", "/once/a", "q1").status == 200
+    wait_until(lambda: "metrics:not-served" in str(daemon.read_log()), 3.0)
+
+
 def test_neither_keys_nor_bodies_are_logged(deployment: Deployment) -> None:
     deployment.add_worker()
     daemon = deployment.add_daemon()
