--- a/tests/functional/deployment.py
+++ b/tests/functional/deployment.py
@@ -188,8 +188,8 @@
         self.workers.append(worker)
         return worker
 
-    def add_daemon(self) -> Daemon:
-        daemon = Daemon(self, len(self.daemons) + 1)
+    def add_daemon(self, number: int | None = None) -> Daemon:
+        daemon = Daemon(self, number or len(self.daemons) + 1)
         self.daemons.append(daemon)
         self._stack.callback(daemon.end)
         daemon.start()
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -206,8 +206,9 @@
 def test_port_of_the_metrics_that_is_taken_stops_no_daemon(deployment: Deployment) -> None:
     """Guards against a daemon that does not start because of its metrics page."""
     deployment.add_worker()
-    with socket.create_server(("127.0.7.1", 9464)):
-        daemon = deployment.add_daemon()
+    # An address of its own: a daemon of the test before may still be closing its port.
+    with socket.create_server(("127.0.7.9", 9464)):
+        daemon = deployment.add_daemon(9)
         assert daemon.call("POST", "/once/a", "q1").status == 200
     wait_until(lambda: "metrics:not-served" in str(daemon.read_log()), 3.0)
 
