Confirm the desired state several times within a short revocation bound

Cause: the feed of the desired state waits 1 s and confirms the moment of its start, so the age of the view swings between 1 and 2 s. With a bound of 2 s (limit 1.98 s) requests were refused as not run just before each answer. Ruled out: quota (66 of 200 requests a second), slots (32 for 8 callers), the planned stop itself: the logs of a failed run show only refusals 'the keys may have changed', at ages over 1.935 s. Change: the wait is a quarter of the bound, 1 s at most. The test prints the odd answers. Test: test_quiet_feed_keeps_keys_valid_under_a_short_bound failed before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_feeds.py
@@ -15,9 +15,11 @@
 from trefoilreach._internal.platform.desired_state import decode_worker
 from trefoilreach._internal.state.rows import RowKey, RowStore, RowWrite, StoredRow
 
-# The desired state is confirmed once a second, at the cost of one call; a withdrawn key must
-# fail within some seconds.
+# The desired state is confirmed once a second, at the cost of one call.
 _DESIRED_STATE_WAIT_SECONDS = 1.0
+# A quiet feed answers at the end of its wait and confirms the moment of its start, so that the
+# age of the view reaches two waits; the rest of the bound is for a slow answer.
+_WAITS_IN_REVOCATION_BOUND = 4
 # A feed that has gone silent is noticed a second after its wait; a leaving worker must get no
 # request after two to three seconds.
 _WORKERS_WAIT_SECONDS = 2.0
@@ -25,6 +27,14 @@
 _MEMBER_TABLE = "members"
 
 
+def find_confirmation_wait(revocation_bound: float) -> float:
+    """Return for how many seconds the store may hold a call for the desired state.
+
+    :param revocation_bound: seconds after which a withdrawn key must fail everywhere.
+    """
+    return min(_DESIRED_STATE_WAIT_SECONDS, revocation_bound / _WAITS_IN_REVOCATION_BOUND)
+
+
 class DeploymentFeeds:
     """Desired state, worker entries, and the addresses of the daemons.
 
@@ -56,9 +66,10 @@
 
     def start(self, stack: ExitStack) -> None:
         """Follow the tables until the exit stack closes."""
+        wait = find_confirmation_wait(self._deployment.revocation_seconds)
         self._follow(
             stack,
-            Watched(names.OPERATOR_TABLE, [""], _DESIRED_STATE_WAIT_SECONDS),
+            Watched(names.OPERATOR_TABLE, [""], wait),
             FeedHooks(self._replace_state, self._change_state, self._note_answer),
         )
         self._follow(
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -174,7 +174,7 @@
         for future in asked:
             future.result()
     assert len(replies) > 50
-    assert all(reply.status == 200 and len(reply.events) == 5 for reply in replies)
+    assert [r for r in replies if r.status != 200 or len(r.events) != 5] == []
 
 
 def _is_offered(asked: Daemon, wanted: Daemon) -> bool:
--- a/tests/unit/test_feeds.py
+++ b/tests/unit/test_feeds.py
@@ -4,13 +4,14 @@
 from typing import Any
 
 import orjson
+import pytest
 from result import Err
 from test_platform_wire import WORKER, make_state
 from trefoilreach._internal.clock import ManualClock
 from trefoilreach._internal.coordination.serving.freshness import Freshness
 from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
 from trefoilreach._internal.platform.desired_state import decode_desired_state
-from trefoilreach._internal.serving_feeds import DeploymentFeeds
+from trefoilreach._internal.serving_feeds import DeploymentFeeds, find_confirmation_wait
 from trefoilreach._internal.state.rows import MemoryRows, RowKey, StoredRow
 
 
@@ -48,6 +49,21 @@
     return [StoredRow(RowKey("servers", "", name), value, 1) for name in names]
 
 
+@pytest.mark.parametrize("bound", [1.0, 2.0, 5.0])
+def test_quiet_feed_keeps_keys_valid_under_a_short_bound(bound: float) -> None:
+    """Guards against refusals between two answers of a feed that has nothing to tell."""
+    clock = ManualClock(100.0)
+    freshness = Freshness(clock, bound)
+    wait = find_confirmation_wait(bound)
+    slow_answer = bound / 5
+    freshness.confirm(clock.now())
+    for _ in range(5):
+        asked_at = clock.now()
+        clock.advance(wait + slow_answer)
+        assert freshness.keys_valid
+        freshness.confirm(asked_at)
+
+
 def test_keys_end_when_a_newer_state_cannot_be_read() -> None:
     """Guards against a withdrawn key that lives on because its withdrawal was not understood."""
     daemon = Daemon()
