Start HTTP threads as requests need them

Cause: each daemon started 96 threads, and more for its checks, whatever its load. Change: a dispatcher that starts a thread when no idle one is left, up to the same limit.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -9,7 +9,7 @@
 from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer
-from waitress.task import WSGITask
+from waitress.task import ThreadedTaskDispatcher, WSGITask
 
 from trefoilreach._internal.clock import Clock
 
@@ -119,8 +119,32 @@
         return self._sending and self.total_outbufs_len <= self.adj.outbuf_high_watermark
 
 
+class _GrowingDispatcher(ThreadedTaskDispatcher):
+    """Starts threads as requests need them, up to a limit.
+
+    Most daemons never use most of their threads, and a machine that runs many daemons has
+    no room for them.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self._limit = limit
+
+    def add_task(self, task: Any) -> None:
+        """Let a thread serve a request."""
+        with self.lock:
+            idle = len(self.threads) - self.stop_count - self.active_count
+            wanted = len(self.threads) + (idle <= len(self.queue))
+        if wanted <= self._limit:
+            self.set_thread_count(wanted)
+        super().add_task(task)
+
+
 class HttpServer:
-    """A waitress server that runs in a thread of its own."""
+    """A waitress server that runs in a thread of its own.
+
+    :param threads: most requests that are served at once.
+    """
 
     def __init__(
         self,
@@ -135,7 +159,7 @@
             app,
             host=host,
             port=port,
-            threads=threads,
+            _dispatcher=_GrowingDispatcher(threads),
             send_bytes=_SEND_BYTES,
             connection_limit=_CONNECTION_LIMIT,
             channel_request_lookahead=_REQUEST_LOOKAHEAD,
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -1,6 +1,7 @@
 """Guards the HTTP server: answers that stall between the task's and the server's thread."""
 
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -98,3 +99,34 @@
         while not ended and time.monotonic() < left + 10.0:
             time.sleep(0.01)
         assert ended and ended[0] - left < 0.8
+
+
+def test_threads_are_started_as_requests_need_them() -> None:
+    """Guards against threads that a daemon never uses, and against more than the limit."""
+    lock, running, most = threading.Lock(), 0, 0
+
+    def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        nonlocal running, most
+        with lock:
+            running += 1
+            most = max(most, running)
+        time.sleep(0.2)
+        with lock:
+            running -= 1
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    def ask() -> bytes:
+        with closing(_connect(server.port)) as connection:
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            return connection.makefile("rb").read()
+
+    server = _serve(app)
+    with closing(server):
+        assert len(server._server.task_dispatcher.threads) == 0
+        for at_once, expected in ((1, 1), (3, 3), (7, 4)):
+            with ThreadPoolExecutor(at_once) as pool:
+                answers = list(pool.map(lambda _: ask(), range(at_once)))
+            assert all(answer.endswith(b"ok") for answer in answers)
+            assert most == expected
+        assert len(server._server.task_dispatcher.threads) == 4
