Add a fault soak that harms real daemons from outside and checks what clients and workers see

'python -m trefoilreach_emulator soak': seeded faults in series and overlapping (signals, store outages, proxies that delay, cut one way, reset or silence connections, workers that crash, leave, fail or break streams, keys withdrawn, desired states in quick succession), 15 checks.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/commands/__init__.py
@@ -9,6 +9,7 @@
 from trefoilreach_emulator._internal.commands.load import LoadCommand
 from trefoilreach_emulator._internal.commands.platform import PlatformCommand
 from trefoilreach_emulator._internal.commands.service import ServiceCommand
+from trefoilreach_emulator._internal.commands.soak import SoakCommand
 
 
 def command_classes() -> list[type[Command]]:
@@ -21,4 +22,5 @@
         LoadCommand,
         PlatformCommand,
         ServiceCommand,
+        SoakCommand,
     ]
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
@@ -22,6 +22,16 @@
     resumed_after: int
 
 
+def read_seen(exchange: Exchange, request_id: str) -> SeenRequest:
+    """Return what a request says to a worker."""
+    return SeenRequest(
+        request_id,
+        exchange.headers.get(names.ACCOUNT, ""),
+        "Authorization" in exchange.headers,
+        int(exchange.headers.get(names.LAST_EVENT_ID) or 0),
+    )
+
+
 class StreamWorker:
     """One worker; :meth:`handle` answers its requests.
 
@@ -75,10 +85,9 @@
                 self._running -= 1
 
     def _run(self, exchange: Exchange, request_id: str) -> None:
-        begin = int(exchange.headers.get(names.LAST_EVENT_ID) or 0)
-        account = exchange.headers.get(names.ACCOUNT, "")
-        key_seen = "Authorization" in exchange.headers
-        self.seen.append(SeenRequest(request_id, account, key_seen, begin))
+        seen = read_seen(exchange, request_id)
+        self._note(seen)
+        begin = seen.resumed_after
         if exchange.body == b"impossible":
             exchange.reply({}, 422, {names.REQUEST_ID: request_id, names.RECEIPT: "r"})
             return
@@ -92,6 +101,9 @@
             self._send(exchange, f"id: {number}\ndata: {request_id} {number}\n\n".encode())
         exchange.write(b"0\r\n\r\n")
 
+    def _note(self, seen: SeenRequest) -> None:
+        self.seen.append(seen)
+
     def _start(self, exchange: Exchange, request_id: str) -> None:
         headers: dict[str, Any] = {
             "Content-Type": "text/event-stream",
