--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,13 @@
 export PYTHONPATH := $(SOURCES)
 SEEDS ?= 20
 FUZZ_FIRST_SEED ?= 1000
+SOAK_FIRST_SEED ?= 1
+SOAK_SEEDS ?= 10
+SOAK_SECONDS ?= 12
+SOAK_DAEMONS ?= 4
+SOAK_REPORT ?= .soak
 
-.PHONY: venv lint types unit functional test fuzz demo bench capacity thrift format
+.PHONY: venv lint types unit functional test fuzz soak demo bench capacity thrift format
 
 # The stamp's name changes with the declared libraries, whatever the files' times.
 DECLARED := $(shell cat requirements/*.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
@@ -66,3 +71,6 @@
 		packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
 	rm -f packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/peer/Peer-remote
 	echo '"""Code generated from peer.thrift and fleet.thrift."""' > packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/__init__.py
+
+soak: venv
+	$(BIN)/python -m trefoilreach_emulator soak --first-seed $(SOAK_FIRST_SEED) --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS) --daemons $(SOAK_DAEMONS) --report $(SOAK_REPORT)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/clients.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/clients.py
@@ -42,6 +42,7 @@
         self._daemon: Daemon | None = None
         self._failed: dict[str, float] = {}
         self._count = 0
+        self._wait = 0.0
 
     def run(self) -> None:
         """Send requests until the run ends."""
@@ -50,7 +51,8 @@
             attempt = self._send(self._rng.choice([REPEATABLE, ONCE]), key)
             if attempt is not None:
                 self._world.history.add(attempt)
-            self._stop.wait(self._rng.uniform(0.0, 2 * _THINK_SECONDS))
+            self._stop.wait(self._wait + self._rng.uniform(0.0, 2 * _THINK_SECONDS))
+            self._wait = 0.0
 
     def _send(self, route: str, key: str) -> Attempt | None:
         connection = self._connect()
@@ -72,6 +74,8 @@
             response = connection.getresponse()
             status, receipt = response.status, response.getheader(names.RECEIPT) is not None
             close = response.getheader("Connection", "").lower() == "close"
+            wait = float(response.getheader("Retry-After") or 0.0)
+            self._wait = min(wait, _MOST_RETRY_SECONDS)
             if response.getheader(names.REQUEST_ID) not in (request_id, None):
                 history.note("crossed", request_id)
             while data := response.read1(65536):
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -34,12 +34,18 @@
     seed: int
 
 
-def plan_faults(seed: int, seconds: float, count: int) -> list[PlannedFault]:
-    """Return faults in series and overlapping, the same for a seed."""
+def plan_faults(
+    seed: int, seconds: float, count: int, kinds: Sequence[str] = ()
+) -> list[PlannedFault]:
+    """Return faults in series and overlapping, the same for a seed.
+
+    :param kinds: kinds to choose from; none stands for all.
+    """
     rng = Random(seed)
+    kinds = kinds or faults.names
     planned = [
         PlannedFault(
-            rng.choice(faults.names),
+            rng.choice(kinds),
             round(rng.uniform(0.0, 0.8 * seconds), 2),
             round(rng.uniform(0.5, min(_MOST_FAULT_SECONDS, 0.4 * seconds)), 2),
             rng.randrange(2**31),
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/run.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/run.py
@@ -16,8 +16,6 @@
 # Time after the last fault in which daemons start again, and with them the requests.
 _RECOVER_SECONDS = 4.0
 _CALM_SECONDS = 2.0
-# Time for batch jobs to end after the traffic.
-_FINISH_SECONDS = 18.0
 _READ_PAUSE_SECONDS = 0.3
 
 
@@ -25,6 +23,8 @@
     """Size of a run.
 
     :param seconds: length of the traffic with faults.
+    :param kinds: kinds of faults to choose from; none stands for all.
+    :param finish_seconds: time for batch jobs to end after the traffic.
     """
 
     seed: int
@@ -34,6 +34,8 @@
     clients: int = 8
     owners: int = 2
     faults: int = 6
+    kinds: tuple[str, ...] = ()
+    finish_seconds: float = 18.0
 
 
 class SoakResult(NamedTuple):
@@ -50,7 +52,7 @@
 
     :param folder: takes settings and logs of the daemons.
     """
-    planned = plan_faults(plan.seed, plan.seconds, plan.faults)
+    planned = plan_faults(plan.seed, plan.seconds, plan.faults, plan.kinds)
     history = History()
     with ExitStack() as stack:
         world = World(folder, stack, history, plan.seed, plan.daemons, plan.workers)
@@ -70,7 +72,7 @@
         stop.set()
         for thread in threads:
             thread.join(10.0)
-        _wait_for_jobs(world, owners)
+        _wait_for_jobs(world, owners, plan.finish_seconds)
         for place in world.find_ended():
             history.note("ended-by-itself", place.daemon.vm)
         events = world.workers[0].worker.events
@@ -96,12 +98,12 @@
     faults.get(fault.kind)(world, Random(fault.seed), fault.seconds)
 
 
-def _wait_for_jobs(world: World, owners: list[JobClient]) -> None:
+def _wait_for_jobs(world: World, owners: list[JobClient], seconds: float) -> None:
     """Read all accepted jobs until they are whole or their time is over."""
     history = world.history
     ended = {notice.subject for notice in history.noticed("end-asked")}
     jobs = {e.job: len(e.items) for e in history.submissions if e.status == 202}
-    end = time.monotonic() + _FINISH_SECONDS
+    end = time.monotonic() + seconds
     while jobs and time.monotonic() < end:
         for job, total in list(jobs.items()):
             listing = owners[0].read(job)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
@@ -22,8 +22,9 @@
 _EVENT_SECONDS = 0.02
 _SLOTS = 6
 ACCOUNT = "shop"
-RATE = 120.0
-BURST = 60.0
+# Less than the clients of a usual run would send, so that the quota binds.
+RATE = 25.0
+BURST = 20.0
 
 
 class SoakWorker(StreamWorker):
@@ -50,7 +51,11 @@
 
     def _run(self, exchange: Exchange, request_id: str) -> None:
         if self._rng.random() < self.break_share:
-            self.break_after = self._rng.randrange(1, self.events)
+            self.break_after = self._rng.randrange(self.events)
+            if not self.break_after:
+                self._note(read_seen(exchange, request_id))
+                exchange.drop()
+                return
         if self._rng.random() < self.fail_share:
             self._note(read_seen(exchange, request_id))
             self._history.add(Failure(request_id, self.name, self._history.now(), 500))
--- /dev/null
+++ b/tests/functional/broken/sitecustomize.py
@@ -0,0 +1,79 @@
+"""Breaks one promise of a daemon, named by ``BROKEN``, to show that the soak finds it.
+
+Python loads this module at the start of a process whose ``PYTHONPATH`` names its folder.
+"""
+
+import os
+from collections.abc import Callable, Iterator
+from typing import Any
+
+
+def _repeat_everything() -> None:
+    from trefoilreach._internal.platform import desired_state
+
+    decode = desired_state._decode_route
+
+    def decode_repeatable(route: Any) -> Any:
+        return decode(route)._replace(max_runs=3, resumable=True)
+
+    desired_state._decode_route = decode_repeatable
+
+
+def _promise_not_run() -> None:
+    from trefoilreach._internal.coordination.serving.online import _Run
+    from trefoilreach._internal.protocol.verdict import Refusal
+
+    def give_up(self: Any, reason: str) -> Refusal:
+        return Refusal(503, "unavailable", reason, retry_after=0.1)
+
+    _Run._give_up = give_up  # type: ignore[method-assign]
+
+
+def _keep_first_state() -> None:
+    from trefoilreach._internal.coordination.serving.service import ServingService
+
+    adopt = ServingService.adopt
+
+    def adopt_first(self: Any, document: bytes, source: str) -> bool:
+        return adopt(self, document, source) if self.index is None else True
+
+    ServingService.adopt = adopt_first  # type: ignore[method-assign]
+
+
+def _end_cut_streams() -> None:
+    from trefoilreach._internal.coordination.serving.online import _Run
+    from trefoilreach._internal.transport.http_server import AnswerCut
+
+    relay = _Run._relay
+
+    def relay_whole(self: Any, *arguments: Any) -> Iterator[bytes]:
+        try:
+            yield from relay(self, *arguments)
+        except AnswerCut:
+            return
+
+    _Run._relay = relay_whole  # type: ignore[method-assign]
+
+
+def _leave_orphans() -> None:
+    from trefoilreach._internal.coordination.jobs.keeper import JobKeeper
+
+    JobKeeper._orphans = lambda self, owners: iter(())  # type: ignore[method-assign]
+
+
+def _admit_all() -> None:
+    from trefoilreach._internal.coordination.quota.shared import SharedBuckets
+
+    SharedBuckets.admit = lambda self, account: None  # type: ignore[method-assign]
+
+
+_BREAKS: dict[str, Callable[[], None]] = {
+    "repeat": _repeat_everything,
+    "refuse": _promise_not_run,
+    "keys": _keep_first_state,
+    "cut": _end_cut_streams,
+    "orphans": _leave_orphans,
+    "quota": _admit_all,
+}
+if os.environ.get("BROKEN"):
+    _BREAKS[os.environ["BROKEN"]]()
--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,53 @@
+"""Guards the promises under faults from outside, and shows that the soak finds broken ones."""
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from trefoilreach_emulator._internal.soak.run import SoakPlan, run_soak
+
+# The daemons have fixed addresses, so these tests run one after the other.
+pytestmark = pytest.mark.xdist_group("soak")
+
+BROKEN_FOLDER = Path(__file__).parent / "broken"
+# Seeds that have failed, each with its cause, and one for the usual mix.
+SEEDS = (11,)
+
+
+class Break(NamedTuple):
+    """A broken build, the faults that bring it out and the check that finds it."""
+
+    name: str
+    kinds: tuple[str, ...]
+    check: str
+
+
+BREAKS = (
+    Break("repeat", ("worker-breaks-streams", "connections-reset"), "twice"),
+    Break("refuse", ("worker-breaks-streams", "worker-grey"), "refused"),
+    Break("keys", ("withdraw-key",), "withdrawn"),
+    Break("cut", ("worker-breaks-streams", "connections-reset"), "order"),
+    Break("orphans", ("kill",), "lost"),
+    Break("quota", ("reload",), "quota"),
+)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_seeded_run_keeps_all_promises(seed: int, tmp_path: Path) -> None:
+    result = run_soak(SoakPlan(seed, seconds=8.0), tmp_path)
+    assert result.violations == [], result.faults
+    assert len(result.history.attempts) > 50
+
+
+@pytest.mark.parametrize("broken", BREAKS, ids=lambda broken: broken.name)
+def test_broken_build_is_found(
+    broken: Break, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against checks that pass whatever the daemons do."""
+    paths = f"{BROKEN_FOLDER}:{os.environ.get('PYTHONPATH', '')}"
+    monkeypatch.setenv("PYTHONPATH", paths)
+    monkeypatch.setenv("BROKEN", broken.name)
+    plan = SoakPlan(3, seconds=6.0, clients=16, faults=4, kinds=broken.kinds, finish_seconds=6.0)
+    result = run_soak(plan, tmp_path)
+    assert broken.check in {line.split(":")[0] for line in result.violations}, result.violations
