Let the soak's broken builds be found also on a slow machine

The worker now breaks half of its streams under that fault, half of these before the first event; the rate of the client account is a parameter of a run.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
@@ -8,7 +8,7 @@
 from trefoilreach_emulator._internal.deployment import REVOKE_SECONDS
 from trefoilreach_emulator._internal.soak.clients import ONCE, REPEATABLE
 from trefoilreach_emulator._internal.soak.history import History, Run
-from trefoilreach_emulator._internal.soak.world import ACCOUNT, BURST, RATE
+from trefoilreach_emulator._internal.soak.world import ACCOUNT
 
 Check = Callable[[History, int], Iterator[str]]
 
@@ -136,7 +136,8 @@
     times = sorted(
         {run.request_id: run.at for run in history.runs if run.request_id in sent}.values()
     )
-    limit = (RATE * _QUOTA_WINDOW_SECONDS + BURST) * (1.0 + _QUOTA_EXCESS) + _QUOTA_SLACK
+    allowed = history.rate * _QUOTA_WINDOW_SECONDS + history.rate
+    limit = allowed * (1.0 + _QUOTA_EXCESS) + _QUOTA_SLACK
     begin = 0
     for end, at in enumerate(times):
         while times[begin] < at - _QUOTA_WINDOW_SECONDS:
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -17,7 +17,7 @@
 
 _MOST_FAULT_SECONDS = 4.0
 _GREY_SHARE = 0.4
-_BREAK_SHARE = 0.3
+_BREAK_SHARE = 0.5
 _DELAY_SECONDS = 0.3
 
 
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/history.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/history.py
@@ -80,9 +80,13 @@
 
 
 class History:
-    """Everything that was seen, in the order of its arrival."""
+    """Everything that was seen, in the order of its arrival.
 
-    def __init__(self) -> None:
+    :param rate: rate of the client account in requests a second, and its burst.
+    """
+
+    def __init__(self, rate: float = 25.0) -> None:
+        self.rate = rate
         self._lock = threading.Lock()
         self.begun_at = time.monotonic()
         self.attempts: list[Attempt] = []
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/run.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/run.py
@@ -23,6 +23,8 @@
     """Size of a run.
 
     :param seconds: length of the traffic with faults.
+    :param rate: requests a second of the client account; less than the clients would send,
+        so that the quota binds.
     :param kinds: kinds of faults to choose from; none stands for all.
     :param finish_seconds: time for batch jobs to end after the traffic.
     """
@@ -34,6 +36,7 @@
     clients: int = 8
     owners: int = 2
     faults: int = 6
+    rate: float = 25.0
     kinds: tuple[str, ...] = ()
     finish_seconds: float = 18.0
 
@@ -53,7 +56,7 @@
     :param folder: takes settings and logs of the daemons.
     """
     planned = plan_faults(plan.seed, plan.seconds, plan.faults, plan.kinds)
-    history = History()
+    history = History(plan.rate)
     with ExitStack() as stack:
         world = World(folder, stack, history, plan.seed, plan.daemons, plan.workers)
         stop = threading.Event()
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
@@ -21,10 +21,9 @@
 _EVENTS = 12
 _EVENT_SECONDS = 0.02
 _SLOTS = 6
+# Part of the broken streams that end before their first event.
+_NO_EVENT_SHARE = 0.5
 ACCOUNT = "shop"
-# Less than the clients of a usual run would send, so that the quota binds.
-RATE = 25.0
-BURST = 20.0
 
 
 class SoakWorker(StreamWorker):
@@ -51,8 +50,9 @@
 
     def _run(self, exchange: Exchange, request_id: str) -> None:
         if self._rng.random() < self.break_share:
-            self.break_after = self._rng.randrange(self.events)
-            if not self.break_after:
+            self.break_after = self._rng.randrange(1, self.events)
+            if self._rng.random() < _NO_EVENT_SHARE:
+                self.break_after = 0
                 self._note(read_seen(exchange, request_id))
                 exchange.drop()
                 return
@@ -128,7 +128,7 @@
 
     def configure(self) -> None:
         """Write the next desired state."""
-        self.deployment.configure(list(self.keys), RATE, BURST)
+        self.deployment.configure(list(self.keys), self.history.rate, self.history.rate)
 
     def withdraw(self, key: str) -> None:
         """Take a key away."""
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -21,15 +21,17 @@
     name: str
     kinds: tuple[str, ...]
     check: str
+    rate: float = 25.0
+    seconds: float = 6.0
 
 
 BREAKS = (
     Break("repeat", ("worker-breaks-streams", "connections-reset"), "twice"),
-    Break("refuse", ("worker-breaks-streams", "worker-grey"), "refused"),
+    Break("refuse", ("worker-breaks-streams",), "refused", seconds=12.0),
     Break("keys", ("withdraw-key",), "withdrawn"),
     Break("cut", ("worker-breaks-streams", "connections-reset"), "order"),
     Break("orphans", ("kill",), "lost"),
-    Break("quota", ("reload",), "quota"),
+    Break("quota", ("reload",), "quota", rate=4.0),
 )
 
 
@@ -48,6 +50,14 @@
     paths = f"{BROKEN_FOLDER}:{os.environ.get('PYTHONPATH', '')}"
     monkeypatch.setenv("PYTHONPATH", paths)
     monkeypatch.setenv("BROKEN", broken.name)
-    plan = SoakPlan(3, seconds=6.0, clients=16, faults=4, kinds=broken.kinds, finish_seconds=6.0)
+    plan = SoakPlan(
+        seed=3,
+        seconds=broken.seconds,
+        clients=16,
+        faults=10,
+        rate=broken.rate,
+        kinds=broken.kinds,
+        finish_seconds=6.0,
+    )
     result = run_soak(plan, tmp_path)
     assert broken.check in {line.split(":")[0] for line in result.violations}, result.violations
