--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -33,7 +33,7 @@
     write_partial,
     write_result,
 )
-from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.board import Waiting, WorkerLoad
 from trefoilreach._internal.coordination.serving.choice import choose_batch
 from trefoilreach._internal.coordination.serving.crashes import find_fingerprint
@@ -150,7 +150,7 @@
     @property
     def output(self) -> str:
         """Data of all events."""
-        return b"\n".join(data for _, data in self.events).decode(errors="replace")
+        return _join(self.events)
 
     def snapshot(self) -> Partial | None:
         """Return the events so far; None when there is nothing new to keep."""
@@ -159,8 +159,18 @@
         before = (None, 0) if self.saved is None else (self.saved.last_event, self.saved.failures)
         if (last, self.failures) == before:
             return None
-        output = b"\n".join(data for _, data in events).decode(errors="replace")
-        return Partial(self.item.id, last, output, self.failures)
+        return Partial(self.item.id, last, _join(events), self.failures)
+
+    def end(self, admission: Admission) -> None:
+        """End the item's wait or its run here."""
+        if self.ticket is not None:
+            admission.withdraw(self.ticket)
+        if self.interrupt is not None:
+            self.interrupt.fire(_STOPPED)
+
+
+def _join(events: list[tuple[int | None, bytes]]) -> str:
+    return b"\n".join(data for _, data in events).decode(errors="replace")
 
 
 class JobRun:
@@ -234,10 +244,7 @@
             self._taking = False
             runs = list(self._open.values())
         for run in runs:
-            if run.ticket is not None:
-                self._tools.admission.withdraw(run.ticket)
-            if run.interrupt is not None:
-                run.interrupt.fire(_STOPPED)
+            run.end(self._tools.admission)
         if self.finished:
             return True
         done = self._checkpoint("")
@@ -278,20 +285,14 @@
             runs = list(self._open.values())
         log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=len(runs))
         for run in runs:
-            if run.ticket is not None:
-                self._tools.admission.withdraw(run.ticket)
-            if run.interrupt is not None:
-                run.interrupt.fire(_STOPPED)
+            run.end(self._tools.admission)
 
     def give_up_old(self, now: float) -> None:
         """List the items that were kept for as long as the route says."""
         if now < self._times.keep or self._stopped:
             return
         for run in list(self._open.values()):
-            if run.ticket is not None:
-                self._tools.admission.withdraw(run.ticket)
-            if run.interrupt is not None:
-                run.interrupt.fire(_STOPPED)
+            run.end(self._tools.admission)
             self._finish(run, None, "kept for its whole time")
 
     def _submit(self, run: _ItemRun) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -28,7 +28,6 @@
 from trefoilreach._internal.transport.http_server import ON_DISCONNECT
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-_JSON = ("Content-Type", "application/json")
 
 
 class FrontApplication:
@@ -118,7 +117,7 @@
             verdict=refusal.verdict.value,
             retry_after=refusal.retry_after,
         )
-        headers = [_JSON]
+        headers = [names.JSON]
         request_id = read_request_id(environ)
         if request_id:
             headers.append((names.REQUEST_ID, request_id))
@@ -155,14 +154,14 @@
             if index is None:
                 return _respond(start_response, 503, {"error": "no desired state yet"})
             body = index.state.document
-            start_response(_status_line(200), [_JSON, ("Content-Length", str(len(body)))])
+            start_response(_status_line(200), [names.JSON, ("Content-Length", str(len(body)))])
             return [body]
         return _respond(start_response, 404, {"error": "not found"})
 
 
 def _respond(start_response: StartResponse, status: int, body: Any) -> list[bytes]:
     data = orjson.dumps(body)
-    start_response(_status_line(status), [_JSON, ("Content-Length", str(len(data)))])
+    start_response(_status_line(status), [names.JSON, ("Content-Length", str(len(data)))])
     return [data]
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/job_calls.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/job_calls.py
@@ -14,7 +14,6 @@
 from trefoilreach._internal.platform.wire import read_key, read_number
 from trefoilreach._internal.protocol.verdict import Refusal
 
-_JSON = ("Content-Type", "application/json")
 _MILLISECONDS = 1000.0
 
 
@@ -65,4 +64,4 @@
 
 
 def _answer(status: int, body: dict[str, Any]) -> OnlineAnswer:
-    return OnlineAnswer(status, [_JSON], orjson.dumps(body))
+    return OnlineAnswer(status, [names.JSON], orjson.dumps(body))
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -10,6 +10,9 @@
 EXPECTED_WORKER = "X-Target-Instance"
 NOT_RUN = "X-Not-Executed"
 
+# Header of all bodies but those of workers.
+JSON = ("Content-Type", "application/json")
+
 # Calls that arrive here.
 READY_PATH = "/trefoilreach/ready"
 RESOLVE_PATH = "/trefoilreach/resolve"
