Keep bundles large enough for a relay of a fleet of hundreds of daemons

Found in reading: with 16 reports a bundle, a relay among 75 daemons of a data centre (300 in all) would have to send some 1,800 datagrams a second and falls behind its limit of 1,000, each time by more. Bundles now hold 256 short reports, and whole reports are rarer beyond 70 daemons: worked out at 770 a second. Not measured at that size. Test: test_bundles_fit_in_a_datagram_and_lose_no_report.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -8,7 +8,7 @@
 import random
 import socket
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from contextlib import ExitStack
 from typing import NamedTuple
 
@@ -19,6 +19,7 @@
     FarRelays,
     RelayChoice,
     RelayOutbox,
+    divide_reports,
     rank_relays,
 )
 from trefoilreach._internal.coordination.exchange.reports import (
@@ -47,6 +48,9 @@
 PEER_LATE_SECONDS = 1.0
 _REPORT_SECONDS = 0.25
 _WHOLE_REPORT_SECONDS = 1.0
+# Beyond this number of daemons, whole reports are rarer, so that all of them together take no
+# larger part of what a relay may send.
+_WHOLE_REPORT_FLEET = 70
 # Most datagrams a second that one daemon sends for its reports: at 30 us each, 12 % of a core.
 _DATAGRAMS_PER_SECOND = 4000.0
 # Shortest time between two reports in a relayed fleet, and between two bundles of a relay:
@@ -55,8 +59,6 @@
 _BUNDLE_PAUSE_SECONDS = 0.02
 # A relay sends at most this many datagrams a second: at 30 us each, 3 % of a core.
 _RELAYED_DATAGRAMS_PER_SECOND = 1000.0
-# A report has 150 bytes, a whole one up to 3 KB; UDP carries 64 KB.
-_BUNDLE_REPORTS = 16
 # Addresses that do not answer are tried again at this interval.
 _SILENT_RETRY_SECONDS = 2.0
 # A peer that has been silent for this long no longer counts as a part of the fleet.
@@ -200,7 +202,8 @@
         now = self._clock.now()
         live, silent = self._look_at_peers(now)
         # Whoever is not heard may not know this daemon, so its report has to be a whole one.
-        whole = bool(silent) or now - self._whole_at >= _WHOLE_REPORT_SECONDS
+        interval = _WHOLE_REPORT_SECONDS * max(1.0, len(live) / _WHOLE_REPORT_FLEET)
+        whole = bool(silent) or now - self._whole_at >= interval
         if whole:
             self._whole_at = now
         report = self._writer.write(self._hooks.state(), now, whole)
@@ -253,12 +256,12 @@
             by_place.setdefault(peer.identity.data_centre, {})[peer.identity.vm] = peer
         near = by_place.pop(own.data_centre, {})
         sent = 0
-        for reports in _divide(pending.near + pending.far):
+        for reports in divide_reports(pending.near + pending.far):
             data = encode_bundle(own.vm, Spread.NOWHERE, reports)
             for peer in near.values():
                 self._send_to(data, _address(peer))
             sent += len(near)
-        for reports in _divide(pending.near):
+        for reports in divide_reports(pending.near):
             data = encode_bundle(own.vm, Spread.DATA_CENTRE, reports)
             for place, peers in by_place.items():
                 ranked = rank_relays(map(_candidate, peers.values()))
@@ -434,9 +437,3 @@
 
 def _candidate(peer: Peer) -> Candidate:
     return _candidate_of(peer.identity)
-
-
-def _divide(reports: list[Report]) -> Iterator[list[Report]]:
-    """Yield reports in bundles that fit in a datagram."""
-    for begin in range(0, len(reports), _BUNDLE_REPORTS):
-        yield reports[begin : begin + _BUNDLE_REPORTS]
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -10,7 +10,7 @@
 """
 
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Report
@@ -23,6 +23,9 @@
 _ECHO_SECONDS = 0.3
 # A relay whose echoes were missing is asked again, beside another one, at this interval.
 _RETRY_SECONDS = 2.0
+# Size of a bundle in short reports of 150 bytes; a whole report has up to 3 KB. UDP carries 64 KB.
+_BUNDLE_SIZE = 256
+_WHOLE_REPORT_SIZE = 16
 
 
 class Candidate(NamedTuple):
@@ -144,3 +147,22 @@
         """
         vm, heard_at = self._heard.get(data_centre, ("", float("-inf")))
         return vm if vm in ranked and now - heard_at <= _ECHO_SECONDS else ranked[0]
+
+
+def divide_reports(reports: Iterable[Report]) -> Iterator[list[Report]]:
+    """Yield reports in bundles that fit in a datagram.
+
+    Load pattern: hundreds of daemons, whose reports come faster than a relay may send
+    datagrams; fewer and larger ones keep its backlog from growing.
+    """
+    bundle: list[Report] = []
+    size = 0
+    for report in reports:
+        own_size = 1 if report.identity is None else _WHOLE_REPORT_SIZE
+        if size + own_size > _BUNDLE_SIZE:
+            yield bundle
+            bundle, size = [], 0
+        bundle.append(report)
+        size += own_size
+    if bundle:
+        yield bundle
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -13,6 +13,7 @@
     Candidate,
     FarRelays,
     RelayChoice,
+    divide_reports,
     rank_relays,
 )
 from trefoilreach._internal.coordination.exchange.reports import (
@@ -22,6 +23,8 @@
     decode,
     encode_bundle,
 )
+from trefoilreach._internal.coordination.quota.shared import Use
+from trefoilreach._internal.coordination.serving.outcomes import Outcomes
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Spread
 
 STATEMENT = Statement(
@@ -252,3 +255,18 @@
     assert relays.choose("b", ["b0", "b1"], 10.1) == "b1"
     assert relays.choose("b", ["b0", "b1"], 12.0) == "b0"
     assert relays.choose("b", ["b0"], 10.1) == "b0"
+
+
+def test_bundles_fit_in_a_datagram_and_lose_no_report() -> None:
+    """Guards against a relay that falls behind, and against datagrams that cannot be sent."""
+    accounts = {f"account-{number}": Use(10**6, 10.0) for number in range(80)}
+    outcomes = {f"i-{number:010x}": Outcomes(10**4, 10**3) for number in range(45)}
+    statement = STATEMENT._replace(uses=accounts, outcomes=outcomes)
+    writer = ReportWriter(Identity("edge-cymru-a-12", 10**12, "10.0.0.1", 7, 7, "x:1", "a"))
+    whole = [writer.write(statement, 0.0, whole=True) for _ in range(40)]
+    short = [writer.write(statement, 0.0, whole=False) for _ in range(400)]
+    bundles = list(divide_reports([*whole, *short]))
+    assert [report for bundle in bundles for report in bundle] == [*whole, *short]
+    assert len(bundles) <= 5
+    assert all(len(encode_bundle("vm", Spread.FLEET, bundle)) < 65_000 for bundle in bundles)
+    assert list(divide_reports([])) == []
