Tell callers to use the strong VMs while these can carry them

Cause: callers spread their requests evenly over the addresses that they are told. At the grown sites two thirds of the VMs have half a core or less than a quarter of the strongest's; requests there are slower and restarts take longer. Beyond 64 daemons, the last by address were never named. Ruled out: weights by repeated addresses, since callers leave out an address that has failed them and would then lose all of a strong VM's weight at once or none. Tests: test_offers.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -10,6 +10,7 @@
 from trefoilreach._internal.coordination.exchange.exchange import Exchange, Peer
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.freshness import Freshness
+from trefoilreach._internal.coordination.serving.offers import Offer, choose_offers
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.deployment import Deployment
 from trefoilreach._internal.logs import log_event
@@ -25,7 +26,6 @@
 _ACCEPTING_AGE_SECONDS = 2.5
 # Callers keep an answer for this long; a shorter time moves them sooner from a lost daemon.
 _ENTRY_KEEP_SECONDS = 2.0
-_ENTRY_POINTS = 64
 _NOT_READY_RETRY_SECONDS = 0.5
 
 Decoder = Callable[[bytes], Result[DesiredState, ValueError]]
@@ -133,20 +133,20 @@
             raise self._refuse_unknown(401, "unknown_key", "the key is not known")
         return account
 
-    def entry_points(self, data_centre: str) -> tuple[list[str], float]:
+    def entry_points(self) -> tuple[list[str], float]:
         """Return addresses for callers, and for how many seconds to keep them."""
         live = self.exchange.live
-        offered = [p.identity.front for p in live if p.statement.accepting]
+        offered = [p.identity for p in live if p.statement.accepting]
         if self.accepting:
-            host, port = self.deployment.front
-            offered.append(f"{host}:{port}")
+            offered.append(self.exchange.identity)
         if not offered:
             # Nobody is sure of its view; any daemon that runs is better than none.
-            offered = [p.identity.front for p in live if not p.statement.leaving]
+            offered = [p.identity for p in live if not p.statement.leaving]
             if not self.leaving:
-                offered.append("{}:{}".format(*self.deployment.front))
+                offered.append(self.exchange.identity)
         keep = min(_ENTRY_KEEP_SECONDS, self.deployment.entry_keep_seconds)
-        return sorted(offered)[:_ENTRY_POINTS], keep
+        offers = [Offer(identity.front, identity.cores) for identity in offered]
+        return choose_offers(self.deployment.vm, offers), keep
 
     def newest_peer(self) -> Peer | None:
         """Return a peer with a newer desired state than this daemon's."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
-from urllib.parse import parse_qs
 
 import orjson
 
@@ -140,9 +139,7 @@
             ready = self._service.ready
             return _respond(start_response, 200 if ready else 503, {"ready": ready})
         if path == names.RESOLVE_PATH:
-            query = parse_qs(environ["QUERY_STRING"])
-            zone = query.get("zone", [""])[0]
-            addresses, keep = self._service.entry_points(zone)
+            addresses, keep = self._service.entry_points()
             return _respond(start_response, 200, {"addresses": addresses, "ttlS": keep})
         if path == self._service.metrics.path:
             body = self._service.metrics.render()
