Let one fault of the soak start a daemon again where two had ended it; add slots divided evenly to the baselines

A planned stop and the kill of all daemons overlapped, and both started vm-3 again; the second process found its ports taken and ended, and the first outlived the run. Ruled out: a fault of the daemon; its log goes on after the run's end.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -9,7 +9,7 @@
 from trefoilreach._internal.registry import Registry
 
 from trefoilreach_emulator._internal.deployment import STOP_SECONDS
-from trefoilreach_emulator._internal.soak.world import DaemonPlace, World
+from trefoilreach_emulator._internal.soak.world import World
 
 Fault = Callable[[World, Random, float], None]
 
@@ -55,49 +55,37 @@
     return sorted(planned, key=lambda fault: fault.at)
 
 
-def _choose_daemon(world: World, rng: Random) -> DaemonPlace:
-    place = rng.choice(world.daemons)
-    place.faults += 1
-    return place
-
-
 @faults.register("kill")
 def _kill(world: World, rng: Random, seconds: float) -> None:
-    place = _choose_daemon(world, rng)
+    place = rng.choice(world.daemons)
     world.kill(place)
     time.sleep(seconds)
-    place.daemon.start(ready=False)
-    place.faults -= 1
+    place.restart()
 
 
 @faults.register("kill-all")
 def _kill_all(world: World, rng: Random, seconds: float) -> None:
-    places = list(world.daemons)
-    for place in places:
-        place.faults += 1
+    for place in world.daemons:
         world.kill(place)
     time.sleep(min(seconds, 1.0))
-    for place in places:
-        place.daemon.start(ready=False)
-        place.faults -= 1
+    for place in world.daemons:
+        place.restart()
 
 
 @faults.register("stop")
 def _stop(world: World, rng: Random, seconds: float) -> None:
-    place = _choose_daemon(world, rng)
+    place = rng.choice(world.daemons)
     world.stop(place, STOP_SECONDS)
-    place.daemon.start(ready=False)
-    place.faults -= 1
+    place.restart()
 
 
 @faults.register("freeze")
 def _freeze(world: World, rng: Random, seconds: float) -> None:
-    place = _choose_daemon(world, rng)
+    place = rng.choice(world.daemons)
     world.history.note("frozen", place.daemon.vm)
     place.daemon.signal(signal.SIGSTOP)
     time.sleep(seconds)
     place.daemon.signal(signal.SIGCONT)
-    place.faults -= 1
 
 
 @faults.register("reload")
@@ -130,12 +118,11 @@
 
 @faults.register("store-cut")
 def _store_cut(world: World, rng: Random, seconds: float) -> None:
-    place = _choose_daemon(world, rng)
+    place = rng.choice(world.daemons)
     direction = rng.choice(["hold_requests", "hold_answers"])
     setattr(place.store, direction, True)
     time.sleep(seconds)
     setattr(place.store, direction, False)
-    place.faults -= 1
 
 
 @faults.register("store-slow")
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
@@ -92,8 +92,18 @@
     def __init__(self, daemon: Daemon, store: Link) -> None:
         self.daemon = daemon
         self.store = store
-        # Faults that are under way there; a daemon is calm without any.
-        self.faults = 0
+        self._lock = threading.Lock()
+
+    def restart(self) -> None:
+        """Start the daemon again unless another fault has done so."""
+        with self._lock:
+            if self.ended:
+                self.daemon.start(ready=False)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the process has ended."""
+        return self.daemon.process is None or self.daemon.process.poll() is not None
 
 
 class World:
@@ -200,8 +210,4 @@
 
     def find_ended(self) -> list[DaemonPlace]:
         """Return the daemons whose processes have ended."""
-        return [
-            place
-            for place in self.daemons
-            if place.daemon.process is not None and place.daemon.process.poll() is not None
-        ]
+        return [place for place in self.daemons if place.ended]
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -11,8 +11,10 @@
 pytestmark = pytest.mark.xdist_group("soak")
 
 BROKEN_FOLDER = Path(__file__).parent / "broken"
-# Seeds that have failed, each with its cause, and one for the usual mix.
-SEEDS = (11,)
+# One seed for the usual mix, and those that have failed:
+# 105: a planned stop and the kill of all daemons overlapped, and both faults of the soak started
+#      the daemon again; the second process found its ports taken.
+SEEDS = (11, 105)
 
 
 class Break(NamedTuple):
@@ -37,7 +39,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_seeded_run_keeps_all_promises(seed: int, tmp_path: Path) -> None:
-    result = run_soak(SoakPlan(seed, seconds=8.0), tmp_path)
+    result = run_soak(SoakPlan(seed, seconds=10.0), tmp_path)
     assert result.violations == [], result.faults
     assert len(result.history.attempts) > 50
 
--- a/tests/unit/serving_world.py
+++ b/tests/unit/serving_world.py
@@ -37,11 +37,13 @@
     :param informed: whether daemons tell each other what they run.
     :param yielding: whether batch items give slots up.
     :param refusing: whether requests are refused at the door.
+    :param divided: whether each daemon has an equal part of the slots for itself.
     """
 
     informed: bool = True
     yielding: bool = True
     refusing: bool = True
+    divided: bool = False
 
 
 class Outcome(NamedTuple):
@@ -106,7 +108,7 @@
         for number, admission in enumerate(self.daemons):
             admission.live_daemons = lambda: daemons
             admission.wake = lambda n=number: self._report(n)
-            for entry in self.entries:
+            for entry in self._find_entries(number, daemons):
                 admission.workers.put(entry)
             self.at(number * 0.02, lambda n=number: self._repeat(n))
         self.on_time = self.late = self.refused = self.lost = 0
@@ -114,6 +116,13 @@
         self.batch_seconds = 0.0
         self.waits: list[float] = []
 
+    def _find_entries(self, number: int, daemons: int) -> list[WorkerEntry]:
+        """Return the workers that a daemon uses, with the slots that are its own."""
+        if not self.policy.divided:
+            return self.entries
+        slots = sum(entry.slots for entry in self.entries) // daemons
+        return [self.entries[number % len(self.entries)]._replace(slots=slots)]
+
     def at(self, delay: float, action: Callable[[], None]) -> None:
         entry = (self.clock.now() + delay, next(self._numbers), action)
         heapq.heappush(self._events, entry)
--- a/tests/unit/test_serving_loads.py
+++ b/tests/unit/test_serving_loads.py
@@ -48,6 +48,8 @@
     best = play_square_wave(Policy(), seed)
     own_view = play_square_wave(Policy(informed=False), seed)
     without_yield = play_square_wave(Policy(yielding=False), seed)
+    divided = play_square_wave(Policy(informed=False, divided=True), seed)
+    assert best.on_time / best.asked > divided.on_time / divided.asked
     assert max(best.waits) < max(own_view.waits)
     assert best.on_time / best.asked > without_yield.on_time / without_yield.asked
 
