--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -222,7 +222,12 @@
         """Let a relay of the own data centre pass a report on; that may be this daemon."""
         own = self.identity
         near = {p.identity.vm: p for p in live if p.identity.data_centre == own.data_centre}
-        ranked = rank_relays([*map(_candidate, near.values()), _candidate_of(own)])
+        ranked = rank_relays(
+            [
+                *map(_candidate, near.values()),
+                Candidate(own.vm, own.cores, bool(report.leaving)),
+            ]
+        )
         chosen = self._relays.choose(ranked, now)
         if chosen[-1] != self._relay_in_use:
             log_decision(
@@ -431,9 +436,5 @@
     return peer.identity.host, peer.identity.port
 
 
-def _candidate_of(identity: Identity) -> Candidate:
-    return Candidate(identity.vm, identity.data_centre, identity.cores)
-
-
 def _candidate(peer: Peer) -> Candidate:
-    return _candidate_of(peer.identity)
+    return Candidate(peer.identity.vm, peer.identity.cores, peer.statement.leaving)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -31,17 +31,18 @@
 class Candidate(NamedTuple):
     """A daemon that could pass reports on.
 
-    :param strength: processor cores of its VM.
+    :param cores: processor cores of its VM.
+    :param leaving: whether its planned stop has begun.
     """
 
     vm: str
-    data_centre: str
-    strength: float
+    cores: float
+    leaving: bool = False
 
 
 def rank_relays(candidates: Iterable[Candidate]) -> list[str]:
     """Return daemons of one data centre, the best relay first; the same on all VMs."""
-    return [c.vm for c in sorted(candidates, key=lambda c: (-c.strength, c.vm))]
+    return [c.vm for c in sorted(candidates, key=lambda c: (c.leaving, -c.cores, c.vm))]
 
 
 class RelayChoice:
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -223,13 +223,14 @@
     wait_until(lambda: cut.exchange._relay_in_use == "a0")
 
 
-def test_relays_are_the_strongest_and_known_to_all() -> None:
+def test_relays_are_the_strongest_that_stay_and_the_same_for_all() -> None:
     candidates = [
-        Candidate("x", "a", 0.5),
-        Candidate("y", "a", 2.0),
-        Candidate("b", "a", 2.0),
+        Candidate("x", 0.5),
+        Candidate("y", 2.0),
+        Candidate("b", 2.0),
+        Candidate("a", 4.0, leaving=True),
     ]
-    assert rank_relays(candidates) == rank_relays(reversed(candidates)) == ["b", "y", "x"]
+    assert rank_relays(candidates) == rank_relays(reversed(candidates)) == ["b", "y", "x", "a"]
 
 
 def test_relay_without_echoes_is_left_and_tried_again() -> None:
