Choose the ports of a test's daemon together

Its log: 'peer_port: must differ from http_port'; both probes had been given port 40471, one after the other. Ruled out: load; the daemon ended at once. Change: the ports of one daemon are probed while all of the probes are open.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -13,7 +13,7 @@
 import orjson
 from trefoilreach._internal.platform import names
 
-from trefoilreach_emulator._internal.fleet import free_port, wait_until
+from trefoilreach_emulator._internal.fleet import free_ports, wait_until
 from trefoilreach_emulator._internal.row_platform import RowPlatform
 from trefoilreach_emulator._internal.server import run_server
 from trefoilreach_emulator._internal.stream_worker import StreamWorker
@@ -187,7 +187,7 @@
         self._subnet = subnet
         self.platform = RowPlatform()
         self.store_port = stack.enter_context(run_server("127.0.0.1", 0, self.platform.handle))
-        self.ports = [free_port() for _ in range(4)]
+        self.ports = free_ports(4)
         self.workers: list[StreamWorker] = []
         self.daemons: list[Daemon] = []
         self.version = 0
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
@@ -32,9 +32,16 @@
 
 def free_port(host: str = "127.0.0.1") -> int:
     """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+    return free_ports(1, host)[0]
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return different ports that nothing listens on; one by one, two of them may be the same."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 def wait_until(check: Callable[[], T], timeout: float = START_TIMEOUT_SECONDS, what: str = "") -> T:
@@ -149,8 +156,9 @@
         :param extra: settings by section, beside those of place and platform.
         """
         host = f"127.0.{self._subnet}.{number}"
-        address = self.addresses.get(name) or Address(host, free_port(host))
-        peer_port = self._peer_ports.get(name) or free_port(host)
+        http_port, peer_port = free_ports(2, host)
+        address = self.addresses.get(name) or Address(host, http_port)
+        peer_port = self._peer_ports.get(name) or peer_port
         self.addresses[name], self._peer_ports[name] = address, peer_port
         sections = self._build_settings(name, address, peer_port, data_centre, region)
         for section, values in (extra or {}).items():
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -5,7 +5,13 @@
 
 from trefoilreach._internal.state.config import hash_key
 from trefoilreach_emulator._internal import fleet as emulated
-from trefoilreach_emulator._internal.fleet import OPERATOR_KEY, Program, free_port, wait_until
+from trefoilreach_emulator._internal.fleet import (
+    OPERATOR_KEY,
+    Program,
+    free_port,
+    free_ports,
+    wait_until,
+)
 from trefoilreach_emulator._internal.fleet import format_ini as write_ini
 from trefoilreach_emulator._internal.http_call import Address, Answer, call
 
@@ -18,6 +24,7 @@
     "Process",
     "call",
     "free_port",
+    "free_ports",
     "hash_secret",
     "publish",
     "wait_until",
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -13,7 +13,7 @@
     Address,
     Process,
     call,
-    free_port,
+    free_ports,
     hash_secret,
     wait_until,
     write_ini,
@@ -54,8 +54,9 @@
 
 
 def test_one_daemon_runs_alone_in_memory(tmp_path: Path) -> None:
-    address = Address("127.0.0.1", free_port())
-    daemon = {"http_port": str(address.port), "peer_port": str(free_port())}
+    http_port, peer_port = free_ports(2)
+    address = Address("127.0.0.1", http_port)
+    daemon = {"http_port": str(http_port), "peer_port": str(peer_port)}
     platform = {"kind": "memory", "bootstrap_operator_key_hash": hash_secret(OPERATOR_KEY)}
     path = tmp_path / "alone.ini"
     path.write_text(write_ini({"daemon": daemon, "platform": platform}))
