--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -266,13 +266,18 @@
             for peer in near.values():
                 self._send_to(data, _address(peer))
             sent += len(near)
+        far = [
+            peers[relay]
+            for place, peers in by_place.items()
+            for relay in self._far_relays.choose(
+                place, rank_relays(map(_candidate, peers.values())), now
+            )
+        ]
         for reports in divide_reports(pending.near):
             data = encode_bundle(own.vm, Spread.DATA_CENTRE, reports)
-            for place, peers in by_place.items():
-                ranked = rank_relays(map(_candidate, peers.values()))
-                for relay in self._far_relays.choose(place, ranked, now):
-                    self._send_to(data, _address(peers[relay]))
-                    sent += 1
+            for peer in far:
+                self._send_to(data, _address(peer))
+            sent += len(far)
         return max(_BUNDLE_PAUSE_SECONDS, sent / _RELAYED_DATAGRAMS_PER_SECOND)
 
     def _look_at_peers(self, now: float) -> tuple[list[Peer], list[Address]]:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from harness import free_port, wait_until
+from harness import free_port, free_ports, wait_until
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -182,7 +182,8 @@
 def test_peer_is_suspected_only_when_helpers_cannot_reach_it() -> None:
     """One bad path between two daemons must not take a VM out of service."""
     nodes: dict[str, Membership] = {}
-    vms = [Vm(f"n{number}", "127.0.0.1", "d", "r", "live", 1, free_port()) for number in range(3)]
+    ports = free_ports(3)
+    vms = [Vm(f"n{number}", "127.0.0.1", "d", "r", "live", 1, ports[number]) for number in range(3)]
     with ExitStack() as stack:
         for vm in vms:
             settings = DaemonSettings(vm.name, vm.host, 1, vm.peer_port)
