Do not count the time in which a daemon did not run against its peers

Cause: after a stall of more than a second (frozen process, used-up processor share) every peer looked late by the clock, although their reports waited in the socket. The daemon then sent its report to each of them, shrank its quota and took itself for the only one alive, until the datagrams were read. Lateness is counted in running time now, which goes on by at most 0.5 s between two beats of the sending thread.

test_reports_of_a_large_fleet_cost_one_datagram_each: the 26 datagrams seen once are a stall of the test process. Ruled out: echoes that were late, a start that had not ended.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -32,6 +32,7 @@
     read_identity,
     read_statement,
 )
+from trefoilreach._internal.coordination.exchange.running_time import RunningTime
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
     Bundle,
@@ -71,17 +72,17 @@
 
 
 class Peer(NamedTuple):
-    """Another daemon, as last heard."""
+    """Another daemon, as last heard.
+
+    :param heard_running: when it was heard, in the time that this process has run.
+    """
 
     identity: Identity
     sequence: int
     heard_at: float
+    heard_running: float
     statement: Statement
 
-    def is_late(self, now: float) -> bool:
-        """Return whether reports have been missing."""
-        return now - self.heard_at > PEER_LATE_SECONDS
-
 
 class Hooks(NamedTuple):
     """What the exchange calls.
@@ -108,6 +109,7 @@
     def __init__(self, clock: Clock, identity: Identity, seeds: Iterable[Address]) -> None:
         self.identity = identity
         self._clock = clock
+        self._running = RunningTime(clock)
         self._hooks: Hooks | None = None
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._lock = threading.Lock()
@@ -136,8 +138,11 @@
     @property
     def live(self) -> list[Peer]:
         """Peers whose reports come in time."""
-        now = self._clock.now()
-        return [peer for peer in self.peers if not peer.is_late(now)]
+        return [peer for peer in self.peers if not self.is_late(peer)]
+
+    def is_late(self, peer: Peer) -> bool:
+        """Return whether reports of a peer have been missing while this process ran."""
+        return self._running.now() - peer.heard_running > PEER_LATE_SECONDS
 
     def start(self, hooks: Hooks, stack: ExitStack) -> None:
         """Exchange reports until the exit stack closes."""
@@ -200,6 +205,9 @@
         """Send a report to whom it concerns; return the pause until the next."""
         assert self._hooks is not None
         now = self._clock.now()
+        stalled = self._running.beat()
+        if stalled:
+            log_event("exchange:stalled", seconds=stalled)
         live, silent = self._look_at_peers(now)
         # Whoever is not heard may not know this daemon, so its report has to be a whole one.
         interval = _WHOLE_REPORT_SECONDS * max(1.0, len(live) / _WHOLE_REPORT_FLEET)
@@ -286,16 +294,16 @@
         late: list[str] = []
         with self._lock:
             for vm, peer in list(self._peers.items()):
-                if now - peer.heard_at > PEER_GONE_SECONDS:
+                if self._running.now() - peer.heard_running > PEER_GONE_SECONDS:
                     gone.append(self._peers.pop(vm))
                     self._late.discard(vm)
-                elif peer.is_late(now) and vm not in self._late:
+                elif self.is_late(peer) and vm not in self._late:
                     self._late.add(vm)
                     late.append(vm)
-            live = [peer for peer in self._peers.values() if not peer.is_late(now)]
+            live = [peer for peer in self._peers.values() if not self.is_late(peer)]
             heard = {_address(peer) for peer in live}
             silent = [a for a in [*self._known, *self._seeds] if a not in heard]
-            silent += [_address(p) for p in self._peers.values() if p.is_late(now)]
+            silent += [_address(p) for p in self._peers.values() if self.is_late(p)]
             due = {
                 address
                 for address in silent
@@ -387,11 +395,12 @@
             if known is not None:
                 before, after = known.identity.incarnation, report.incarnation
                 # Incarnations come from the time of day, which may have been set back.
-                restarted = new and known.is_late(now)
+                restarted = new and self.is_late(known)
                 if (before, known.sequence) >= (after, report.sequence) and not restarted:
                     return
                 uptime = known.statement.uptime + now - known.heard_at
-            peer = Peer(identity, report.sequence, now, read_statement(report, now, uptime))
+            statement = read_statement(report, now, uptime)
+            peer = Peer(identity, report.sequence, now, self._running.now(), statement)
             self._peers[report.vm] = peer
         assert self._hooks is not None
         if known is not None and new:
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -242,11 +242,10 @@
 
     def _find_late_peers(self) -> set[str]:
         """Return the peers that are silent and did not say that they leave."""
-        now = self._clock.now()
         return {
             peer.identity.vm
             for peer in self._exchange.peers
-            if peer.is_late(now) and not peer.statement.leaving
+            if self._exchange.is_late(peer) and not peer.statement.leaving
         }
 
     def _fetch_from_peer(self) -> None:
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -6,7 +6,7 @@
 from contextlib import ExitStack
 
 import pytest
-from trefoilreach._internal.clock import SystemClock
+from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.exchange.exchange import Exchange, Hooks, Peer
 from trefoilreach._internal.coordination.exchange.relays import (
     RELAYED_FLEET,
@@ -53,12 +53,13 @@
         seeds: list[tuple[str, int]],
         data_centre: str = "a",
         cores: float = 1.0,
+        clock: Clock | None = None,
     ) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = probe.getsockname()
         identity = Identity(name, 1, *self.address, 0, f"{name}:80", data_centre, cores)
-        self.exchange = Exchange(SystemClock(), identity, seeds)
+        self.exchange = Exchange(clock or SystemClock(), identity, seeds)
         self.sent = 0
         self.cut: set[tuple[str, int]] = set()
         self._deliver = self.exchange._send_to
@@ -157,6 +158,30 @@
     assert version == 3 and at <= asked_at - 0.15
 
 
+class JumpingClock(SystemClock):
+    """A clock that jumps ahead, as after a time in which the process did not run."""
+
+    def __init__(self) -> None:
+        self.skipped = 0.0
+
+    def now(self) -> float:
+        return super().now() + self.skipped
+
+
+def test_daemon_that_stalled_does_not_take_its_peers_for_late(stack: ExitStack) -> None:
+    """Guards against a daemon that thinks itself alone when it goes on after a stall."""
+    clock = JumpingClock()
+    first = Node(stack, "a", [], clock=clock)
+    second = Node(stack, "b", [first.address])
+    wait_until(lambda: first.exchange.live and second.exchange.live)
+    end = time.monotonic() + 1.0
+    clock.skipped = 5.0
+    while time.monotonic() < end:
+        assert first.exchange.live
+    second.end()
+    wait_until(lambda: not first.exchange.live, 2.0)
+
+
 class RelayedFleet:
     """Daemons of two data centres, the first of each on the strongest VM."""
 
