Step the clock of daemons and send stray datagrams in the soak

Two kinds of faults more: a daemon starts again with a time of day that is an hour off, and daemons get datagrams that no daemon has written.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -45,6 +45,8 @@
     },
 ]
 STOP_SECONDS = 4
+# Holds a ``sitecustomize`` module that steps the time of day of a process.
+_CLOCK_FOLDER = Path(__file__).parent / "soak" / "clock"
 REVOKE_SECONDS = 2
 
 
@@ -75,6 +77,13 @@
         self.settings = deployment.folder / f"{self.vm}.conf"
         self.log = deployment.folder / f"{self.vm}.log"
         self.process: subprocess.Popen[bytes] | None = None
+        # Seconds by which the daemon's time of day is wrong.
+        self.clock_step = 0.0
+
+    @property
+    def datagram_address(self) -> tuple[str, int]:
+        """Address at which it takes the reports of the others."""
+        return self.host, self._deployment.ports[3]
 
     def start(self, ready: bool = True) -> None:
         """Start the process.
@@ -100,6 +109,9 @@
         ]
         self.settings.write_text("\n".join(lines) + "\n")
         environment = {**os.environ, "TREFOILREACH_CONFIG": str(self.settings)}
+        if self.clock_step:
+            environment["PYTHONPATH"] = f"{_CLOCK_FOLDER}:{os.environ.get('PYTHONPATH', '')}"
+            environment["CLOCK_STEP_SECONDS"] = str(self.clock_step)
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "trefoilreach", "serve"],
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults of a run: each begins at its time, lasts for its length and heals what it harmed."""
 
 import signal
+import socket
 import time
 from collections.abc import Callable, Sequence
 from random import Random
@@ -19,6 +20,11 @@
 _GREY_SHARE = 0.4
 _BREAK_SHARE = 0.5
 _DELAY_SECONDS = 0.3
+_DIRECTIONS = ("hold_requests", "hold_answers")
+# Farther than any time that reports or rows are kept.
+_CLOCK_STEP_SECONDS = 3600.0
+_STRAY_DATAGRAMS = 200
+_STRAY_BYTES = 1200
 
 
 class PlannedFault(NamedTuple):
@@ -55,6 +61,20 @@
     return sorted(planned, key=lambda fault: fault.at)
 
 
+def _change_for(
+    seconds: float, targets: Sequence[object], name: str, value: bool | int | float
+) -> None:
+    """Change an attribute of all targets for a time; without faults, it is false or zero.
+
+    The former value is not put back, since faults of one kind may overlap.
+    """
+    for target in targets:
+        setattr(target, name, value)
+    time.sleep(seconds)
+    for target in targets:
+        setattr(target, name, type(value)())
+
+
 @faults.register("kill")
 def _kill(world: World, rng: Random, seconds: float) -> None:
     place = rng.choice(world.daemons)
@@ -88,6 +108,27 @@
     place.daemon.signal(signal.SIGCONT)
 
 
+@faults.register("clock-step")
+def _clock_step(world: World, rng: Random, seconds: float) -> None:
+    """Let a daemon start again with another time of day, and once more with the true one."""
+    place = rng.choice(world.daemons)
+    for step in (rng.choice([-1.0, 1.0]) * _CLOCK_STEP_SECONDS, 0.0):
+        world.kill(place)
+        place.daemon.clock_step = step
+        place.restart()
+        time.sleep(seconds / 2)
+
+
+@faults.register("stray-datagrams")
+def _stray_datagrams(world: World, rng: Random, seconds: float) -> None:
+    """Send to all daemons what no daemon has written."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(_STRAY_DATAGRAMS):
+            place = rng.choice(world.daemons)
+            sender.sendto(rng.randbytes(rng.randrange(_STRAY_BYTES)), place.daemon.datagram_address)
+            time.sleep(seconds / _STRAY_DATAGRAMS)
+
+
 @faults.register("reload")
 def _reload(world: World, rng: Random, seconds: float) -> None:
     for _ in range(3):
@@ -97,41 +138,28 @@
 
 @faults.register("store-down")
 def _store_down(world: World, rng: Random, seconds: float) -> None:
-    world.platform.down = True
-    time.sleep(seconds)
-    world.platform.down = False
+    _change_for(seconds, [world.platform], "down", True)
 
 
 @faults.register("store-silent")
 def _store_silent(world: World, rng: Random, seconds: float) -> None:
-    world.platform.silent = True
-    time.sleep(seconds)
-    world.platform.silent = False
+    _change_for(seconds, [world.platform], "silent", True)
 
 
 @faults.register("store-loses-answers")
 def _store_loses_answers(world: World, rng: Random, seconds: float) -> None:
-    world.platform.lose_answers = rng.randrange(2, 12)
-    time.sleep(seconds)
-    world.platform.lose_answers = 0
+    _change_for(seconds, [world.platform], "lose_answers", rng.randrange(2, 12))
 
 
 @faults.register("store-cut")
 def _store_cut(world: World, rng: Random, seconds: float) -> None:
     place = rng.choice(world.daemons)
-    direction = rng.choice(["hold_requests", "hold_answers"])
-    setattr(place.store, direction, True)
-    time.sleep(seconds)
-    setattr(place.store, direction, False)
+    _change_for(seconds, [place.store], rng.choice(_DIRECTIONS), True)
 
 
 @faults.register("store-slow")
 def _store_slow(world: World, rng: Random, seconds: float) -> None:
-    for place in world.daemons:
-        place.store.delay = _DELAY_SECONDS
-    time.sleep(seconds)
-    for place in world.daemons:
-        place.store.delay = 0.0
+    _change_for(seconds, [place.store for place in world.daemons], "delay", _DELAY_SECONDS)
 
 
 @faults.register("connections-silent")
@@ -154,11 +182,8 @@
 @faults.register("worker-cut")
 def _worker_cut(world: World, rng: Random, seconds: float) -> None:
     place = rng.choice(world.workers)
-    direction = rng.choice(["hold_requests", "hold_answers"])
     world.history.note("worker-cut", place.worker.name)
-    setattr(place.link, direction, True)
-    time.sleep(seconds)
-    setattr(place.link, direction, False)
+    _change_for(seconds, [place.link], rng.choice(_DIRECTIONS), True)
 
 
 @faults.register("worker-crash")
@@ -178,18 +203,12 @@
 
 @faults.register("worker-grey")
 def _worker_grey(world: World, rng: Random, seconds: float) -> None:
-    worker = rng.choice(world.workers).worker
-    worker.fail_share = _GREY_SHARE
-    time.sleep(seconds)
-    worker.fail_share = 0.0
+    _change_for(seconds, [rng.choice(world.workers).worker], "fail_share", _GREY_SHARE)
 
 
 @faults.register("worker-breaks-streams")
 def _worker_breaks_streams(world: World, rng: Random, seconds: float) -> None:
-    worker = rng.choice(world.workers).worker
-    worker.break_share = _BREAK_SHARE
-    time.sleep(seconds)
-    worker.break_share = 0.0
+    _change_for(seconds, [rng.choice(world.workers).worker], "break_share", _BREAK_SHARE)
 
 
 @faults.register("withdraw-key")
--- a/tests/functional/test_regions.py
+++ b/tests/functional/test_regions.py
@@ -145,7 +145,8 @@
     assert refused and refused <= {429, (503, "quota_unavailable")}, refused
     assert 0.5 * limit < served <= limit, (served, limit)
     for daemon in daemons.values():
-        assert ask(daemon) == (200, None)
+        answer = send(daemon, "s-a", 2)
+        assert answer.status == 200, answer
     headers = {"If-Match": "1"}
     path = "/v1/admin/accounts/d"
     changed = call(daemons["vm1"], "PUT", path, {"rate": 1, "burst": 1}, OPERATOR_KEY, headers)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -1,10 +1,12 @@
 """Guards the checks of the soak: each finds the history that breaks its promise, and only it."""
 
+import threading
 from collections.abc import Callable
+from types import SimpleNamespace
 
 import pytest
 from trefoilreach_emulator._internal.soak.checks import checks, find_violations
-from trefoilreach_emulator._internal.soak.faults import faults, plan_faults
+from trefoilreach_emulator._internal.soak.faults import _change_for, faults, plan_faults
 from trefoilreach_emulator._internal.soak.history import (
     Attempt,
     Failure,
@@ -210,3 +212,17 @@
     assert plan_faults(7, 12.0, 6) == plan_faults(7, 12.0, 6)
     kinds = {fault.kind for seed in range(60) for fault in plan_faults(seed, 12.0, 6)}
     assert kinds == set(faults.names)
+
+
+def test_overlapping_faults_of_one_kind_heal() -> None:
+    """Guards against a run that goes on with a fault after its end."""
+    target = SimpleNamespace(down=False)
+    faults = [
+        threading.Thread(target=_change_for, args=(seconds, [target], "down", True))
+        for seconds in (0.02, 0.06)
+    ]
+    for fault in faults:
+        fault.start()
+    for fault in faults:
+        fault.join()
+    assert target.down is False
