Gather changes of batch jobs before a large fleet reads them

Cause: each change of a job's row answers the feeds of all daemons at once. A feed of jobs now waits daemons / 200 s after changes, 0.35 s at 70 daemons and at most 1 s.

Test: changes every 10 ms for 1.5 s, seen by one of 70 daemons: about 100 calls before, 7 at most now.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/table.py
@@ -38,10 +38,24 @@
 
 STORE_RETRY_SECONDS = 1.0
 _JOBS_WAIT_SECONDS = 2.0
+# Each change of a job answers the feeds of all daemons. Together they ask at most this often,
+# a thirtieth of the reads that the platforms of the users allow.
+_FEED_CALLS_PER_SECOND = 200.0
+# A job that has just been accepted waits this long at most for its owner to hear of it.
+_LONGEST_FEED_PAUSE_SECONDS = 1.0
 # What one read of results returns at most.
 _READ_BYTES = 900_000
 
 
+def find_feed_pause(daemons: int) -> float:
+    """Return the seconds in which changes of jobs gather before a daemon asks for more.
+
+    Load pattern: many batch jobs at once in a large fleet. The changes grow with the fleet, and
+    so do the feeds that each of them answers: at 70 daemons, 640 calls a second.
+    """
+    return min(_LONGEST_FEED_PAUSE_SECONDS, daemons / _FEED_CALLS_PER_SECOND)
+
+
 class JobPage(NamedTuple):
     """Results of a job from a position on."""
 
@@ -61,11 +75,13 @@
     """Rows of jobs, followed by feed, and reads of what belongs to one job.
 
     :ivar changed: called with each row that is newer than the known one.
+    :ivar live_daemons: number of daemons that follow the jobs.
     """
 
     def __init__(self, clock: Clock, rows: RowStore, blobs: BlobStore) -> None:
         self.store_clock = StoreTime(clock)
         self.changed: Callable[[JobRow], None] = lambda row: None
+        self.live_daemons: Callable[[], int] = lambda: 1
         self.rows = rows
         self.blobs = blobs
         self._clock = clock
@@ -75,7 +91,12 @@
 
     def start(self, stack: ExitStack) -> None:
         """Follow the jobs until the exit stack closes."""
-        watched = Watched(JOB_TABLE, PARTS, _JOBS_WAIT_SECONDS)
+        watched = Watched(
+            JOB_TABLE,
+            PARTS,
+            _JOBS_WAIT_SECONDS,
+            lambda: find_feed_pause(self.live_daemons()),
+        )
         hooks = FeedHooks(self._replace, self._change)
         FeedWatch(self._clock, self.rows, watched, hooks).start(stack)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/watch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/watch.py
@@ -22,11 +22,13 @@
 
     :param parts: parts that are read whole; the feed has all parts of a table.
     :param wait: seconds for which the store keeps a call without changes.
+    :param pause: returns the seconds in which changes gather before the next call.
     """
 
     table: str
     parts: Sequence[str]
     wait: float
+    pause: Callable[[], float] = lambda: 0.0
 
 
 class FeedHooks(NamedTuple):
@@ -114,6 +116,7 @@
             return found.err_value
         if found.ok_value.rows:
             self._hooks.changed(found.ok_value.rows)
+            self._clock.wait(self._stop, self._watched.pause())
         self._version = max(version, found.ok_value.version)
         self._store_ms = found.ok_value.store_ms
         return None
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -122,7 +122,8 @@
         self._leftovers = LeftoverWatch(clock, self._admission, link, self._reads_load_of)
         self._late_peers: set[str] = set()
         self._admission.wake = self._exchange.wake
-        self._admission.live_daemons = lambda: len(self._exchange.live) + 1
+        self._admission.live_daemons = self._count_live
+        self._jobs.table.live_daemons = self._count_live
         self._start_exchange(stack)
         self._feeds.start(stack)
         self._start_tick(stack)
@@ -240,6 +241,9 @@
             self._fetch_from_peer()
             self._admission.pump()
 
+    def _count_live(self) -> int:
+        return len(self._exchange.live) + 1
+
     def _find_late_peers(self) -> set[str]:
         """Return the peers that are silent and did not say that they leave."""
         return {
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -17,16 +17,21 @@
 from trefoilreach._internal.coordination.jobs.keeper import JobKeeper, JobTools
 from trefoilreach._internal.coordination.jobs.records import (
     INPUT_TABLE,
+    OPEN,
     PARTIAL_TABLE,
     RESULT_TABLE,
+    JobRecord,
+    JobRow,
     find_part,
     job_key,
     read_job,
+    write_job,
 )
+from trefoilreach._internal.coordination.jobs.table import JobTable
 from trefoilreach._internal.coordination.serving.link import Dispatch, WorkerFailure
 from trefoilreach._internal.coordination.serving.service import Checked
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
+from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows, Snapshot
 from trefoilreach._internal.state.serving import RouteKind
 from trefoilreach._internal.state.table import OutcomeUnknown, StoreError, StoreUnavailable
 
@@ -472,3 +477,34 @@
     # Each wait is a wake-up beside the one at the end of its pause.
     assert 2 * waits < events / 2
     assert now < events * interval + 0.15
+
+
+class CountingRows(MemoryRows):
+    """A store that counts the calls of feeds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.follows = 0
+
+    def follow(self, table: str, after: int, wait: float) -> Result[Snapshot, StoreError]:
+        self.follows += 1
+        return super().follow(table, after, wait)
+
+
+def test_feed_of_jobs_in_a_large_fleet_gathers_changes(stack: ExitStack) -> None:
+    """Guards against calls that grow with the square of the fleet: each change to each daemon."""
+    rows = CountingRows()
+    table = JobTable(SystemClock(), rows, MemoryBlobs())
+    table.live_daemons = lambda: 70
+    heard: list[JobRow] = []
+    table.changed = heard.append
+    table.start(stack)
+    record = JobRecord("j", ACCOUNT.name, "r", "a/1", OPEN, 1, 1, 0.0)
+    end = time.monotonic() + 1.5
+    while time.monotonic() < end:
+        written = rows.commit([], [write_job(record)])
+        time.sleep(0.01)
+    version = written.unwrap().version
+    wait_until(lambda: heard[-1].version == version)
+    # The fleet's 200 calls a second are 2.9 for each of 70 daemons.
+    assert rows.follows <= 7
