End a planned stop in time while the store is silent

Cause: a stopping daemon gave its jobs away one after the other, before it began to count its time to serve on; each write to a silent store takes its time-out of 1.5 s, twice per job. The jobs are given away by a thread of its own now, again and again until the end, and the stop waits for it no longer than it may. All items end before the first write.

The stand-in of the store can hang, which the soak uses as one more kind of fault.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/row_platform.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/row_platform.py
@@ -29,6 +29,7 @@
 
     :ivar down: answers 503 and does nothing.
     :ivar silent: drops each call without an answer.
+    :ivar hanging: keeps each call without an answer while it is set.
     :ivar lose_answers: how many of the next commits take effect without an answer.
     """
 
@@ -37,6 +38,7 @@
         self.blobs = MemoryBlobs()
         self.down = False
         self.silent = False
+        self.hanging = False
         self.lose_answers = 0
         self._calls: dict[str, Callable[[Exchange], None]] = {
             names.ROWS_READ: self._read,
@@ -51,6 +53,8 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
+        while self.hanging:
+            time.sleep(_FEED_STEP_SECONDS)
         if self.silent:
             exchange.drop()
         elif self.down:
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -146,6 +146,11 @@
     _change_for(seconds, [world.platform], "silent", True)
 
 
+@faults.register("store-hangs")
+def _store_hangs(world: World, rng: Random, seconds: float) -> None:
+    _change_for(seconds, [world.platform], "hanging", True)
+
+
 @faults.register("store-loses-answers")
 def _store_loses_answers(world: World, rng: Random, seconds: float) -> None:
     _change_for(seconds, [world.platform], "lose_answers", rng.randrange(2, 12))
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -65,6 +65,9 @@
         self._accepting: set[str] = set()
         self._progress: dict[str, int] = {}
         self._progressed = threading.Condition()
+        self._handed_over = threading.Condition()
+        # When the last round began that left no job here.
+        self._handed_over_at = float("-inf")
         self._executor = ThreadPoolExecutor(_RUN_THREADS, thread_name_prefix="item")
         self._world = JobWorld(tools.serving, tools.rows, tools.blobs, self._executor, RunLength())
         self._started_at = tools.clock.now()
@@ -95,21 +98,39 @@
                 self._progressed.notify_all()
 
     def stop(self) -> None:
-        """Give all jobs away; for a planned stop."""
+        """Begin to give all jobs away; for a planned stop."""
         self._stop.set()
-        self._hand_over()
+        threading.Thread(target=self._hand_over, name="jobs-hand-over", daemon=True).start()
 
-    def finish(self, seconds: float) -> None:
-        """Try again to give away what the store did not take, for some seconds at most."""
-        end = self._clock.now() + seconds
-        while not self._hand_over() and self._clock.now() < end:
-            self._clock.sleep(_HAND_OVER_RETRY_SECONDS)
+    def finish(self, seconds: float) -> bool:
+        """Wait until all jobs are given away; return whether they are.
 
-    def _hand_over(self) -> bool:
-        with self._lock:
-            runs = list(self._runs.values())
-        settled = [run.hand_over() for run in runs]
-        return all(settled)
+        :param seconds: limit of the wait.
+        """
+        asked_at = self._clock.now()
+        with self._handed_over:
+            return self._clock.wait_for(
+                self._handed_over, lambda: self._handed_over_at >= asked_at, max(0.0, seconds)
+            )
+
+    def _hand_over(self) -> None:
+        """Give jobs away again and again, as one may be accepted while the daemon stops.
+
+        A silent store holds each call for its whole time-out, so that a stop must not wait for
+        the calls for all jobs.
+        """
+        while True:
+            begun_at = self._clock.now()
+            with self._lock:
+                runs = list(self._runs.values())
+            for run in runs:
+                run.suspend()
+            settled = [run.hand_over() for run in runs]
+            if all(settled):
+                with self._handed_over:
+                    self._handed_over_at = begun_at
+                    self._handed_over.notify_all()
+            self._clock.sleep(_HAND_OVER_RETRY_SECONDS)
 
     def submit(self, job: str, checked: Checked, data: bytes) -> None:
         """Accept a job; return once it is the system's to keep.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -238,13 +238,16 @@
         self._checkpoint_at = now
         self._world.executor.submit(self._checkpoint, self._row.record.owner)
 
-    def hand_over(self) -> bool:
-        """Give the job to whoever takes it, with its events; return whether that is settled."""
+    def suspend(self) -> None:
+        """End the runs of items and begin no other, before the job is given away."""
         with self._lock:
             self._taking = False
             runs = list(self._open.values())
         for run in runs:
             run.end(self._tools.admission)
+
+    def hand_over(self) -> bool:
+        """Give a suspended job to whoever takes it; return whether that is settled."""
         if self.finished:
             return True
         done = self._checkpoint("")
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -311,8 +311,9 @@
         server.stop_listening()
         left = begin + limit - _STOP_MARGIN_SECONDS - self._clock.now()
         done = server.wait_idle(left)
-        self._jobs.finish(begin + limit - _STOP_MARGIN_SECONDS - self._clock.now())
-        log_event("daemon:drained", all_requests_ended=done)
+        left = begin + limit - _STOP_MARGIN_SECONDS - self._clock.now()
+        handed_over = self._jobs.finish(left)
+        log_event("daemon:drained", all_requests_ended=done, all_jobs_handed_over=handed_over)
 
 
 def _modified(path: Path) -> float:
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -20,6 +20,7 @@
 from deployment import Daemon, Deployment, Reply, wait_for_results
 from harness import ROOT, wait_until
 from trefoilreach._internal.platform import names
+from trefoilreach_emulator._internal.deployment import STOP_SECONDS
 
 # The daemons have fixed addresses, so these tests run one after the other.
 pytestmark = pytest.mark.xdist_group("deployment")
@@ -177,6 +178,21 @@
     assert [r for r in replies if r.status != 200 or len(r.events) != 5] == []
 
 
+def test_planned_stop_during_silence_of_the_store_ends_in_time(deployment: Deployment) -> None:
+    """Guards against a daemon that is killed because each of its jobs waits for the store."""
+    deployment.add_worker(slots=2, interval=0.5)
+    daemon = deployment.add_daemon()
+    deployment.wait_settled()
+    for number in range(8):
+        assert daemon.call("POST", f"/jobs/j{number}", f"j{number}", make_job(2)).status == 202
+    deployment.platform.hanging = True
+    daemon.signal(signal.SIGTERM)
+    begun = time.monotonic()
+    assert daemon.process is not None and daemon.process.wait(20) == 0
+    assert time.monotonic() - begun < STOP_SECONDS
+    deployment.platform.hanging = False
+
+
 def _is_offered(asked: Daemon, wanted: Daemon) -> bool:
     reply = asked.get_check(f"{names.RESOLVE_PATH}?zone=a")
     return any(wanted.host in entry for entry in orjson.loads(reply.body)["addresses"])
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -508,3 +508,34 @@
     wait_until(lambda: heard[-1].version == version)
     # The fleet's 200 calls a second are 2.9 for each of 70 daemons.
     assert rows.follows <= 7
+
+
+class SlowRows(MemoryRows):
+    """A store that goes silent: each write takes its whole time-out."""
+
+    silent = False
+
+    def commit(self, expected: Any, writes: Any) -> Result[Any, StoreError]:
+        if not self.silent:
+            return super().commit(expected, writes)
+        time.sleep(0.3)
+        return Err(OutcomeUnknown("silent"))
+
+
+def test_silent_store_does_not_hold_a_planned_stop(stack: ExitStack) -> None:
+    """Guards against a daemon with many jobs that is killed at the end of its time to stop."""
+    gate = threading.Event()
+    stack.callback(gate.set)
+    fleet = Fleet(stack, lambda dispatch: Script(pieces=(EVENTS[0], EVENTS[1]), gate=gate))
+    fleet.rows = rows = SlowRows()
+    stopping = fleet.start("d0")
+    for number in range(8):
+        stopping.submit(f"j{number}", CHECKED, make_document(2))
+    rows.silent = True
+    begin = time.monotonic()
+    stopping.stop()
+    assert time.monotonic() - begin < 0.2
+    assert not stopping.finish(0.5)
+    assert time.monotonic() - begin < 1.0
+    rows.silent = False
+    assert stopping.finish(5.0)
