Take no admissions of long ago from the quota after a restart

Cause: reports leave out accounts without requests for 10 s. A new daemon takes the level of the quota from the first report of an older peer, and counts differences after it; an account that the first report left out was counted from zero, so that all admissions of that peer since its own start were taken at once. The account then got 429 with up to 3.3 s to wait, at each daemon that had started again, though it was inside its rate.

An account of an older peer that is heard of for the first time takes the stated level now. Test: 500 admissions of an idle account, then one more, refused before, admitted now; a stated level of zero still refuses. Ruled out: lost reach (no late peers), the change of owners of batch jobs.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/shared.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/shared.py
@@ -125,16 +125,15 @@
             return
         now = self._clock.now()
         with self._lock:
-            known = self._heard.get((vm, incarnation))
-            first = known is None
             counts = self._heard.setdefault((vm, incarnation), {})
             for name, use in uses.items():
                 account = self._accounts.get(name)
                 if account is None:
                     continue
                 bucket = self._fill(account, now)
-                if first and older:
-                    # Earlier admissions are in the level that the peer states.
+                if older and name not in counts:
+                    # Admissions before this daemon's start are in the level that the peer states;
+                    # an account that was idle then is heard of later than the peer.
                     bucket.level = min(bucket.level, use.level)
                 else:
                     bucket.level -= use.admitted - counts.get(name, 0)
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -210,6 +210,22 @@
     assert buckets.admit(ACCOUNT) is not None
 
 
+def test_new_daemon_refuses_no_account_that_was_idle_when_it_started() -> None:
+    """Guards against 429 after a restart, for admissions of long ago.
+
+    Reports leave idle accounts out. The first later one states all admissions of its daemon.
+    """
+    clock = ManualClock(5.0)
+    buckets = SharedBuckets(clock, QuotaBound())
+    buckets.configure([ACCOUNT])
+    buckets.hear("old", 1, {}, older=True)
+    clock.advance(1.0)
+    buckets.hear("old", 1, {"shop": Use(500, ACCOUNT.burst - 1.0)}, older=True)
+    assert buckets.admit(ACCOUNT) is None
+    buckets.hear("old", 1, {"shop": Use(500 + int(ACCOUNT.burst), 0.0)}, older=True)
+    assert buckets.admit(ACCOUNT) is not None
+
+
 def test_tokens_of_an_idle_time_do_not_add_up_beyond_the_burst() -> None:
     """Guards against credit for a time in which the bucket was full."""
     fleet = QuotaFleet(2)
