Say more plainly what counts as running time and why owners get time after an outage

From reading the diff as a newcomer. The module of the running time claimed that batch jobs would be taken over; the look at the store's age keeps a stalled daemon from that. No behaviour of the daemons is changed.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/running_time.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/running_time.py
@@ -2,15 +2,15 @@
 
 Load pattern: a VM that was frozen or has used up its processor share. When it goes on, the
 reports of its peers wait in its socket; by the clock alone all of them would be late, and the
-daemon would take their batch jobs and shrink its quota as if it were alone.
+daemon would shrink its quota and send its own report to each of them, as if it were alone.
 """
 
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
 
-# Beats come every quarter of a second. What exceeds twice that is not counted, so that a stall
-# of any length, with the 0.25 s between two reports, stays under the second for late peers.
+# Beats come every quarter of a second. A stall of any length counts as half a second; with the
+# quarter between two reports, that is less than the second after which a peer is late.
 _LONGEST_BEAT_SECONDS = 0.5
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -264,8 +264,8 @@
     def _live_owners(self) -> set[str]:
         """Return the daemon processes that can run jobs.
 
-        At the end of an outage of the store for all, the first daemons that it answers find all
-        others without it; these are given as long as an outage of their own.
+        After an outage for all, the daemons that the store answers first still hear from the others
+        that they are without it. The others get time to have it back before they count as lost.
         """
         now = self._clock.now()
         own_outage = self.table.answering_seconds < _OWNER_WITHOUT_STORE_SECONDS
--- a/tests/functional/test_stories.py
+++ b/tests/functional/test_stories.py
@@ -36,19 +36,14 @@
 
 def complete_together(site: Site, count: int) -> list[Answer]:
     """Send requests at once, each with a prompt of its own, so that no cache binds them."""
-    bodies = [
-        {"model": "m", "max_tokens": 2, "messages": [{"role": "user", "content": f"part {number}"}]}
-        for number in range(count)
-    ]
+
+    def send(number: int) -> Answer:
+        messages = [{"role": "user", "content": f"part {number}"}]
+        body = {"model": "m", "max_tokens": 2, "messages": messages}
+        return call(site.daemons[number % 2], "POST", CHAT, body, site.keys["shop"])
+
     with ThreadPoolExecutor(count) as pool:
-        return list(
-            pool.map(
-                lambda entry: call(
-                    site.daemons[entry[0] % 2], "POST", CHAT, entry[1], site.keys["shop"]
-                ),
-                enumerate(bodies),
-            )
-        )
+        return list(pool.map(send, range(count)))
 
 
 def requests_seen(site: Site, server: str) -> list[dict[str, Any]]:
