Log outcomes that the store does not take at once; choose ports of tests below the ephemeral range

The four ports were probed on 127.0.0.1 from the ephemeral range and used on other addresses. They are free on all addresses now and lie where no outgoing connection is put. Which socket had the port was not found out. - test_resend_to_another_vm_gets_the_first_outcome got 409 after the first answer. The outcome was not settled, and that left no log line.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -199,7 +199,8 @@
         self._subnet = subnet
         self.platform = RowPlatform()
         self.store_port = stack.enter_context(run_server("127.0.0.1", 0, self.platform.handle))
-        self.ports = free_ports(4)
+        # Free on all addresses, since each daemon has an address of its own.
+        self.ports = free_ports(4, "0.0.0.0")
         self.workers: list[StreamWorker] = []
         self.daemons: list[Daemon] = []
         self.version = 0
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/fleet.py
@@ -1,12 +1,13 @@
 """Starts the programs of a small fleet as separate processes on loopback."""
 
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
@@ -21,6 +22,9 @@
 START_TIMEOUT_SECONDS = 20.0
 _POLL_SECONDS = 0.05
 OPERATOR_KEY = "operator-secret"
+# Below the range from which outgoing connections get theirs, so that none takes a port between its
+# choice and its use.
+_PORTS = range(20_000, 32_768)
 
 
 class Usage(NamedTuple):
@@ -36,12 +40,16 @@
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return different ports that nothing listens on; one by one, two of them may be the same."""
+    """Return different ports that are free; one by one, two of them may be the same."""
+    found: list[int] = []
     with ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((host, 0))
-        return [int(probe.getsockname()[1]) for probe in probes]
+        while len(found) < count:
+            port = random.choice(_PORTS)
+            probe = stack.enter_context(socket.socket())
+            with suppress(OSError):  # the port is in use
+                probe.bind((host, port))
+                found.append(port)
+    return found
 
 
 def wait_until(check: Callable[[], T], timeout: float = START_TIMEOUT_SECONDS, what: str = "") -> T:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/idempotency.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/idempotency.py
@@ -112,13 +112,11 @@
 
     def finish(self, record: Record, outcome: Outcome) -> None:
         """Record the first outcome; a store that is down gets it later."""
-        if isinstance(self._settle(record, outcome), Err):
-            self._postpone(record, outcome)
+        self._settle_now(record, outcome)
 
     def abandon(self, record: Record) -> None:
         """Free the key of a request that certainly did not run."""
-        if isinstance(self._settle(record, None), Err):
-            self._postpone(record, None)
+        self._settle_now(record, None)
 
     def settle_again(self) -> None:
         """Try the postponed ends once more."""
@@ -172,6 +170,13 @@
             raise Refusal(503, "unavailable", message, Verdict.MAY_HAVE_RUN, _STORE_RETRY_SECONDS)
         return _decode(found.ok_value)
 
+    def _settle_now(self, record: Record, outcome: Outcome | None) -> None:
+        settled = self._settle(record, outcome)
+        if isinstance(settled, Err):
+            # Until it is settled, a resend gets 409.
+            log_event("idempotency:postponed", row=record.row_key, error=str(settled.err_value))
+            self._postpone(record, outcome)
+
     def _settle(self, record: Record, outcome: Outcome | None) -> Result[None, StoreError]:
         if outcome is None:
             return self._remove(record)
