Run a batch job that this process owns by a write whose answer was lost

Its row, written during a hang, names a process that answered 504 and has no run; it did not take the job, because another daemon ranked higher, and the others left it to its living owner. Test: 50 peers, a row without a run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -258,7 +258,9 @@
         owners = self._live_owners()
         for row in self._orphans(owners):
             vms = [owner.rpartition("/")[0] for owner in owners]
-            if rank_by_hash(row.record.job, vms)[0] == service.deployment.vm:
+            # Nobody else takes a job that this process owns by a write whose answer was lost.
+            own = row.record.owner == self._owner
+            if own or rank_by_hash(row.record.job, vms)[0] == service.deployment.vm:
                 self._take(row)
 
     def _live_owners(self) -> set[str]:
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -585,3 +585,22 @@
     assert first.table.get("j1").record.owner == "d0/1"
     # An owner that stays without the store loses its jobs.
     wait_until(lambda: first.table.get("j1").record.owner == "d1/1")
+
+
+def test_owner_by_a_lost_acceptance_runs_the_job_whatever_its_rank(stack: ExitStack) -> None:
+    """Guards against an accepted job that nobody runs (seed 300 of the soak)."""
+    fleet = Fleet(stack, whole)
+    owner = fleet.start("d0", workers=0)
+    peers = [
+        SimpleNamespace(
+            identity=SimpleNamespace(vm=f"p{number}", incarnation=1),
+            statement=SimpleNamespace(leaving=False, store_age=0.0),
+            heard_at=float("inf"),
+        )
+        for number in range(50)
+    ]
+    owner._tools.service.exchange.peers.extend(peers)
+    owner.submit("j1", CHECKED, make_document(2))
+    # As after an acceptance whose answer was lost: the row names this process, which has no run.
+    owner._runs.pop("j1").stop("lost acceptance")
+    wait_until(lambda: "j1" in owner._runs)
