Look at peers once for each report; use what stood there already

From reading the whole change again; no behaviour is changed.

- exchange: lateness was asked of the clock up to four times for each peer and report, since running time came in.
Each look takes the time once and sorts the peers once; peers that are late are a property, as live ones are.
The two loops that send bundles are one.
- FeedWatch keeps since when it is answered, beside since when it fails; JobTable had kept that by two hooks, one of which nothing else used.
- JobRun.stop ends the runs by suspend; the owners' VMs are found once for a look, the end of a planned stop once, a hold's end in one place.
- emulator: the soak's workers are started by run_server, the demo's ports chosen by free_ports, the deployment's calls made by http_call.call (header names in lower case, also in the tests that read them).
The history needs no ignored type.
- tests: harness.wait_until with their own limits in place of two copies, one exchange that counts by a subclass, one way to hold a run before its last event, one made peer.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/demo/fleet.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/demo/fleet.py
@@ -14,7 +14,8 @@
     DaemonPlan,
     EnginePlan,
 )
-from trefoilreach_emulator._internal.demo.processes import Processes, find_port
+from trefoilreach_emulator._internal.demo.processes import Processes
+from trefoilreach_emulator._internal.fleet import free_port, free_ports
 
 EMULATOR_MODULE = "trefoilreach_emulator"
 DAEMON_MODULE = "trefoilreach"
@@ -75,13 +76,12 @@
         self._start_emulator(plan.name, "engine", *models, *speed, "--check-fencing")
 
     def _start_emulator(self, name: str, command: str, *options: str) -> None:
-        port = self._ports[name] = find_port(_EMULATOR_HOST)
+        port = self._ports[name] = free_port(_EMULATOR_HOST)
         arguments = [command, "--host", _EMULATOR_HOST, "--port", str(port), *options]
         self._processes.start(name, EMULATOR_MODULE, arguments, _EMULATOR_HOST, port)
 
     def _add_vm(self, plan: DaemonPlan) -> None:
-        self._ports[plan.name] = find_port(plan.host)
-        self._ports[f"{plan.name}-peer"] = find_port(plan.host)
+        self._ports[plan.name], self._ports[f"{plan.name}-peer"] = free_ports(2, plan.host)
         vm = {
             "host": plan.host,
             "data_centre": plan.data_centre,
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/demo/processes.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/demo/processes.py
@@ -15,13 +15,6 @@
 _POLL_SECONDS = 0.05
 
 
-def find_port(host: str) -> int:
-    """Return a port of ``host`` that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
-
-
 class Processes:
     """The programs that this run started, by name."""
 
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -8,12 +8,13 @@
 import time
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import orjson
 from trefoilreach._internal.platform import names
 
 from trefoilreach_emulator._internal.fleet import free_ports, wait_until
+from trefoilreach_emulator._internal.http_call import Address, Answer, call
 from trefoilreach_emulator._internal.row_platform import RowPlatform
 from trefoilreach_emulator._internal.server import run_server
 from trefoilreach_emulator._internal.stream_worker import StreamWorker
@@ -50,17 +51,13 @@
 REVOKE_SECONDS = 2
 
 
-class Reply(NamedTuple):
+class Reply(Answer):
     """A whole answer."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
     @property
     def events(self) -> list[int]:
         """Numbers of the events of a stream."""
-        return [int(line[4:]) for line in self.body.splitlines() if line.startswith(b"id: ")]
+        return [int(line[4:]) for line in self.data.splitlines() if line.startswith(b"id: ")]
 
 
 class Daemon:
@@ -177,15 +174,10 @@
 
     :raises OSError: when there is no answer.
     """
-    connection = http.client.HTTPConnection(host, port, timeout=timeout)
     try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        return Reply(response.status, dict(response.getheaders()), response.read())
+        return Reply(*call(Address(host, port), method, path, body, None, headers, timeout))
     except http.client.HTTPException as error:
         raise ConnectionError(repr(error)) from error
-    finally:
-        connection.close()
 
 
 class Deployment:
@@ -246,10 +238,7 @@
 
         def settled() -> bool:
             answers = [d.get_check(f"{names.RESOLVE_PATH}?zone=a") for d in self.daemons]
-            return all(
-                len(orjson.loads(answer.body)["addresses"]) == len(self.daemons)
-                for answer in answers
-            )
+            return all(len(answer.json()["addresses"]) == len(self.daemons) for answer in answers)
 
         wait_until(settled, what="the daemons to know each other")
 
@@ -265,7 +254,7 @@
     while time.monotonic() < end:
         reply = daemon.call("GET", f"{names.JOB_PATH}{job}?after=0", X_Wait_Ms="500")
         if reply.status == 200:
-            results = orjson.loads(reply.body)["results"]
+            results = reply.json()["results"]
             if len(results) >= count:
                 return results
         time.sleep(0.05)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/clients.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/clients.py
@@ -136,7 +136,7 @@
                     f"{names.RESOLVE_PATH}?zone=a",
                     timeout=1.0,
                 )
-                offered = {a.split(":")[0] for a in orjson.loads(reply.body)["addresses"]}
+                offered = {a.split(":")[0] for a in reply.json()["addresses"]}
                 now = time.monotonic()
                 usable = [
                     daemon
@@ -230,7 +230,7 @@
         daemon = self._rng.choice(self._world.daemons).daemon
         try:
             reply = daemon.call(method, path, request_id, body, key=self._world.keys[0])
-            return reply.status, orjson.loads(reply.body)
+            return reply.status, reply.json()
         except (OSError, ValueError):
             # The client asks again, at another daemon.
             return None
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/history.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/history.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class Attempt(NamedTuple):
@@ -95,6 +95,14 @@
         self.submissions: list[Submission] = []
         self.listings: list[Listing] = []
         self.notices: list[Notice] = []
+        self._lists: dict[type, list[Any]] = {
+            Attempt: self.attempts,
+            Run: self.runs,
+            Failure: self.failures,
+            Submission: self.submissions,
+            Listing: self.listings,
+            Notice: self.notices,
+        }
 
     def now(self) -> float:
         """Return the seconds since the begin of the run."""
@@ -106,16 +114,8 @@
 
     def add(self, entry: Attempt | Run | Failure | Submission | Listing | Notice) -> None:
         """Take one entry."""
-        lists = {
-            Attempt: self.attempts,
-            Run: self.runs,
-            Failure: self.failures,
-            Submission: self.submissions,
-            Listing: self.listings,
-            Notice: self.notices,
-        }
         with self._lock:
-            lists[type(entry)].append(entry)  # type: ignore[attr-defined]
+            self._lists[type(entry)].append(entry)
 
     def noticed(self, kind: str) -> list[Notice]:
         """Return the notices of one kind."""
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/world.py
@@ -10,7 +10,7 @@
 from trefoilreach._internal.platform import names
 
 from trefoilreach_emulator._internal.deployment import Daemon, Deployment
-from trefoilreach_emulator._internal.server import Exchange, build_server
+from trefoilreach_emulator._internal.server import Exchange, run_server
 from trefoilreach_emulator._internal.soak.history import Failure, History, Run
 from trefoilreach_emulator._internal.soak.proxy import Link, Proxies
 from trefoilreach_emulator._internal.stream_worker import SeenRequest, StreamWorker, read_seen
@@ -154,11 +154,8 @@
             self._count += 1
             name = f"w{self._count}"
         worker = SoakWorker(name, self.history, random.Random(self.rng.random()))
-        server = build_server("127.0.0.1", 0, worker.handle)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
-        self._stack.callback(server.server_close)
-        self._stack.callback(server.shutdown)
-        link = self._proxies.add("127.0.0.1", server.server_address[1])
+        port = self._stack.enter_context(run_server("127.0.0.1", 0, worker.handle))
+        link = self._proxies.add("127.0.0.1", port)
         place = WorkerPlace(worker, link)
         worker.register(self.platform, link.port)
         self.workers.append(place)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/exchange.py
@@ -8,7 +8,7 @@
 import random
 import socket
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from contextlib import ExitStack
 from typing import NamedTuple
 
@@ -83,6 +83,13 @@
     heard_running: float
     statement: Statement
 
+    def is_late(self, running: float) -> bool:
+        """Return whether reports have been missing while this process ran.
+
+        :param running: the time that this process has run.
+        """
+        return running - self.heard_running > PEER_LATE_SECONDS
+
 
 class Hooks(NamedTuple):
     """What the exchange calls.
@@ -138,11 +145,14 @@
     @property
     def live(self) -> list[Peer]:
         """Peers whose reports come in time."""
-        return [peer for peer in self.peers if not self.is_late(peer)]
+        running = self._running.now()
+        return [peer for peer in self.peers if not peer.is_late(running)]
 
-    def is_late(self, peer: Peer) -> bool:
-        """Return whether reports of a peer have been missing while this process ran."""
-        return self._running.now() - peer.heard_running > PEER_LATE_SECONDS
+    @property
+    def late(self) -> list[Peer]:
+        """Peers whose reports are missing."""
+        running = self._running.now()
+        return [peer for peer in self.peers if peer.is_late(running)]
 
     def start(self, hooks: Hooks, stack: ExitStack) -> None:
         """Exchange reports until the exit stack closes."""
@@ -268,12 +278,6 @@
         for peer in self.live:
             by_place.setdefault(peer.identity.data_centre, {})[peer.identity.vm] = peer
         near = by_place.pop(own.data_centre, {})
-        sent = 0
-        for reports in divide_reports(pending.near + pending.far):
-            data = encode_bundle(own.vm, Spread.NOWHERE, reports)
-            for peer in near.values():
-                self._send_to(data, _address(peer))
-            sent += len(near)
         far = [
             peers[relay]
             for place, peers in by_place.items()
@@ -281,29 +285,40 @@
                 place, rank_relays(map(_candidate, peers.values())), now
             )
         ]
-        for reports in divide_reports(pending.near):
-            data = encode_bundle(own.vm, Spread.DATA_CENTRE, reports)
-            for peer in far:
-                self._send_to(data, _address(peer))
-            sent += len(far)
+        sent = self._send_bundle(pending.near + pending.far, Spread.NOWHERE, near.values())
+        sent += self._send_bundle(pending.near, Spread.DATA_CENTRE, far)
         return max(_BUNDLE_PAUSE_SECONDS, sent / _RELAYED_DATAGRAMS_PER_SECOND)
 
+    def _send_bundle(self, reports: list[Report], spread: int, peers: Collection[Peer]) -> int:
+        """Send reports to peers; return the number of datagrams."""
+        sent = 0
+        for part in divide_reports(reports):
+            data = encode_bundle(self.identity.vm, spread, part)
+            for peer in peers:
+                self._send_to(data, _address(peer))
+            sent += len(peers)
+        return sent
+
     def _look_at_peers(self, now: float) -> tuple[list[Peer], list[Address]]:
         """Return the live peers, and from time to time the addresses that are not heard."""
         gone: list[Peer] = []
-        late: list[str] = []
+        late: list[Peer] = []
+        live: list[Peer] = []
         with self._lock:
+            running = self._running.now()
             for vm, peer in list(self._peers.items()):
-                if self._running.now() - peer.heard_running > PEER_GONE_SECONDS:
+                if running - peer.heard_running > PEER_GONE_SECONDS:
                     gone.append(self._peers.pop(vm))
                     self._late.discard(vm)
-                elif self.is_late(peer) and vm not in self._late:
-                    self._late.add(vm)
-                    late.append(vm)
-            live = [peer for peer in self._peers.values() if not self.is_late(peer)]
+                elif peer.is_late(running):
+                    late.append(peer)
+                else:
+                    live.append(peer)
+            newly_late = {peer.identity.vm for peer in late} - self._late
+            self._late |= newly_late
             heard = {_address(peer) for peer in live}
             silent = [a for a in [*self._known, *self._seeds] if a not in heard]
-            silent += [_address(p) for p in self._peers.values() if self.is_late(p)]
+            silent += [_address(peer) for peer in late]
             due = {
                 address
                 for address in silent
@@ -311,7 +326,7 @@
             }
             self._known.update(dict.fromkeys(due, now))
         assert self._hooks is not None
-        for vm in late:
+        for vm in sorted(newly_late):
             log_event("peer:late", vm_heard=vm, after_seconds=PEER_LATE_SECONDS)
         for peer in gone:
             log_event("peer:gone", vm_heard=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
@@ -395,7 +410,7 @@
             if known is not None:
                 before, after = known.identity.incarnation, report.incarnation
                 # Incarnations come from the time of day, which may have been set back.
-                restarted = new and self.is_late(known)
+                restarted = new and known.is_late(self._running.now())
                 if (before, known.sequence) >= (after, report.sequence) and not restarted:
                     return
                 uptime = known.statement.uptime + now - known.heard_at
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/keeper.py
@@ -256,8 +256,8 @@
         if service.index is None or service.freshness.age > PEER_SILENT_SECONDS:
             return
         owners = self._live_owners()
+        vms = [owner.rpartition("/")[0] for owner in owners]
         for row in self._orphans(owners):
-            vms = [owner.rpartition("/")[0] for owner in owners]
             # Nobody else takes a job that this process owns by a write whose answer was lost.
             own = row.record.owner == self._owner
             if own or rank_by_hash(row.record.job, vms)[0] == service.deployment.vm:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/running.py
@@ -239,7 +239,7 @@
         self._world.executor.submit(self._checkpoint, self._row.record.owner)
 
     def suspend(self) -> None:
-        """End the runs of items and begin no other, before the job is given away."""
+        """End the runs of items and begin no other."""
         with self._lock:
             self._taking = False
             runs = list(self._open.values())
@@ -285,10 +285,9 @@
             if self._stopped:
                 return
             self._stopped = True
-            runs = list(self._open.values())
-        log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=len(runs))
-        for run in runs:
-            run.end(self._tools.admission)
+            open_items = len(self._open)
+        log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=open_items)
+        self.suspend()
 
     def give_up_old(self, now: float) -> None:
         """List the items that were kept for as long as the route says."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/table.py
@@ -88,24 +88,23 @@
         self._lock = threading.RLock()
         self._known: dict[str, JobRow] = {}
         self._owner_changed_at: dict[str, float] = {}
-        self._answering_since: float | None = None
+        watched = Watched(
+            JOB_TABLE,
+            PARTS,
+            _JOBS_WAIT_SECONDS,
+            lambda: find_feed_pause(self.live_daemons()),
+        )
+        hooks = FeedHooks(self._replace, self._change)
+        self._feed = FeedWatch(clock, rows, watched, hooks)
 
     @property
     def answering_seconds(self) -> float:
         """Seconds for which the store has answered this daemon without a failure."""
-        since = self._answering_since
-        return 0.0 if since is None else self._clock.now() - since
+        return self._feed.answering_seconds
 
     def start(self, stack: ExitStack) -> None:
         """Follow the jobs until the exit stack closes."""
-        watched = Watched(
-            JOB_TABLE,
-            PARTS,
-            _JOBS_WAIT_SECONDS,
-            lambda: find_feed_pause(self.live_daemons()),
-        )
-        hooks = FeedHooks(self._replace, self._change, self._note_answer, self._note_failure)
-        FeedWatch(self._clock, self.rows, watched, hooks).start(stack)
+        self._feed.start(stack)
 
     def known(self) -> list[JobRow]:
         """Return the rows that this daemon knows."""
@@ -220,13 +219,6 @@
         outcome = self.rows.commit(expected, [write_job(record)])
         return outcome.map(lambda done: JobRow(record, done.version))
 
-    def _note_answer(self, at: float, store_ms: float) -> None:
-        if self._answering_since is None:
-            self._answering_since = self._clock.now()
-
-    def _note_failure(self, error: StoreError) -> None:
-        self._answering_since = None
-
     def _replace(self, rows: list[StoredRow], regained: bool) -> None:
         self._change(rows)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/holds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/placement/holds.py
@@ -29,15 +29,15 @@
 
     def is_held(self, worker: str, model: str) -> bool:
         """Return whether a worker gets no new request for a model."""
-        if not self._ends:
-            return False
-        with self._lock:
-            return self._ends.get((worker, model), float("-inf")) > self._clock.now()
+        return self._lasts(worker, model, 0.0)
 
     def may_be_held(self, worker: str, model: str) -> bool:
         """Return whether a daemon may still hold requests back that this one does not."""
+        return self._lasts(worker, model, HOLD_SKEW_SECONDS)
+
+    def _lasts(self, worker: str, model: str, skew: float) -> bool:
         if not self._ends:
             return False
         with self._lock:
-            limit = self._clock.now() - HOLD_SKEW_SECONDS
-            return self._ends.get((worker, model), float("-inf")) > limit
+            end = self._ends.get((worker, model), float("-inf"))
+            return end > self._clock.now() - skew
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/watch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/watch.py
@@ -38,13 +38,11 @@
     :param changed: takes changed rows.
     :param answered: takes the time before a call that the store has answered, and the
         store's clock in milliseconds.
-    :param failed: takes a failure of the store.
     """
 
     replaced: Callable[[list[StoredRow], bool], None]
     changed: Callable[[list[StoredRow]], None]
     answered: Callable[[float, float], None] = lambda at, store_ms: None
-    failed: Callable[[StoreError], None] = lambda error: None
 
 
 class FeedWatch:
@@ -57,6 +55,7 @@
         self._hooks = hooks
         self._stop = threading.Event()
         self._failing_since: float | None = None
+        self._answering_since: float | None = None
         self._version: int | None = None
         self._store_ms = 0.0
 
@@ -65,6 +64,12 @@
         """Whether the last call failed."""
         return self._failing_since is not None
 
+    @property
+    def answering_seconds(self) -> float:
+        """Seconds for which the store has answered without a failure."""
+        since = self._answering_since
+        return 0.0 if since is None else self._clock.now() - since
+
     def start(self, stack: ExitStack) -> None:
         """Follow the table until the exit stack closes."""
         stack.callback(self._stop.set)
@@ -125,11 +130,13 @@
         if self._failing_since is None:
             self._failing_since = self._clock.now()
             log_event("store:lost", table=self._watched.table, error=str(error))
-        self._hooks.failed(error)
+        self._answering_since = None
         # Entries may lapse while the store is away, so all of them are read again.
         self._version = None
 
     def _note_answer(self) -> None:
+        if self._answering_since is None:
+            self._answering_since = self._clock.now()
         if self._failing_since is not None:
             seconds = self._clock.now() - self._failing_since
             self._failing_since = None
--- a/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/serving_daemon.py
@@ -230,7 +230,7 @@
     def _tick(self, stop: threading.Event) -> None:
         """Look after what no message wakes."""
         while not self._clock.wait(stop, _TICK_SECONDS):
-            heard = len(self._exchange.live) + 1
+            heard = self._count_live()
             late = self._find_late_peers()
             self._buckets.set_reach(heard, heard + len(late))
             if late - self._late_peers:
@@ -246,11 +246,7 @@
 
     def _find_late_peers(self) -> set[str]:
         """Return the peers that are silent and did not say that they leave."""
-        return {
-            peer.identity.vm
-            for peer in self._exchange.peers
-            if self._exchange.is_late(peer) and not peer.statement.leaving
-        }
+        return {peer.identity.vm for peer in self._exchange.late if not peer.statement.leaving}
 
     def _fetch_from_peer(self) -> None:
         """Read a newer desired state from a peer when the store does not answer."""
@@ -309,10 +305,9 @@
         self._jobs.stop()
         self._clock.sleep(max(_LEAST_SERVING_SECONDS, _STOP_LISTENING_SHARE * limit))
         server.stop_listening()
-        left = begin + limit - _STOP_MARGIN_SECONDS - self._clock.now()
-        done = server.wait_idle(left)
-        left = begin + limit - _STOP_MARGIN_SECONDS - self._clock.now()
-        handed_over = self._jobs.finish(left)
+        end = begin + limit - _STOP_MARGIN_SECONDS
+        done = server.wait_idle(end - self._clock.now())
+        handed_over = self._jobs.finish(end - self._clock.now())
         log_event("daemon:drained", all_requests_ended=done, all_jobs_handed_over=handed_over)
 
 
--- a/tests/functional/test_deployment.py
+++ b/tests/functional/test_deployment.py
@@ -46,13 +46,13 @@
     daemon = deployment.add_daemon()
     reply = daemon.call("POST", "/once/a?b=c", "q1", b"body", X_Tenant="forged")
     assert reply.status == 200 and reply.events == [1, 2, 3, 4, 5]
-    assert reply.headers[names.RECEIPT] == "r"
+    assert reply.headers[names.RECEIPT.lower()] == "r"
     seen = worker.seen[0]
     assert (seen.request_id, seen.account, seen.key_seen) == ("q1", "shop", False)
     assert daemon.call("POST", "/once/a", "q2", key="wrong").status == 401
     assert daemon.call("POST", "/nowhere/a", "q3").status == 404
     assert daemon.call("POST", "/once/a", "q4", b"x" * 2_000_001).status == 413
-    metrics = daemon.get_check("/metrics").body.decode()
+    metrics = daemon.get_check("/metrics").data.decode()
     assert 'trefoilreach_answers_total{status="200"} 1.0' in metrics
 
 
@@ -104,7 +104,7 @@
     deployment.wait_settled()
     assert first.call("POST", "/jobs/j1", "j1", make_job(20)).status == 202
     body = second.call("GET", f"{names.ITEM_PATH}j1?id=i19")
-    assert (body.status, body.body) == (200, b"prompt")
+    assert (body.status, body.data) == (200, b"prompt")
     assert second.call("DELETE", f"{names.JOB_PATH}j1").status == 200
     time.sleep(1.0)
     count = len(deployment.requests_seen())
@@ -123,7 +123,7 @@
     deployment.platform.silent = True
     time.sleep(2.2)
     reply = daemon.call("POST", "/once/a", "q3")
-    assert reply.status == 503 and float(reply.headers["Retry-After"]) > 0
+    assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
     deployment.platform.silent = False
     wait_until(lambda: daemon.call("POST", "/once/a", "q4").status == 200, 5.0)
 
@@ -160,7 +160,7 @@
             except ConnectionRefusedError:
                 return
             replies.append(reply)
-            if reply.headers.get("Connection") == "close":
+            if reply.headers.get("connection") == "close":
                 time.sleep(0.01)
 
     with ThreadPoolExecutor(8) as pool:
@@ -195,7 +195,7 @@
 
 def _is_offered(asked: Daemon, wanted: Daemon) -> bool:
     reply = asked.get_check(f"{names.RESOLVE_PATH}?zone=a")
-    return any(wanted.host in entry for entry in orjson.loads(reply.body)["addresses"])
+    return any(wanted.host in entry for entry in reply.json()["addresses"])
 
 
 def test_bad_settings_are_named_and_a_reload_is_logged(
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -2,9 +2,11 @@
 
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import ExitStack
+from functools import partial
 
+import harness
 import pytest
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.exchange.exchange import Exchange, Hooks, Peer
@@ -43,6 +45,20 @@
 )
 
 
+class CountingExchange(Exchange):
+    """An exchange that counts its datagrams and loses those to some addresses."""
+
+    def __init__(self, clock: Clock, identity: Identity, seeds: list[tuple[str, int]]) -> None:
+        super().__init__(clock, identity, seeds)
+        self.sent = 0
+        self.cut: set[tuple[str, int]] = set()
+
+    def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
+        self.sent += 1
+        if address not in self.cut:
+            super()._send_to(data, address)
+
+
 class Node:
     """One exchange that notes what it hears."""
 
@@ -59,11 +75,7 @@
             probe.bind(("127.0.0.1", 0))
             self.address = probe.getsockname()
         identity = Identity(name, 1, *self.address, 0, f"{name}:80", data_centre, cores)
-        self.exchange = Exchange(clock or SystemClock(), identity, seeds)
-        self.sent = 0
-        self.cut: set[tuple[str, int]] = set()
-        self._deliver = self.exchange._send_to
-        self.exchange._send_to = self._send_to  # type: ignore[method-assign]
+        self.exchange = CountingExchange(clock or SystemClock(), identity, seeds)
         self.heard: list[Peer] = []
         self.confirmed: list[tuple[int, float]] = []
         hooks = Hooks(
@@ -78,11 +90,6 @@
         self.exchange.start(hooks, own)
         self.end = own.close
 
-    def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
-        self.sent += 1
-        if address not in self.cut:
-            self._deliver(data, address)
-
 
 @pytest.fixture
 def stack() -> Iterator[ExitStack]:
@@ -90,11 +97,7 @@
         yield opened
 
 
-def wait_until(check: Callable[[], object], limit: float = 5.0) -> None:
-    end = time.monotonic() + limit
-    while not check():
-        assert time.monotonic() < end
-        time.sleep(0.01)
+wait_until = partial(harness.wait_until, timeout=5.0)
 
 
 def test_whoever_is_not_heard_gets_whole_reports(stack: ExitStack) -> None:
@@ -179,7 +182,7 @@
     while time.monotonic() < end:
         assert first.exchange.live
     second.end()
-    wait_until(lambda: not first.exchange.live, 2.0)
+    wait_until(lambda: not first.exchange.live, timeout=2.0)
 
 
 class RelayedFleet:
@@ -198,7 +201,7 @@
     def wait_heard(self, name: str) -> None:
         """Wait until all others hear a daemon."""
         others = [node for other, node in self.nodes.items() if other != name]
-        wait_until(lambda: all(name in _find_live(node) for node in others), 10.0)
+        wait_until(lambda: all(name in _find_live(node) for node in others), timeout=10.0)
 
     def end(self, name: str) -> None:
         self.nodes.pop(name).end()
@@ -218,9 +221,9 @@
     for node in fleet.nodes.values():
         node.exchange.set_known([other.address for other in fleet.nodes.values()])
     wait_until(lambda: all(node.exchange._relay_in_use for node in fleet.nodes.values()))
-    before = {name: node.sent for name, node in fleet.nodes.items()}
+    before = {name: node.exchange.sent for name, node in fleet.nodes.items()}
     time.sleep(2.0)
-    sent = {name: node.sent - before[name] for name, node in fleet.nodes.items()}
+    sent = {name: node.exchange.sent - before[name] for name, node in fleet.nodes.items()}
     # Four reports a second, and one for each change, of which there are none.
     assert all(count <= 12 for name, count in sent.items() if name not in ("a0", "b0")), sent
     assert sent["a0"] > 20 and sent["b0"] > 20
@@ -241,10 +244,10 @@
 def test_relay_that_does_not_hear_a_daemon_is_not_used_by_it(fleet: RelayedFleet) -> None:
     """Guards against reports that are lost in a cut of one direction, while answers come."""
     cut = fleet.nodes["a5"]
-    cut.cut.add(fleet.nodes["a0"].address)
+    cut.exchange.cut.add(fleet.nodes["a0"].address)
     wait_until(lambda: cut.exchange._relay_in_use == "a1")
     fleet.wait_heard("a5")
-    cut.cut.clear()
+    cut.exchange.cut.clear()
     wait_until(lambda: cut.exchange._relay_in_use == "a0")
 
 
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -5,9 +5,11 @@
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
+import harness
 import orjson
 import pytest
 from result import Err, Result
@@ -88,6 +90,9 @@
         return keeper
 
 
+wait_until = partial(harness.wait_until, timeout=3.0)
+
+
 @pytest.fixture
 def stack(monkeypatch: pytest.MonkeyPatch) -> Any:
     monkeypatch.setattr(keeper_module, "_SETTLING_SECONDS", 0.1)
@@ -100,6 +105,17 @@
     return Script(pieces=tuple(EVENTS[dispatch.resume_after or 0 :]))
 
 
+def wait_before_last(gate: threading.Event) -> Callable[[Dispatch], Script]:
+    """Let first runs wait for the gate before their last event; resumed ones come whole."""
+
+    def decide(dispatch: Dispatch) -> Script:
+        if dispatch.resume_after is None:
+            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
+        return whole(dispatch)
+
+    return decide
+
+
 def read_until(keeper: JobKeeper, job: str, count: int, limit: float = 5.0) -> list[Any]:
     end = time.monotonic() + limit
     while time.monotonic() < end:
@@ -266,12 +282,7 @@
     """Guards against batch work that each planned stop throws away."""
     gate = threading.Event()
 
-    def decide(dispatch: Dispatch) -> Script:
-        if dispatch.resume_after is None:
-            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
-        return whole(dispatch)
-
-    fleet = Fleet(stack, decide)
+    fleet = Fleet(stack, wait_before_last(gate))
     stopping = fleet.start("d0")
     stopping.submit("j1", CHECKED, make_document(3))
     wait_until(lambda: len(fleet.link.answers) == 3 and fleet.link.answers[2].left == [EVENTS[2]])
@@ -294,12 +305,7 @@
     monkeypatch.setattr(running_module, "_CHECKPOINT_SECONDS", 0.1)
     gate = threading.Event()
 
-    def decide(dispatch: Dispatch) -> Script:
-        if dispatch.resume_after is None:
-            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
-        return whole(dispatch)
-
-    fleet = Fleet(stack, decide)
+    fleet = Fleet(stack, wait_before_last(gate))
     fleet.start("d0").submit("j1", CHECKED, make_document(2))
     read = lambda: fleet.rows.read(PARTIAL_TABLE, find_part("j1")).ok_value.rows  # noqa: E731
     wait_until(lambda: len(read()) == 2)
@@ -311,13 +317,6 @@
     wait_until(lambda: read() == [])
 
 
-def wait_until(check: Callable[[], bool], limit: float = 3.0) -> None:
-    end = time.monotonic() + limit
-    while not check():
-        assert time.monotonic() < end
-        time.sleep(0.01)
-
-
 def test_failed_runs_count_over_owners(stack: ExitStack, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an item that fails at each run and is run anew by each owner."""
     monkeypatch.setattr(running_module, "_CHECKPOINT_SECONDS", 0.05)
@@ -542,6 +541,15 @@
     assert stopping.finish(5.0)
 
 
+def make_peer(vm: str) -> Any:
+    """Return a daemon that is always heard."""
+    return SimpleNamespace(
+        identity=SimpleNamespace(vm=vm, incarnation=1),
+        statement=SimpleNamespace(leaving=False, store_age=0.0),
+        heard_at=float("inf"),
+    )
+
+
 class OutageRows(MemoryRows):
     """A store that refuses all calls for a time."""
 
@@ -572,14 +580,12 @@
     owner = fleet.start("d0", workers=0)
     owner.submit("j1", CHECKED, make_document(1))
     first = fleet.start("d1")
-    statement = SimpleNamespace(leaving=False, store_age=0.0)
-    identity = SimpleNamespace(vm="d0", incarnation=1)
-    peer = SimpleNamespace(identity=identity, statement=statement, heard_at=float("inf"))
+    peer = make_peer("d0")
     first._tools.service.exchange.peers.append(peer)
     wait_until(lambda: first.table.get("j1") is not None)
     rows.down = True
     wait_until(lambda: first.table.answering_seconds == 0.0)
-    statement.store_age = 5.0
+    peer.statement.store_age = 5.0
     rows.down = False
     wait_until(lambda: first.table.answering_seconds > 0.6)
     assert first.table.get("j1").record.owner == "d0/1"
@@ -591,15 +597,7 @@
     """Guards against an accepted job that nobody runs (seed 300 of the soak)."""
     fleet = Fleet(stack, whole)
     owner = fleet.start("d0", workers=0)
-    peers = [
-        SimpleNamespace(
-            identity=SimpleNamespace(vm=f"p{number}", incarnation=1),
-            statement=SimpleNamespace(leaving=False, store_age=0.0),
-            heard_at=float("inf"),
-        )
-        for number in range(50)
-    ]
-    owner._tools.service.exchange.peers.extend(peers)
+    owner._tools.service.exchange.peers += [make_peer(f"p{number}") for number in range(50)]
     owner.submit("j1", CHECKED, make_document(2))
     # As after an acceptance whose answer was lost: the row names this process, which has no run.
     owner._runs.pop("j1").stop("lost acceptance")
