--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,7 +14,10 @@
 # One seed for the usual mix, and those that have failed:
 # 105: a planned stop and the kill of all daemons overlapped, and both faults of the soak started
 #      the daemon again; the second process found its ports taken.
-SEEDS = (11, 105)
+# 300: a job whose acceptance was written during a hang of the store was run by nobody; its owner had
+#      answered that it did not know, and left the job to the daemon that ranked first.
+# Each with the length of its traffic in seconds, by which the faults are planned.
+SEEDS = ((11, 10.0), (105, 10.0), (300, 8.0))
 
 
 class Break(NamedTuple):
@@ -37,9 +40,9 @@
 )
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_seeded_run_keeps_all_promises(seed: int, tmp_path: Path) -> None:
-    result = run_soak(SoakPlan(seed, seconds=10.0), tmp_path)
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS)
+def test_seeded_run_keeps_all_promises(seed: int, seconds: float, tmp_path: Path) -> None:
+    result = run_soak(SoakPlan(seed, seconds=seconds), tmp_path)
     assert result.violations == [], result.faults
     assert len(result.history.attempts) > 50
 
