--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,8 +14,8 @@
 # One seed for the usual mix, and those that have failed:
 # 105: a planned stop and the kill of all daemons overlapped, and both faults of the soak started
 #      the daemon again; the second process found its ports taken.
-# 300: a job whose acceptance was written during a hang of the store was run by nobody; its owner had
-#      answered that it did not know, and left the job to the daemon that ranked first.
+# 300: a job whose acceptance was written during a hang of the store was run by nobody; its owner
+#      had answered that it did not know, and left the job to the daemon that ranked first.
 # Each with the length of its traffic in seconds, by which the faults are planned.
 SEEDS = ((11, 10.0), (105, 10.0), (300, 8.0))
 
