--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -23,6 +23,10 @@
 # its VM has used up its processor share. Reports are sent every 0.25 s, so the second one after the
 # loss of a relay goes to another relay, well before peers consider the sender late.
 _ECHO_TIMEOUT_SECONDS = 0.2
+# Relays send to standby daemons at this interval, so that a daemon that serves no callers is woken
+# only twice a second.
+STANDBY_BUNDLE_SECONDS = 0.5
+_STANDBY_ECHO_TIMEOUT_SECONDS = STANDBY_BUNDLE_SECONDS + _ECHO_TIMEOUT_SECONDS
 # A live relay sends the reports of its whole data centre, many a second, so a short silence means
 # that it is lost.
 _REMOTE_RELAY_TIMEOUT_SECONDS = 0.3
@@ -62,12 +66,16 @@
         self._awaiting_echo_since: dict[str, float] = {}
         self._retried_at: dict[str, float] = {}
 
-    def choose(self, ranked: Sequence[str], now: float) -> list[str]:
-        """Return the relays for the next report: those to be tried again, then the one in use."""
+    def choose(self, ranked: Sequence[str], now: float, active: bool = True) -> list[str]:
+        """Return the relays for the next report: those to be tried again, then the one in use.
+
+        :param active: whether this daemon is active, and gets its reports back soon.
+        """
+        timeout = _ECHO_TIMEOUT_SECONDS if active else _STANDBY_ECHO_TIMEOUT_SECONDS
         chosen: list[str] = []
         with self._lock:
             for vm in ranked:
-                if now - self._awaiting_echo_since.get(vm, now) <= _ECHO_TIMEOUT_SECONDS:
+                if now - self._awaiting_echo_since.get(vm, now) <= timeout:
                     return [*chosen, vm]
                 if now - self._retried_at.get(vm, float("-inf")) >= _RELAY_RETRY_SECONDS:
                     self._retried_at[vm] = now
@@ -140,6 +148,31 @@
             self._condition.notify()
 
 
+class StandbyOutbox:
+    """Newest whole report of each daemon that a relay has not yet sent to its standby daemons.
+
+    Used by the thread that sends bundles only.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[str, Report] = {}
+        self._sent_at = float("-inf")
+
+    def add(self, reports: Iterable[Report]) -> None:
+        """Queue the whole reports among those given."""
+        for report in reports:
+            if report.identity is not None:
+                self._reports[report.vm] = report
+
+    def take_due(self, now: float) -> list[Report] | None:
+        """Remove and return all reports if it is time to send them, else None."""
+        if now - self._sent_at < STANDBY_BUNDLE_SECONDS:
+            return None
+        self._sent_at = now
+        reports, self._reports = list(self._reports.values()), {}
+        return reports
+
+
 class RemoteRelays:
     """Last known relay of each other data centre."""
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -1,8 +1,10 @@
 """Sends this daemon's reports to its peers and keeps their latest reports.
 
-Every daemon sends a short report at each change and at least every 0.25 s, and a full report, with
-the data that rarely changes, once a second. In a small fleet it sends its reports to all peers; in
-a larger one a relay in its data centre sends them on.
+An active daemon sends a short report at each change and at least every 0.25 s, and a full report,
+with the data that rarely changes, once a second or less often in a larger fleet. In a small fleet
+it sends its reports to all peers; in a larger one a relay in its data centre sends them on, the
+short ones to the active daemons only. A standby daemon sends full reports only, unless its state
+changes, and gets only those of its peers.
 """
 
 import random
@@ -19,6 +21,7 @@
     RelayOutbox,
     RelaySelector,
     RemoteRelays,
+    StandbyOutbox,
     rank_relays,
     split_into_bundles,
 )
@@ -33,6 +36,7 @@
     parse_statement,
 )
 from trefoilreach._internal.coordination.exchange.running_time import RunningTime
+from trefoilreach._internal.coordination.serving.slot_table import PEER_TIMEOUT_SECONDS
 from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
     Bundle,
@@ -45,13 +49,20 @@
     Spread,
 )
 
-# A peer is late when four of its reports are missing. No callers are sent to a late peer.
+# An active peer is late for an active daemon when four of its short reports are missing. No callers
+# are sent to a late peer.
 PEER_LATE_SECONDS = 1.0
 _REPORT_INTERVAL_SECONDS = 0.25
 _FULL_REPORT_INTERVAL_SECONDS = 1.0
-# With more peers than this, the interval of full reports grows with the fleet, so that they do not
-# take a larger share of what a relay may send.
-_FULL_REPORT_FLEET_SIZE = 70
+# With more daemons than this, the interval of full reports grows with the fleet: no daemon decodes
+# more of them a second, whatever the size of the fleet.
+_MAX_FULL_REPORTS_PER_SECOND = 100.0
+# A peer of which only full reports arrive is late when this many of them are missing.
+_LATE_FULL_REPORTS = 3
+# A daemon that has just become active gets short reports once its relay knows of it.
+_ACTIVATION_GRACE_SECONDS = 1.5
+# A relay's notice that an active daemon is late holds for this long, unless it is repeated.
+_LATE_NOTICE_SECONDS = 2.0
 # Limit for a daemon's own reports: at 30 us for each datagram, 12 % of a core.
 _MAX_DATAGRAMS_PER_SECOND = 4000.0
 # Shortest time between two reports in a relayed fleet, and between two bundles of a relay. Slot
@@ -62,7 +73,13 @@
 _MAX_RELAY_DATAGRAMS_PER_SECOND = 1000.0
 # Interval of reports to addresses from which no report comes.
 _SILENT_RETRY_SECONDS = 2.0
-# A peer without a report for this long is no longer a member of the fleet.
+# Most such addresses for one report. At the start of a large fleet all addresses are silent.
+_MAX_SILENT_TARGETS = 12
+# The daemons of this rank and better in a data centre, its relay and the next ones, also contact
+# the silent daemons of other data centres.
+_CONTACTING_RANKS = 3
+# A peer without a report for this long, and for as long as three full reports take to be missing,
+# is no longer a member of the fleet.
 PEER_GONE_SECONDS = 10.0
 _FRESHNESS_SAMPLE_SIZE = 3
 _MAX_DATAGRAM_BYTES = 65536
@@ -71,6 +88,18 @@
 Address = tuple[str, int]
 
 
+class KnownDaemon(NamedTuple):
+    """A daemon that the store or a peer names; it may have ended.
+
+    :param data_centre: its data centre; empty when not known.
+    :param cores: processor cores of its VM; 0 when not known.
+    """
+
+    address: Address
+    data_centre: str = ""
+    cores: float = 0.0
+
+
 class Peer(NamedTuple):
     """Another daemon and its latest report.
 
@@ -84,13 +113,6 @@
     last_report_running_time: float
     statement: DaemonState
 
-    def is_late(self, running_time: float) -> bool:
-        """Return whether reports are missing, not counting stalls of this process.
-
-        :param running_time: present time of this process's ``RunningTime``.
-        """
-        return running_time - self.last_report_running_time > PEER_LATE_SECONDS
-
 
 class ExchangeCallbacks(NamedTuple):
     """Callbacks of the exchange.
@@ -129,14 +151,22 @@
         self._full_report_at = float("-inf")
         self._peers: dict[str, Peer] = {}
         self._late: set[str] = set()
-        self._known_addresses: dict[Address, float] = {}
+        self._late_notice: frozenset[str] = frozenset()
+        self._late_notice_at = float("-inf")
+        # Until the role is decided, every change of the peers matters.
+        self._active = True
+        self._active_since = float("-inf")
+        self._has_requests = False
+        self._known: dict[Address, KnownDaemon] = {}
+        self._contacted_at: dict[Address, float] = {}
         self._pending_queries: dict[int, float] = {}
         self._relay_selector = RelaySelector()
         self._remote_relays = RemoteRelays()
         self._outbox = RelayOutbox()
+        self._standby_outbox = StandbyOutbox()
         self._relay_in_use = ""
         own = (identity.host, identity.port)
-        self._seeds = [address for address in seeds if address != own]
+        self._seeds = [KnownDaemon(address) for address in seeds if address != own]
 
     @property
     def peers(self) -> list[Peer]:
@@ -148,13 +178,70 @@
     def live_peers(self) -> list[Peer]:
         """Peers whose reports arrive in time."""
         running_time = self._running_time.now()
-        return [peer for peer in self.peers if not peer.is_late(running_time)]
+        return [peer for peer in self.peers if not self._is_late(peer, running_time)]
 
     @property
     def late_peers(self) -> list[Peer]:
         """Peers whose reports are missing."""
         running_time = self._running_time.now()
-        return [peer for peer in self.peers if peer.is_late(running_time)]
+        return [peer for peer in self.peers if self._is_late(peer, running_time)]
+
+    @property
+    def active_peers(self) -> list[Peer]:
+        """Live peers that are active."""
+        return [peer for peer in self.live_peers if peer.statement.active]
+
+    @property
+    def active(self) -> bool:
+        """Whether this daemon follows every change of the active daemons."""
+        return self._active
+
+    @property
+    def load_timeout_seconds(self) -> float:
+        """Seconds without a report of a peer after which its requests count as ended."""
+        if self._active:
+            return PEER_TIMEOUT_SECONDS
+        return _LATE_FULL_REPORTS * self._full_report_interval
+
+    @property
+    def _full_report_interval(self) -> float:
+        fleet_size = len(self._peers) + 1
+        return max(_FULL_REPORT_INTERVAL_SECONDS, fleet_size / _MAX_FULL_REPORTS_PER_SECOND)
+
+    @property
+    def _report_interval(self) -> float:
+        if self._active or self._has_requests:
+            return _REPORT_INTERVAL_SECONDS
+        return self._full_report_interval
+
+    def set_active(self, active: bool) -> None:
+        """Set whether this daemon follows every change of the active daemons."""
+        if active == self._active:
+            return
+        self._active_since = self._clock.now()
+        self._active = active
+        self._full_report_at = float("-inf")
+        self.request_report()
+
+    def _is_late(self, peer: Peer, running_time: float) -> bool:
+        """Return whether reports of a peer are missing, not counting stalls of this process.
+
+        :param running_time: present time of this process's ``RunningTime``.
+        """
+        now = self._clock.now()
+        if (
+            now - self._late_notice_at < _LATE_NOTICE_SECONDS
+            and peer.last_report_at < self._late_notice_at
+            and peer.identity.vm in self._late_notice
+        ):
+            return True
+        silent = running_time - peer.last_report_running_time
+        if silent <= PEER_LATE_SECONDS:
+            return False
+        follows = self._active and now - self._active_since > _ACTIVATION_GRACE_SECONDS
+        if peer.statement.active and follows:
+            return True
+        return silent > _LATE_FULL_REPORTS * self._full_report_interval
 
     def start(self, hooks: ExchangeCallbacks, stack: ExitStack) -> None:
         """Exchange reports until the exit stack closes."""
@@ -171,12 +258,11 @@
             self._report_pending = True
             self._report_condition.notify()
 
-    def set_known_addresses(self, addresses: Iterable[Address]) -> None:
-        """Set the addresses of the fleet's daemons, as listed in the store."""
+    def set_known_daemons(self, daemons: Iterable[KnownDaemon]) -> None:
+        """Set the fleet's daemons, as listed in the store."""
         own = (self.identity.host, self.identity.port)
         with self._lock:
-            old = self._known_addresses
-            self._known_addresses = {a: old.get(a, 0.0) for a in addresses if a != own}
+            self._known = {daemon.address: daemon for daemon in daemons if daemon.address != own}
 
     def query_newest_version(self) -> None:
         """Ask some peers for the newest version of the desired state that they know."""
@@ -209,7 +295,7 @@
         while True:
             with self._report_condition:
                 self._report_condition.wait_for(
-                    lambda: self._report_pending or self._stopped, _REPORT_INTERVAL_SECONDS
+                    lambda: self._report_pending or self._stopped, self._report_interval
                 )
                 if self._stopped:
                     return
@@ -225,18 +311,25 @@
         """Send a report to the peers or a relay; return the seconds to wait before the next."""
         assert self._hooks is not None
         now = self._clock.now()
-        stalled = self._running_time.record_heartbeat()
+        statement = self._hooks.get_state()
+        self._has_requests = bool(statement.runs or statement.waiting)
+        stalled = self._running_time.record_heartbeat(self._report_interval)
         if stalled:
             log_event("exchange:stalled", seconds=stalled)
-        live, silent = self._update_peers(now)
+        live = self._update_peers(now)
+        full = now - self._full_report_at >= self._full_report_interval or not (
+            self._active or self._has_requests
+        )
+        relayed = len(live) + 1 >= MIN_RELAYED_FLEET_SIZE
+        contacts: list[Address] = []
+        if not relayed or self._relay_in_use in ("", self.identity.vm):
+            contacts = self._choose_contacts(live, now)
         # A daemon from which no report comes may not know this one, so it needs a full report.
-        interval = _FULL_REPORT_INTERVAL_SECONDS * max(1.0, len(live) / _FULL_REPORT_FLEET_SIZE)
-        full = bool(silent) or now - self._full_report_at >= interval
+        full = full or bool(contacts)
         if full:
             self._full_report_at = now
-        report = self._writer.build(self._hooks.get_state(), now, full)
-        relayed = len(live) + 1 >= MIN_RELAYED_FLEET_SIZE
-        targets = silent if relayed else [*(_address(peer) for peer in live), *silent]
+        report = self._writer.build(statement, now, full)
+        targets = contacts if relayed else [*(_address(peer) for peer in live), *contacts]
         if targets:
             data = encode_bundle(self.identity.vm, Spread.NOWHERE, [report])
             for address in targets:
@@ -244,7 +337,40 @@
         if not relayed:
             return len(targets) / _MAX_DATAGRAMS_PER_SECOND
         self._send_to_relays(report, live, now)
-        return max(_MIN_REPORT_PAUSE_SECONDS, len(silent) / _MAX_DATAGRAMS_PER_SECOND)
+        return max(_MIN_REPORT_PAUSE_SECONDS, len(targets) / _MAX_DATAGRAMS_PER_SECOND)
+
+    def _choose_contacts(self, live: Collection[Peer], now: float) -> list[Address]:
+        """Return the silent addresses that are due for a report.
+
+        Load pattern: hundreds of daemons that start at the same time. If each contacted all others,
+        the datagrams would grow with the square of the fleet. Each therefore contacts the strong
+        VMs of its data centre first, from which the relay is chosen, and only the strongest contact
+        other data centres.
+        """
+        live_addresses = {_address(peer) for peer in live}
+        own = self.identity
+        with self._lock:
+            known = list(({seed.address: seed for seed in self._seeds} | self._known).values())
+        own_rank = 0
+        ranks: dict[str, int] = {}
+        candidates: list[tuple[int, bool, Address]] = []
+        for daemon in sorted(known, key=lambda daemon: -daemon.cores):
+            rank = ranks[daemon.data_centre] = ranks.get(daemon.data_centre, -1) + 1
+            remote = daemon.data_centre not in ("", own.data_centre)
+            own_rank += not remote and daemon.cores > own.cores
+            if daemon.address not in live_addresses:
+                candidates.append((rank, remote, daemon.address))
+        contacting = own_rank < _CONTACTING_RANKS or len(known) < MIN_RELAYED_FLEET_SIZE
+        alone = not live and len(candidates) <= _MAX_SILENT_TARGETS
+        retry_seconds = 0.0 if alone else _SILENT_RETRY_SECONDS
+        due = [
+            address
+            for _, remote, address in sorted(candidates)
+            if (contacting or not remote)
+            and now - self._contacted_at.get(address, float("-inf")) >= retry_seconds
+        ][:_MAX_SILENT_TARGETS]
+        self._contacted_at.update(dict.fromkeys(due, now))
+        return due
 
     def _send_to_relays(self, report: Report, live: list[Peer], now: float) -> None:
         """Send a report by a relay of this data centre, which may be this daemon."""
@@ -256,7 +382,7 @@
                 RelayCandidate(own.vm, own.cores, bool(report.leaving)),
             ]
         )
-        chosen = self._relay_selector.choose(ranked, now)
+        chosen = self._relay_selector.choose(ranked, now, self._active)
         if chosen[-1] != self._relay_in_use:
             log_decision(
                 "relay",
@@ -271,7 +397,9 @@
             if vm == own.vm:
                 self._outbox.add_local([report])
             else:
-                self._relay_selector.record_sent(vm, now)
+                # Relays echo only full reports to standby daemons.
+                if self._active or report.identity is not None:
+                    self._relay_selector.record_sent(vm, now)
                 self._send_to(data, _address(local_peers[vm]))
 
     def _run_relay(self) -> None:
@@ -295,59 +423,71 @@
                 data_centre, rank_relays(map(_relay_candidate, peers.values())), now
             )
         ]
-        sent = self._send_in_bundles(
-            pending.local + pending.remote, Spread.NOWHERE, local_peers.values()
-        )
+        reports = pending.local + pending.remote
+        active = [peer for peer in local_peers.values() if peer.statement.active]
+        sent = self._send_in_bundles(reports, Spread.NOWHERE, active)
         sent += self._send_in_bundles(pending.local, Spread.DATA_CENTRE, remote_relays)
+        self._standby_outbox.add(reports)
+        due = self._standby_outbox.take_due(now)
+        if due is not None:
+            standby = [peer for peer in local_peers.values() if not peer.statement.active]
+            sent += self._send_in_bundles(
+                due, Spread.NOWHERE, standby, self._list_late_active_peers()
+            )
         return max(_MIN_BUNDLE_PAUSE_SECONDS, sent / _MAX_RELAY_DATAGRAMS_PER_SECOND)
 
-    def _send_in_bundles(self, reports: list[Report], spread: int, peers: Collection[Peer]) -> int:
+    def _list_late_active_peers(self) -> list[str]:
+        return [peer.identity.vm for peer in self.late_peers if peer.statement.active]
+
+    def _send_in_bundles(
+        self,
+        reports: list[Report],
+        spread: int,
+        peers: Collection[Peer],
+        late: list[str] | None = None,
+    ) -> int:
         """Send reports to peers in bundles; return the number of datagrams."""
+        if not peers:
+            return 0
         sent = 0
         for part in split_into_bundles(reports):
-            data = encode_bundle(self.identity.vm, spread, part)
+            data = encode_bundle(self.identity.vm, spread, part, late)
             for peer in peers:
                 self._send_to(data, _address(peer))
             sent += len(peers)
         return sent
 
-    def _update_peers(self, now: float) -> tuple[list[Peer], list[Address]]:
-        """Update which peers are late or lost.
-
-        Returns the live peers, and the silent addresses that are due for another report.
-        """
+    def _update_peers(self, now: float) -> list[Peer]:
+        """Update which peers are late or lost; return the live ones."""
         gone: list[Peer] = []
-        late: list[Peer] = []
+        late: set[str] = set()
         live: list[Peer] = []
+        gone_seconds = max(PEER_GONE_SECONDS, 2 * _LATE_FULL_REPORTS * self._full_report_interval)
         with self._lock:
             running_time = self._running_time.now()
             for vm, peer in list(self._peers.items()):
-                if running_time - peer.last_report_running_time > PEER_GONE_SECONDS:
+                if running_time - peer.last_report_running_time > gone_seconds:
                     gone.append(self._peers.pop(vm))
                     self._late.discard(vm)
-                elif peer.is_late(running_time):
-                    late.append(peer)
+                elif self._is_late(peer, running_time):
+                    late.add(vm)
                 else:
                     live.append(peer)
-            newly_late = {peer.identity.vm for peer in late} - self._late
+            newly_late = late - self._late
             self._late |= newly_late
-            live_addresses = {_address(peer) for peer in live}
-            silent = [a for a in [*self._known_addresses, *self._seeds] if a not in live_addresses]
-            silent += [_address(peer) for peer in late]
-            retried = {
-                address
-                for address in silent
-                if now - self._known_addresses.get(address, 0.0) >= _SILENT_RETRY_SECONDS
-                or not live_addresses
-            }
-            self._known_addresses.update(dict.fromkeys(retried, now))
         assert self._hooks is not None
         for vm in sorted(newly_late):
-            log_event("peer:late", vm_heard=vm, after_seconds=PEER_LATE_SECONDS)
+            peer = self._peers[vm]
+            log_event(
+                "peer:late",
+                vm_heard=vm,
+                active=peer.statement.active,
+                silent_seconds=now - peer.last_report_at,
+            )
         for peer in gone:
-            log_event("peer:gone", vm_heard=peer.identity.vm, silent_seconds=PEER_GONE_SECONDS)
+            log_event("peer:gone", vm_heard=peer.identity.vm, silent_seconds=gone_seconds)
             self._hooks.on_peer_lost(peer)
-        return live, list(retried)
+        return live
 
     def _send_to(self, data: bytes, address: Address) -> None:
         try:
@@ -400,9 +540,12 @@
         elif bundle.spread == Spread.DATA_CENTRE:
             self._outbox.add_remote(bundle.reports)
             self._record_remote_relay(bundle.vm)
+        if bundle.late is not None:
+            self._late_notice = frozenset(bundle.late)
+            self._late_notice_at = self._clock.now()
         for report in bundle.reports:
             if report.vm != self.identity.vm:
-                self._handle_report(report)
+                self._handle_report(report, direct=report.vm == bundle.vm)
             elif self._relay_selector.record_echo(bundle.vm):
                 log_event("exchange:relay-regained", relay=bundle.vm)
         assert self._hooks is not None
@@ -413,7 +556,7 @@
         if peer is not None:
             self._remote_relays.record(peer.identity.data_centre, vm, self._clock.now())
 
-    def _handle_report(self, report: Report) -> None:
+    def _handle_report(self, report: Report, direct: bool) -> None:
         now = self._clock.now()
         with self._lock:
             known = self._peers.get(report.vm)
@@ -427,7 +570,7 @@
                 before, after = known.identity.incarnation, report.incarnation
                 # Incarnations are times of day. If the time of day was set back, a restarted
                 # daemon has a smaller incarnation than before.
-                restarted = new and known.is_late(self._running_time.now())
+                restarted = new and self._is_late(known, self._running_time.now())
                 if (before, known.sequence) >= (after, report.sequence) and not restarted:
                     return
                 uptime = known.statement.uptime + now - known.last_report_at
@@ -438,7 +581,7 @@
         if known is not None and new:
             self._hooks.on_peer_lost(known)
         if new:
-            self._send_hello(peer)
+            self._greet(peer, direct)
         elif known is not None and report.vm in self._late:
             self._late.discard(report.vm)
             log_event(
@@ -446,13 +589,19 @@
             )
         self._hooks.on_report(peer)
 
-    def _send_hello(self, peer: Peer) -> None:
-        """Ask a new process for the addresses that it knows, and send it a full report soon."""
+    def _greet(self, peer: Peer, direct: bool) -> None:
+        """Send a full report to a new process soon, and ask it for addresses if it is not known.
+
+        :param direct: whether the peer itself sent its report here, rather than a relay.
+        """
         log_event("peer:new", vm_heard=peer.identity.vm, incarnation=peer.identity.incarnation)
+        if not direct:
+            return
         self._full_report_at = float("-inf")
         self.request_report()
-        hello = Hello(self.identity.host, self.identity.port)
-        self._send_to(encode(Datagram(hello=hello)), _address(peer))
+        if _address(peer) not in self._known:
+            hello = Hello(self.identity.host, self.identity.port)
+            self._send_to(encode(Datagram(hello=hello)), _address(peer))
 
     def _answer_freshness_query(self, query: FreshnessQuery) -> None:
         assert self._hooks is not None
@@ -479,7 +628,8 @@
             for text in peers.addresses or ():
                 host, _, port = text.rpartition(":")
                 if host and port.isdigit() and (host, int(port)) != own:
-                    self._known_addresses.setdefault((host, int(port)), 0.0)
+                    address = (host, int(port))
+                    self._known.setdefault(address, KnownDaemon(address))
 
 
 def _address(peer: Peer) -> Address:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
@@ -73,6 +73,7 @@
     :param job_result_counts: number of listed results, by batch job that the sender runs.
     :param suspects: workers that do not answer the sender.
     :param outcomes: numbers of successful and failed requests, by worker.
+    :param active: whether the sender follows every change of the other active daemons.
     """
 
     accepting: bool
@@ -87,6 +88,7 @@
     suspects: tuple[str, ...]
     crashes: tuple[CrashedRun, ...]
     outcomes: Mapping[str, OutcomeCounts]
+    active: bool = True
 
     def slot_load(self, now: float) -> PeerLoad:
         """Return the running and waiting requests, as known at ``now``."""
@@ -106,13 +108,16 @@
         return None
 
 
-def encode_bundle(vm: str, spread: int, reports: list[Report]) -> bytes:
+def encode_bundle(
+    vm: str, spread: int, reports: list[Report], late: list[str] | None = None
+) -> bytes:
     """Return the datagram that carries reports.
 
     :param vm: the sender.
     :param spread: to whom the receiver relays the reports.
+    :param late: active daemons that are silent; only to standby daemons.
     """
-    return encode(Datagram(bundle=Bundle(vm, spread, reports)))
+    return encode(Datagram(bundle=Bundle(vm, spread, reports, late)))
 
 
 class ReportBuilder:
@@ -155,6 +160,7 @@
             suspects=list(statement.suspects) or None,
             crashes=[Crash(*crash) for crash in statement.crashes[-_MAX_CRASHES:]] or None,
             outcomes=[WorkerOutcomes(name, *o) for name, o in outcomes.items()] or None,
+            standby=None if statement.active else True,
         )
 
 
@@ -228,6 +234,7 @@
         outcomes={
             entry.worker: OutcomeCounts(entry.good, entry.bad) for entry in report.outcomes or ()
         },
+        active=not report.standby,
     )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -45,6 +45,8 @@
 # Each change of a job answers the pending feed calls of all daemons. This limits the feed calls of
 # all daemons together, to a thirtieth of the reads that the users' platforms allow.
 _MAX_FEED_CALLS_PER_SECOND = 200.0
+# Longest wait of a call for the first read of all rows, well below the target of an acceptance.
+_FIRST_READ_TIMEOUT_SECONDS = 0.2
 # Longest time until the owner of a job that was just accepted reads its row from the feed.
 _MAX_FEED_PAUSE_SECONDS = 1.0
 # Most output data in one page of results.
@@ -101,6 +103,21 @@
         self._lock = threading.RLock()
         self._known: dict[str, JobRow] = {}
         self._owner_changed_at: dict[str, float] = {}
+        self._feed: FeedWatch | None = None
+        self._complete = threading.Event()
+
+    @property
+    def answering_seconds(self) -> float:
+        """Seconds for which the store has answered this daemon without a failure."""
+        return 0.0 if self._feed is None else self._feed.answering_seconds
+
+    def wait_until_complete(self) -> bool:
+        """Return whether all rows are known, after a short wait if they are being read."""
+        timeout = 0.0 if self._feed is None else _FIRST_READ_TIMEOUT_SECONDS
+        return self._clock.wait(self._complete, timeout)
+
+    def start(self, stack: ExitStack) -> None:
+        """Follow the feed of jobs until the exit stack closes; then forget all rows."""
         watched = WatchedTable(
             JOB_TABLE,
             PARTS,
@@ -108,17 +125,17 @@
             lambda: compute_feed_pause(self.count_live_daemons()),
         )
         hooks = FeedHooks(self._replace_rows, self._apply_rows)
-        self._feed = FeedWatch(clock, rows, watched, hooks)
-
-    @property
-    def answering_seconds(self) -> float:
-        """Seconds for which the store has answered this daemon without a failure."""
-        return self._feed.answering_seconds
-
-    def start(self, stack: ExitStack) -> None:
-        """Follow the feed of jobs until the exit stack closes."""
+        self._feed = FeedWatch(self._clock, self.rows, watched, hooks)
+        stack.callback(self._forget_rows)
         self._feed.start(stack)
 
+    def _forget_rows(self) -> None:
+        with self._lock:
+            self._feed = None
+            self._complete.clear()
+            self._known.clear()
+            self._owner_changed_at.clear()
+
     def known_rows(self) -> list[JobRow]:
         """Return all cached rows."""
         with self._lock:
@@ -239,6 +256,7 @@
 
     def _replace_rows(self, rows: list[StoredRow], regained: bool) -> None:
         self._apply_rows(rows)
+        self._complete.set()
 
     def _apply_rows(self, rows: list[StoredRow]) -> None:
         for stored in rows:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -85,17 +85,28 @@
         self._context = JobRunContext(
             tools.serving, tools.rows, tools.blobs, self._executor, MeanRunTime()
         )
-        self._started_at = tools.clock.now()
+        self._following_since = float("inf")
         self._stop = threading.Event()
         identity = tools.service.exchange.identity
         self._owner = f"{identity.vm}/{identity.incarnation}"
 
     def start(self, stack: ExitStack) -> None:
-        """Follow and run jobs until the exit stack closes."""
+        """Serve calls for jobs until the exit stack closes."""
         stack.callback(self._executor.shutdown, wait=False, cancel_futures=True)
         stack.callback(self._stop.set)
+
+    def follow(self, stack: ExitStack) -> None:
+        """Accept, follow and take over jobs until the exit stack closes."""
+        ended = threading.Event()
+        stack.callback(ended.set)
+        self._following_since = self._clock.now()
         self.table.start(stack)
-        threading.Thread(target=self._run_checks, name="jobs", daemon=True).start()
+        threading.Thread(target=self._run_checks, args=(ended,), name="jobs", daemon=True).start()
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether jobs of this daemon are running."""
+        return bool(self._runs)
 
     def result_counts(self) -> Mapping[str, int]:
         """Return the number of listed results of each job that this daemon runs."""
@@ -156,6 +167,9 @@
 
         :raises Refusal: when the job is not accepted, or when the outcome is unknown.
         """
+        if not self.table.wait_until_complete():
+            # The account's waiting tokens are not known here.
+            raise Refusal(503, "standby", "this daemon does not know the jobs yet", retry_after=0.0)
         # A stopping daemon accepts jobs without an owner, for any other daemon to take over.
         owner = "" if self._stop.is_set() else self._owner
         with self._lock:
@@ -258,8 +272,8 @@
         if run is not None and (row.record.state == ENDED or row.record.owner != self._owner):
             run.stop(f"{row.record.state}, owner {row.record.owner}")
 
-    def _run_checks(self) -> None:
-        while not self._clock.wait(self._stop, _CHECK_INTERVAL_SECONDS):
+    def _run_checks(self, ended: threading.Event) -> None:
+        while not self._clock.wait(ended, _CHECK_INTERVAL_SECONDS) and not self._stop.is_set():
             try:
                 self._maintain_runs()
                 self._take_over_orphans()
@@ -279,7 +293,7 @@
                 self.table.apply_row(run.row)
 
     def _take_over_orphans(self) -> None:
-        if self._clock.now() - self._started_at < _STARTUP_GRACE_SECONDS:
+        if self._clock.now() - self._following_since < _STARTUP_GRACE_SECONDS:
             return
         service = self._tools.service
         if service.route_index is None or service.freshness.age > PEER_TIMEOUT_SECONDS:
@@ -306,6 +320,7 @@
             f"{peer.identity.vm}/{peer.identity.incarnation}"
             for peer in self._tools.service.exchange.peers
             if now - peer.last_report_at < PEER_TIMEOUT_SECONDS
+            and peer.statement.active
             and not peer.statement.leaving
             and (
                 own_outage
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.coordination.serving.preemption import count_to_preempt
 from trefoilreach._internal.coordination.serving.queue_order import count_reserved_slots
 from trefoilreach._internal.coordination.serving.slot_table import (
+    PEER_TIMEOUT_SECONDS,
     PeerLoad,
     QueueRank,
     RunCounts,
@@ -60,6 +61,8 @@
     """Queued and running requests of this daemon, admitted to the slots of the whole fleet.
 
     ``send_report_soon`` is called when the next report to the peers should be sent early.
+    ``get_load_timeout`` returns the seconds without a report of a peer after which its requests
+    count as ended.
     """
 
     def __init__(self, clock: Clock, vm: str) -> None:
@@ -76,6 +79,7 @@
         self.outcomes = OutcomeTracker(clock)
         self.send_report_soon: Action = lambda: None
         self.count_live_daemons: Callable[[], int] = lambda: 1
+        self.get_load_timeout: Callable[[], float] = lambda: PEER_TIMEOUT_SECONDS
 
     def submit(self, *tickets: Ticket) -> None:
         """Queue requests for slots; a slot may be granted before this returns."""
@@ -154,12 +158,18 @@
     def grant_waiting(self) -> None:
         """Grant slots and preempt batch items for all services by the current state."""
         with self._lock:
-            self._slot_table.drop_silent(self._clock.now())
+            self._slot_table.drop_silent(self._clock.now(), self.get_load_timeout())
             services = [name for name, waiting in self._waiting.items() if waiting]
         for service in services:
             self._schedule_service(service, wake=False)
         self._run_actions(self._preempt_batch_items(self._batch_running))
 
+    @property
+    def has_requests(self) -> bool:
+        """Whether requests of this daemon run or are queued."""
+        with self._lock:
+            return bool(self._slot_table.own) or any(self._waiting.values())
+
     def running_by_worker(self) -> dict[str, RunCounts]:
         """Return the running requests of this daemon by worker."""
         with self._lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
@@ -8,10 +8,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from trefoilreach._internal.coordination.serving.activation import MAX_ACTIVE_DAEMONS
 from trefoilreach._internal.state.serving import rank_by_rendezvous_hash
 
-# Callers of the platform accept no more addresses than this.
-_MAX_ADDRESSES = 64
 # A VM with less than this share of the cores of the strongest VM counts as weak.
 _STRONG_VM_CORES_SHARE = 0.5
 # Only strong VMs are used while they have at least this share of all cores; with less they
@@ -49,6 +48,6 @@
     )
     chosen = strong if enough and len(strong) >= _MIN_STRONG_DAEMONS else entry_points
     addresses = sorted(entry_point.address for entry_point in chosen)
-    if len(addresses) > _MAX_ADDRESSES:
-        addresses = rank_by_rendezvous_hash(answering_vm, addresses)[:_MAX_ADDRESSES]
+    if len(addresses) > MAX_ACTIVE_DAEMONS:
+        addresses = rank_by_rendezvous_hash(answering_vm, addresses)[:MAX_ACTIVE_DAEMONS]
     return addresses
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -66,6 +66,8 @@
         self.metrics = online.tools.metrics
         self.route_index: RouteIndex | None = None
         self.leaving = False
+        # Whether callers should be directed to this daemon, by its role in the fleet.
+        self.offered = False
         self._decode = decode
         self._lock = threading.Lock()
         self._listeners: list[Callable[[DesiredState], None]] = []
@@ -78,7 +80,8 @@
     @property
     def accepting(self) -> bool:
         """Whether callers may be directed to this daemon."""
-        return self.ready and self.freshness.age <= _MAX_ACCEPTING_AGE_SECONDS
+        fresh = self.freshness.age <= _MAX_ACCEPTING_AGE_SECONDS
+        return self.ready and self.offered and fresh
 
     @property
     def ready(self) -> bool:
@@ -112,7 +115,9 @@
         )
         for listener in self._listeners:
             listener(state)
-        self.exchange.request_report()
+        if self.exchange.active:
+            # All daemons adopt a state at the same time, and the standby ones are many.
+            self.exchange.request_report()
         return True
 
     def check(self, host: str, path: str, key: str | None) -> CheckedRequest:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/slot_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/slot_table.py
@@ -127,9 +127,9 @@
         for worker in () if known is None else known.runs:
             self._set_requests(vm, worker, NO_RUNS)
 
-    def drop_silent(self, now: float) -> None:
-        """Remove the peers that have sent no report for ``PEER_TIMEOUT_SECONDS``."""
-        limit = now - PEER_TIMEOUT_SECONDS
+    def drop_silent(self, now: float, timeout: float = PEER_TIMEOUT_SECONDS) -> None:
+        """Remove the peers that have sent no report for some seconds."""
+        limit = now - timeout
         for vm in [vm for vm, load in self._peers.items() if load.received_at < limit]:
             self.remove_peer(vm)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -19,6 +19,12 @@
 from trefoilreach._internal.coordination.exchange.reports import DaemonState, Identity
 from trefoilreach._internal.coordination.jobs.manager import JobDependencies, JobManager
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets
+from trefoilreach._internal.coordination.serving.activation import (
+    FleetMember,
+    FleetView,
+    RolePolicy,
+    count_wanted,
+)
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
@@ -26,7 +32,7 @@
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.deployment import Deployment
-from trefoilreach._internal.logs import log_event, open_bounded_log
+from trefoilreach._internal.logs import log_decision, log_event, open_bounded_log
 from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.platform.desired_state import decode_desired_state
 from trefoilreach._internal.platform.ingress import CallerApplication, ChecksApplication
@@ -44,6 +50,8 @@
 _FRONT_THREAD_LIMIT = 96
 _CHECK_THREAD_LIMIT = 2
 _MAINTENANCE_INTERVAL_SECONDS = 0.3
+# A standby daemon has no queue to look after; it must notice the loss of active daemons.
+_STANDBY_MAINTENANCE_INTERVAL_SECONDS = 0.6
 # When the desired state's confirmation is older than this, peers are asked to confirm it; when
 # the store has not answered for as long, a newer desired state is read from a peer.
 _STALE_AGE_SECONDS = 1.2
@@ -130,8 +138,12 @@
         self._leftovers = OrphanPoller(clock, self._admission, worker_client, self._polls_load_of)
         self._silent_peers: set[str] = set()
         self._admission.send_report_soon = self._exchange.request_report
-        self._admission.count_live_daemons = self._count_live
-        self._jobs.table.count_live_daemons = self._count_live
+        self._admission.count_live_daemons = self._count_active
+        self._admission.get_load_timeout = lambda: self._exchange.load_timeout_seconds
+        self._jobs.table.count_live_daemons = self._count_active
+        self._roles = RolePolicy(deployment.vm, self._started_at)
+        self._exchange.set_active(False)
+        self._active_stack = stack.enter_context(ExitStack())
         self._start_exchange(stack)
         self._feeds.start(stack)
         self._start_maintenance(stack)
@@ -142,7 +154,9 @@
         return self._start_servers(stack)
 
     def _polls_load_of(self, worker: str) -> bool:
-        vms = [peer.identity.vm for peer in self._exchange.live_peers] + [self._deployment.vm]
+        if not self._exchange.active:
+            return False
+        vms = [peer.identity.vm for peer in self._exchange.active_peers] + [self._deployment.vm]
         return rank_by_rendezvous_hash(worker, vms)[0] == self._deployment.vm
 
     def _identify(self) -> Identity:
@@ -217,6 +231,7 @@
             suspects=self._admission.workers.suspects,
             crashes=self._crashes.own_crashes_to_report(),
             outcomes=self._admission.outcomes.counts_to_report(),
+            active=self._exchange.active,
         )
 
     def _apply_report(self, peer: Peer) -> None:
@@ -245,10 +260,11 @@
 
     def _run_maintenance(self, stop: threading.Event) -> None:
         """Run the periodic work that no message triggers."""
-        while not self._clock.wait(stop, _MAINTENANCE_INTERVAL_SECONDS):
-            live = self._count_live()
+        while not self._clock.wait(stop, self._maintenance_interval):
+            self._update_role()
+            active = self._count_active()
             silent = self._find_silent_peers()
-            self._buckets.set_reporting_daemons(live, live + len(silent))
+            self._buckets.set_reporting_daemons(active, active + len(silent))
             if silent - self._silent_peers:
                 self._leftovers.start_polling(f"silent: {', '.join(sorted(silent))}")
             self._silent_peers = silent
@@ -257,13 +273,62 @@
             self._fetch_from_peer()
             self._admission.grant_waiting()
 
-    def _count_live(self) -> int:
-        return len(self._exchange.live_peers) + 1
+    @property
+    def _maintenance_interval(self) -> float:
+        if self._exchange.active:
+            return _MAINTENANCE_INTERVAL_SECONDS
+        return _STANDBY_MAINTENANCE_INTERVAL_SECONDS
+
+    def _update_role(self) -> None:
+        """Become active or standby as the fleet needs; an active daemon follows the jobs."""
+        deployment, service = self._deployment, self._service
+        before = self._roles.role
+        members = [
+            FleetMember(
+                peer.identity.vm,
+                peer.identity.data_centre,
+                peer.identity.cores,
+                peer.statement.active,
+            )
+            for peer in self._exchange.live_peers
+            if not peer.statement.leaving
+        ]
+        own = FleetMember(deployment.vm, deployment.data_centre, deployment.cores, before.active)
+        workers = self._admission.workers.entries()
+        view = FleetView(
+            [*members, own], self._feeds.member_count, sum(worker.slots for worker in workers)
+        )
+        busy = self._admission.has_requests or self._jobs.has_runs
+        role = self._roles.update(view, self._clock.now(), busy)
+        if role == before:
+            return
+        log_decision(
+            "role",
+            "active" if role.active else "standby",
+            "place of this VM among the live daemons",
+            offered=role.offered,
+            live=len(view.members),
+            active=sum(member.active for member in view.members),
+            wanted=count_wanted(view),
+            slots=view.slots,
+        )
+        service.offered = role.offered
+        if role.active and not before.active:
+            self._jobs.follow(self._active_stack)
+        elif before.active and not role.active:
+            self._active_stack.close()
+        self._exchange.set_active(role.active)
+        self._exchange.request_report()
+
+    def _count_active(self) -> int:
+        return len(self._exchange.active_peers) + 1
 
     def _find_silent_peers(self) -> set[str]:
-        """Return the VMs of silent peers that did not announce a planned stop."""
+        """Return the VMs of silent active peers that did not announce a planned stop."""
         return {
-            peer.identity.vm for peer in self._exchange.late_peers if not peer.statement.leaving
+            peer.identity.vm
+            for peer in self._exchange.late_peers
+            if peer.statement.active and not peer.statement.leaving
         }
 
     def _fetch_from_peer(self) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
@@ -72,6 +72,7 @@
   13: optional list<string> suspects,       // workers that do not answer the sender
   14: optional list<Crash> crashes,
   15: optional list<WorkerOutcomes> outcomes,   // those that changed, like accounts
+  16: optional bool standby,   // the sender takes no callers and gets whole reports only
 }
 
 // How far the receiver passes reports on.
@@ -86,6 +87,7 @@
   1: string vm,            // sender of this datagram
   2: Spread spread,
   3: list<Report> reports,
+  4: optional list<string> late,   // to standby daemons: active daemons that are silent
 }
 
 // Asks a peer how fresh its view of the desired state is.
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
@@ -627,11 +627,12 @@
      - suspects
      - crashes
      - outcomes
+     - standby
 
     """
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, outcomes=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, outcomes=None, standby=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
@@ -647,6 +648,7 @@
         self.suspects = suspects
         self.crashes = crashes
         self.outcomes = outcomes
+        self.standby = standby
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -774,6 +776,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.standby = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -865,6 +872,10 @@
                 iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.standby is not None:
+            oprot.writeFieldBegin('standby', TType.BOOL, 16)
+            oprot.writeBool(self.standby)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -889,14 +900,16 @@
      - vm
      - spread
      - reports
+     - late
 
     """
 
 
-    def __init__(self, vm=None, spread=None, reports=None,):
+    def __init__(self, vm=None, spread=None, reports=None, late=None,):
         self.vm = vm
         self.spread = spread
         self.reports = reports
+        self.late = late
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -928,6 +941,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.late = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.late.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -949,8 +972,15 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter55 in self.reports:
-                iter55.write(oprot)
+            for iter61 in self.reports:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.late is not None:
+            oprot.writeFieldBegin('late', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.late))
+            for iter62 in self.late:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1220,10 +1250,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1240,8 +1270,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter62 in self.addresses:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.addresses:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1435,6 +1465,7 @@
     (13, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 14
     (15, TType.LIST, 'outcomes', (TType.STRUCT, [WorkerOutcomes, None], False), None, ),  # 15
+    (16, TType.BOOL, 'standby', None, None, ),  # 16
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
@@ -1442,6 +1473,7 @@
     (1, TType.STRING, 'vm', 'UTF8', None, ),  # 1
     (2, TType.I32, 'spread', None, None, ),  # 2
     (3, TType.LIST, 'reports', (TType.STRUCT, [Report, None], False), None, ),  # 3
+    (4, TType.LIST, 'late', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(FreshnessQuery)
 FreshnessQuery.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -1,12 +1,14 @@
 """Follows the desired state, worker entries and daemon addresses in the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import ExitStack
+from typing import Any
 
 import orjson
 from result import Err, Ok
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.exchange.report_exchange import KnownDaemon
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.coordination.serving.table_feed import (
     FeedHooks,
@@ -29,6 +31,9 @@
 # worker that leaves must get no more requests after two to three seconds.
 _WORKERS_POLL_SECONDS = 2.0
 _MEMBERS_POLL_SECONDS = 4.0
+# Hundreds of daemons that start together each add a row. Without a pause, each of these rows would
+# answer the pending call of every daemon.
+_MEMBERS_PAUSE_SECONDS = 1.0
 _MEMBER_TABLE = "members"
 
 
@@ -62,7 +67,18 @@
         self._store_answered_at = float("-inf")
         self._store_regained_at = clock.now()
         self._state_undecodable = False
-        self._members: dict[str, tuple[str, int]] = {}
+        self._members: dict[str, KnownDaemon] = {}
+        self._own_row: dict[str, Any] = {
+            "host": self._deployment.host,
+            "port": self._deployment.peer_port,
+            "data_centre": self._deployment.data_centre,
+            "cores": self._deployment.cores,
+        }
+
+    @property
+    def member_count(self) -> int:
+        """Number of daemons that the store names; 0 before they are read."""
+        return len(self._members)
 
     @property
     def store_silent_seconds(self) -> float:
@@ -84,7 +100,9 @@
         )
         self._follow(
             stack,
-            WatchedTable(_MEMBER_TABLE, [""], _MEMBERS_POLL_SECONDS),
+            WatchedTable(
+                _MEMBER_TABLE, [""], _MEMBERS_POLL_SECONDS, lambda: _MEMBERS_PAUSE_SECONDS
+            ),
             FeedHooks(self._replace_members, self._change_members),
         )
 
@@ -133,25 +151,28 @@
     def _replace_members(self, rows: list[StoredRow], regained: bool) -> None:
         self._members = {}
         self._change_members(rows)
-        own = self._members.get(self._deployment.vm)
-        if own != (self._deployment.host, self._deployment.peer_port):
+        if self._members.get(self._deployment.vm) != _parse_member(self._own_row):
             self._register_address()
 
     def _change_members(self, rows: list[StoredRow]) -> None:
         for row in rows:
             if row.deleted:
                 self._members.pop(row.name.key, None)
-                continue
-            body = orjson.loads(row.value)
-            self._members[row.name.key] = (body["host"], body["port"])
-        self._service.exchange.set_known_addresses(self._members.values())
+            else:
+                self._members[row.name.key] = _parse_member(orjson.loads(row.value))
+        self._service.exchange.set_known_daemons(self._members.values())
 
     def _register_address(self) -> None:
         """Store this daemon's address for daemons that start later."""
-        deployment = self._deployment
-        value = orjson.dumps({"host": deployment.host, "port": deployment.peer_port})
-        name = RowKey(_MEMBER_TABLE, "", deployment.vm)
-        written = self._rows.commit([], [RowWrite(name, value)])
+        name = RowKey(_MEMBER_TABLE, "", self._deployment.vm)
+        written = self._rows.commit([], [RowWrite(name, orjson.dumps(self._own_row))])
         if isinstance(written, Err):
             # Seeds and peers still name this daemon; the next full read of the table tries again.
             log_event("member:not-registered", error=str(written.err_value))
+
+
+def _parse_member(row: Mapping[str, Any]) -> KnownDaemon:
+    """Return the daemon of a row; older versions stored its address only."""
+    return KnownDaemon(
+        (row["host"], row["port"]), row.get("data_centre", ""), row.get("cores", 0.0)
+    )
