--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -49,12 +49,17 @@
     leaving: bool = False
 
 
-def rank_relays(candidates: Iterable[RelayCandidate]) -> list[str]:
-    """Return the daemons of one data centre, the best relay first.
+def rank_relay(candidate: RelayCandidate) -> tuple[bool, float, str]:
+    """Return the sort key of a daemon among those of its data centre, the best relay first.
 
     The order is the same on all VMs.
     """
-    return [c.vm for c in sorted(candidates, key=lambda c: (c.leaving, -c.cores, c.vm))]
+    return candidate.leaving, -candidate.cores, candidate.vm
+
+
+def rank_relays(candidates: Iterable[RelayCandidate]) -> list[str]:
+    """Return the daemons of one data centre, the best relay first."""
+    return [candidate.vm for candidate in sorted(candidates, key=rank_relay)]
 
 
 class RelaySelector:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -22,6 +22,7 @@
     RelaySelector,
     RemoteRelays,
     StandbyOutbox,
+    rank_relay,
     rank_relays,
     split_into_bundles,
 )
@@ -61,6 +62,9 @@
 _LATE_FULL_REPORTS = 3
 # A daemon that has just become active gets short reports once its relay knows of it.
 _ACTIVATION_GRACE_SECONDS = 1.5
+# The lists of live and late peers are computed anew after this time. With hundreds of peers and a
+# relay that looks at them for each bundle, they took most of its processor time.
+_SNAPSHOT_SECONDS = 0.1
 # A relay's notice that an active daemon is late holds for this long, unless it is repeated.
 _LATE_NOTICE_SECONDS = 2.0
 # Limit for a daemon's own reports: at 30 us for each datagram, 12 % of a core.
@@ -114,6 +118,18 @@
     statement: DaemonState
 
 
+class _Snapshot(NamedTuple):
+    """The peers as judged at one time.
+
+    :param ranked: live peers by data centre, the best relay first.
+    """
+
+    taken_at: float
+    live: list[Peer]
+    late: list[Peer]
+    ranked: dict[str, list[Peer]]
+
+
 class ExchangeCallbacks(NamedTuple):
     """Callbacks of the exchange.
 
@@ -151,6 +167,7 @@
         self._full_report_at = float("-inf")
         self._peers: dict[str, Peer] = {}
         self._late: set[str] = set()
+        self._snapshot: _Snapshot | None = None
         self._late_notice: frozenset[str] = frozenset()
         self._late_notice_at = float("-inf")
         # Until the role is decided, every change of the peers matters.
@@ -177,20 +194,39 @@
     @property
     def live_peers(self) -> list[Peer]:
         """Peers whose reports arrive in time."""
-        running_time = self._running_time.now()
-        return [peer for peer in self.peers if not self._is_late(peer, running_time)]
+        return self._get_snapshot().live
 
     @property
     def late_peers(self) -> list[Peer]:
         """Peers whose reports are missing."""
-        running_time = self._running_time.now()
-        return [peer for peer in self.peers if self._is_late(peer, running_time)]
+        return self._get_snapshot().late
 
     @property
     def active_peers(self) -> list[Peer]:
         """Live peers that are active."""
         return [peer for peer in self.live_peers if peer.statement.active]
 
+    def _get_snapshot(self) -> _Snapshot:
+        """Return the peers as judged a short time ago."""
+        snapshot = self._snapshot
+        now = self._clock.now()
+        if snapshot is None or now - snapshot.taken_at >= _SNAPSHOT_SECONDS:
+            snapshot = self._snapshot = self._take_snapshot(now)
+        return snapshot
+
+    def _take_snapshot(self, now: float) -> _Snapshot:
+        running_time = self._running_time.now()
+        live: list[Peer] = []
+        late: list[Peer] = []
+        for peer in self.peers:
+            (late if self._is_late(peer, now, running_time) else live).append(peer)
+        ranked: dict[str, list[Peer]] = {}
+        for peer in live:
+            ranked.setdefault(peer.identity.data_centre, []).append(peer)
+        for peers in ranked.values():
+            peers.sort(key=lambda peer: rank_relay(_relay_candidate(peer)))
+        return _Snapshot(now, live, late, ranked)
+
     @property
     def active(self) -> bool:
         """Whether this daemon follows every change of the active daemons."""
@@ -223,16 +259,15 @@
         self._full_report_at = float("-inf")
         self.request_report()
 
-    def _is_late(self, peer: Peer, running_time: float) -> bool:
+    def _is_late(self, peer: Peer, now: float, running_time: float) -> bool:
         """Return whether reports of a peer are missing, not counting stalls of this process.
 
         :param running_time: present time of this process's ``RunningTime``.
         """
-        now = self._clock.now()
         if (
-            now - self._late_notice_at < _LATE_NOTICE_SECONDS
+            peer.identity.vm in self._late_notice
+            and now - self._late_notice_at < _LATE_NOTICE_SECONDS
             and peer.last_report_at < self._late_notice_at
-            and peer.identity.vm in self._late_notice
         ):
             return True
         silent = running_time - peer.last_report_running_time
@@ -412,25 +447,22 @@
         now = self._clock.now()
         pending = self._outbox.take()
         own = self.identity
-        peers_by_data_centre: dict[str, dict[str, Peer]] = {}
-        for peer in self.live_peers:
-            peers_by_data_centre.setdefault(peer.identity.data_centre, {})[peer.identity.vm] = peer
-        local_peers = peers_by_data_centre.pop(own.data_centre, {})
-        remote_relays = [
-            peers[relay]
-            for data_centre, peers in peers_by_data_centre.items()
-            for relay in self._remote_relays.choose(
-                data_centre, rank_relays(map(_relay_candidate, peers.values())), now
-            )
-        ]
+        ranked = self._get_snapshot().ranked
+        local_peers = ranked.get(own.data_centre, [])
+        remote_relays: list[Peer] = []
+        for data_centre, peers in ranked.items():
+            if data_centre != own.data_centre:
+                vms = [peer.identity.vm for peer in peers]
+                chosen = self._remote_relays.choose(data_centre, vms, now)
+                remote_relays += [peer for peer in peers if peer.identity.vm in chosen]
         reports = pending.local + pending.remote
-        active = [peer for peer in local_peers.values() if peer.statement.active]
+        active = [peer for peer in local_peers if peer.statement.active]
         sent = self._send_in_bundles(reports, Spread.NOWHERE, active)
         sent += self._send_in_bundles(pending.local, Spread.DATA_CENTRE, remote_relays)
         self._standby_outbox.add(reports)
         due = self._standby_outbox.take_due(now)
         if due is not None:
-            standby = [peer for peer in local_peers.values() if not peer.statement.active]
+            standby = [peer for peer in local_peers if not peer.statement.active]
             sent += self._send_in_bundles(
                 due, Spread.NOWHERE, standby, self._list_late_active_peers()
             )
@@ -469,12 +501,14 @@
                 if running_time - peer.last_report_running_time > gone_seconds:
                     gone.append(self._peers.pop(vm))
                     self._late.discard(vm)
-                elif self._is_late(peer, running_time):
+                elif self._is_late(peer, now, running_time):
                     late.add(vm)
                 else:
                     live.append(peer)
             newly_late = late - self._late
             self._late |= newly_late
+            if gone or newly_late:
+                self._snapshot = None
         assert self._hooks is not None
         for vm in sorted(newly_late):
             peer = self._peers[vm]
@@ -543,6 +577,7 @@
         if bundle.late is not None:
             self._late_notice = frozenset(bundle.late)
             self._late_notice_at = self._clock.now()
+            self._snapshot = None
         for report in bundle.reports:
             if report.vm != self.identity.vm:
                 self._handle_report(report, direct=report.vm == bundle.vm)
@@ -570,13 +605,15 @@
                 before, after = known.identity.incarnation, report.incarnation
                 # Incarnations are times of day. If the time of day was set back, a restarted
                 # daemon has a smaller incarnation than before.
-                restarted = new and self._is_late(known, self._running_time.now())
+                restarted = new and self._is_late(known, now, self._running_time.now())
                 if (before, known.sequence) >= (after, report.sequence) and not restarted:
                     return
                 uptime = known.statement.uptime + now - known.last_report_at
             statement = parse_statement(report, now, uptime)
             peer = Peer(identity, report.sequence, now, self._running_time.now(), statement)
             self._peers[report.vm] = peer
+            if new or report.vm in self._late:
+                self._snapshot = None
         assert self._hooks is not None
         if known is not None and new:
             self._hooks.on_peer_lost(known)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/fleet_buckets.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/fleet_buckets.py
@@ -49,7 +49,7 @@
         self.level = level
         self.filled_at = now
         self.admitted = 0
-        self.active_at = now
+        self.active_at = float("-inf")
         self.next_retry_at = now
 
 
@@ -109,7 +109,11 @@
             bucket.admitted -= 1
 
     def local_usage(self) -> dict[str, AccountUsage]:
-        """Return the admissions of this daemon for its next report."""
+        """Return the recent admissions of this daemon for its next report.
+
+        Accounts that only peers have admitted are left out: they would make the reports of all
+        daemons grow with the accounts of the whole fleet.
+        """
         limit = self._clock.now() - _REPORTED_AFTER_USE_SECONDS
         with self._lock:
             return {
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
@@ -112,8 +112,15 @@
         self._shortage_since: float | None = None
         self._surplus_since: float | None = None
         self._withdrawn_at = float("-inf")
+        self._learning = True
         self.role = Role(active=False, offered=False)
 
+    @property
+    def deciding(self) -> bool:
+        """Whether the role may change soon although the fleet stays as it is."""
+        waiting = self._shortage_since is not None or self._surplus_since is not None
+        return self._learning or waiting or self.role.active != self.role.offered
+
     def update(self, view: FleetView, now: float, busy: bool) -> Role:
         """Decide by what is known now and return the role.
 
@@ -123,15 +130,17 @@
         small_fleet = 0 < view.known_daemons <= wanted
         if now - self._started_at < _LEARNING_SECONDS and not small_fleet:
             return self.role
+        self._learning = False
         ranked = rank_members(view.members)
         vms = [member.vm for member in ranked]
         place = vms.index(self._vm) if self._vm in vms else len(vms)
         if self.role.offered:
             if self._must_withdraw(ranked, place, wanted, now):
                 self._withdrawn_at = now
+                self._surplus_since = None
                 self.role = Role(active=True, offered=False)
         elif place < wanted or self._must_replace_lost(ranked, wanted, now):
-            self._surplus_since = None
+            self._shortage_since = None
             self.role = Role(active=True, offered=True)
         elif not busy and now - self._withdrawn_at >= _CALLERS_LEAVE_SECONDS:
             self.role = Role(active=False, offered=False)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -215,9 +215,10 @@
         return rank_online(self._times, now)
 
     def _choose(self, loads: list[WorkerLoad]) -> str | None:
-        chosen = choose_online(loads, self._request.shared_prefix_id, self._failed_workers)
+        prefix, request_id = self._request.shared_prefix_id, self._request.call.request_id
+        chosen = choose_online(loads, prefix, self._failed_workers, request_id)
         if chosen is None and self._failed_workers:
-            chosen = choose_online(loads, self._request.shared_prefix_id)
+            chosen = choose_online(loads, prefix, request_id=request_id)
         if chosen is not None:
             log_decision(
                 "route",
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -142,6 +142,8 @@
         self._admission.get_load_timeout = lambda: self._exchange.load_timeout_seconds
         self._jobs.table.count_live_daemons = self._count_active
         self._roles = RolePolicy(deployment.vm, self._started_at)
+        # Numbers of daemons and slots at the last decision on the role.
+        self._fleet = (0, 0, 0)
         self._exchange.set_active(False)
         self._active_stack = stack.enter_context(ExitStack())
         self._start_exchange(stack)
@@ -281,8 +283,14 @@
 
     def _update_role(self) -> None:
         """Become active or standby as the fleet needs; an active daemon follows the jobs."""
-        deployment, service = self._deployment, self._service
         before = self._roles.role
+        peers = [peer for peer in self._exchange.live_peers if not peer.statement.leaving]
+        slots = sum(worker.slots for worker in self._admission.workers.entries())
+        fleet = (len(peers), sum(peer.statement.active for peer in peers), slots)
+        if fleet == self._fleet and not self._roles.deciding:
+            return
+        self._fleet = fleet
+        deployment = self._deployment
         members = [
             FleetMember(
                 peer.identity.vm,
@@ -290,14 +298,10 @@
                 peer.identity.cores,
                 peer.statement.active,
             )
-            for peer in self._exchange.live_peers
-            if not peer.statement.leaving
+            for peer in peers
         ]
         own = FleetMember(deployment.vm, deployment.data_centre, deployment.cores, before.active)
-        workers = self._admission.workers.entries()
-        view = FleetView(
-            [*members, own], self._feeds.member_count, sum(worker.slots for worker in workers)
-        )
+        view = FleetView([*members, own], self._feeds.member_count, slots)
         busy = self._admission.has_requests or self._jobs.has_runs
         role = self._roles.update(view, self._clock.now(), busy)
         if role == before:
@@ -312,7 +316,7 @@
             wanted=count_wanted(view),
             slots=view.slots,
         )
-        service.offered = role.offered
+        self._service.offered = role.offered
         if role.active and not before.active:
             self._jobs.follow(self._active_stack)
         elif before.active and not role.active:
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -30,6 +30,9 @@
 # A feed that stops answering is detected one second after its long poll should have ended; a
 # worker that leaves must get no more requests after two to three seconds.
 _WORKERS_POLL_SECONDS = 2.0
+# Workers that change together are read in one call. The pause is short against the two seconds in
+# which a worker that leaves must get no more requests.
+_WORKERS_PAUSE_SECONDS = 0.2
 _MEMBERS_POLL_SECONDS = 4.0
 # Hundreds of daemons that start together each add a row. Without a pause, each of these rows would
 # answer the pending call of every daemon.
@@ -95,7 +98,9 @@
         )
         self._follow(
             stack,
-            WatchedTable(names.WORKER_TABLE, [""], _WORKERS_POLL_SECONDS),
+            WatchedTable(
+                names.WORKER_TABLE, [""], _WORKERS_POLL_SECONDS, lambda: _WORKERS_PAUSE_SECONDS
+            ),
             FeedHooks(self._replace_workers, self._change_workers),
         )
         self._follow(
