--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
@@ -25,8 +25,10 @@
 _STRONG_VM_CORES_SHARE = 0.5
 # A daemon that has just started knows few of the others, and would consider itself among the best.
 _LEARNING_SECONDS = 1.5
-# While active daemons are missing, each such time twice as many standby daemons may replace them,
-# because some of those that should may be lost as well.
+# Standby daemons hear of a new active one within about this time.
+_ROLE_HEARD_SECONDS = 1.0
+# While active daemons are missing after that, each such time twice as many standby daemons may
+# replace them, because some of those that should may be lost as well.
 _SHORTAGE_DOUBLING_SECONDS = 0.6
 _MAX_SHORTAGE_DOUBLINGS = 10.0
 # Longest time for which callers use the addresses that they were given.
@@ -166,8 +168,7 @@
             return False
         if self._shortage_since is None:
             self._shortage_since = now
-        doublings = min(
-            _MAX_SHORTAGE_DOUBLINGS, (now - self._shortage_since) / _SHORTAGE_DOUBLING_SECONDS
-        )
+        overdue = max(0.0, now - self._shortage_since - _ROLE_HEARD_SECONDS)
+        doublings = min(_MAX_SHORTAGE_DOUBLINGS, overdue / _SHORTAGE_DOUBLING_SECONDS)
         standby = [member.vm for member in ranked if not member.active]
         return self._vm in standby[: int(missing * 2.0**doublings)]
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -78,16 +78,18 @@
         data_centre: str = "a",
         cores: float = 1.0,
         clock: Clock | None = None,
+        active: bool = True,
     ) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = probe.getsockname()
         identity = Identity(name, 1, *self.address, 0, f"{name}:80", data_centre, cores)
         self.exchange = CountingExchange(clock or SystemClock(), identity, seeds)
+        self.exchange.set_active(active)
         self.received: list[Peer] = []
         self.confirmed: list[tuple[int, float]] = []
         hooks = ExchangeCallbacks(
-            get_state=lambda: STATEMENT,
+            get_state=lambda: STATEMENT._replace(active=self.exchange.active),
             on_report=self.received.append,
             on_datagram_applied=lambda: None,
             on_peer_lost=lambda peer: None,
@@ -197,15 +199,26 @@
 
 
 class RelayedFleet:
-    """Daemons of two data centres, the first two of each on the VMs with the most cores."""
+    """Daemons of two data centres, the first two of each on the VMs with the most cores.
 
-    def __init__(self, stack: ExitStack) -> None:
+    :param standby: whether the others stand by.
+    """
+
+    def __init__(self, stack: ExitStack, standby: bool = False) -> None:
         self.nodes: dict[str, Node] = {}
         for number in range(MIN_RELAYED_FLEET_SIZE + 4):
             data_centre, rank = "ab"[number % 2], number // 2
             seeds = [node.address for node in list(self.nodes.values())[:2]]
             name = f"{data_centre}{rank}"
-            self.nodes[name] = Node(stack, name, seeds, data_centre, cores=2.0 if rank < 2 else 1.0)
+            strong = rank < 2
+            self.nodes[name] = Node(
+                stack,
+                name,
+                seeds,
+                data_centre,
+                cores=2.0 if strong else 1.0,
+                active=strong or not standby,
+            )
         for name in self.nodes:
             self.wait_live(name)
 
@@ -315,3 +328,72 @@
     assert len(bundles) <= 5
     assert all(len(encode_bundle("vm", Spread.FLEET, bundle)) < 65_000 for bundle in bundles)
     assert list(split_into_bundles([])) == []
+
+
+@pytest.fixture
+def standby_fleet(stack: ExitStack) -> RelayedFleet:
+    return RelayedFleet(stack, standby=True)
+
+
+def test_changes_of_active_daemons_do_not_reach_standby_ones(standby_fleet: RelayedFleet) -> None:
+    """Guards against a daemon without callers that reads every change of all others.
+
+    With 195 daemons, nearly all of their processor time went into reading each other's reports.
+    """
+    nodes = standby_fleet.nodes
+    # Until a daemon knows the best relay, reports take several ways.
+    wait_until(lambda: all(n.exchange._relay_in_use in ("a0", "b0") for n in nodes.values()))
+    before = {name: len(node.received) for name, node in nodes.items()}
+    for _ in range(100):
+        for name in ("a0", "a1", "b0", "b1"):
+            nodes[name].exchange.request_report()
+        time.sleep(0.02)
+    received = {name: len(node.received) - before[name] for name, node in nodes.items()}
+    # Each of the 20 daemons sends one full report a second.
+    standby = {name: count for name, count in received.items() if int(name[1:]) >= 2}
+    assert all(10 <= count <= 60 for count in standby.values()), received
+    assert all(received[name] >= 100 for name in ("a0", "a1", "b0", "b1")), received
+
+
+def test_standby_daemon_learns_of_a_lost_active_one_from_its_relay(
+    standby_fleet: RelayedFleet,
+) -> None:
+    """Guards against callers that a standby daemon sends to a lost one for many seconds.
+
+    By its own timeout for full reports, it would take 3 s.
+    """
+    closed_at = time.monotonic()
+    standby_fleet.close("b1")
+    observers = [node for name, node in standby_fleet.nodes.items() if int(name[1:]) >= 2]
+    wait_until(lambda: all("b1" not in _find_live(node) for node in observers), timeout=2.5)
+    assert time.monotonic() - closed_at < 2.5
+    for node in observers:
+        assert _find_live(node) >= {"a0", "a1", "b0"} - {node.exchange.identity.vm}
+
+
+def test_standby_daemons_survive_the_loss_of_their_relay(standby_fleet: RelayedFleet) -> None:
+    """Guards against standby daemons that lose sight of the fleet together with their relay."""
+    standby_fleet.close("a0")
+    others = {name: node for name, node in standby_fleet.nodes.items() if name[0] == "a"}
+    deadline = time.monotonic() + 5.0
+    while time.monotonic() < deadline:
+        for name, node in others.items():
+            assert _find_live(node) >= {"a1", "b0", "b1"} - {name}
+        time.sleep(0.05)
+    for name, node in standby_fleet.nodes.items():
+        wait_until(lambda n=node, own=name: _find_live(n) == set(standby_fleet.nodes) - {own})
+
+
+def test_daemon_that_becomes_active_reads_every_change(standby_fleet: RelayedFleet) -> None:
+    node = standby_fleet.nodes["a5"]
+    node.exchange.set_active(True)
+    wait_until(
+        lambda: (
+            "a5" in {peer.identity.vm for peer in standby_fleet.nodes["b0"].exchange.active_peers}
+        )
+    )
+    time.sleep(0.5)
+    before = len(node.received)
+    time.sleep(2.0)
+    # Four active peers send four reports a second each.
+    assert len(node.received) - before >= 2 * 4 * 4
--- a/tests/unit/test_feeds.py
+++ b/tests/unit/test_feeds.py
@@ -25,8 +25,10 @@
         self.adopted: list[int] = []
         service: Any = SimpleNamespace(
             admission=SimpleNamespace(workers=self.workers),
-            deployment=SimpleNamespace(vm="a", host="10.0.0.1", peer_port=7),
-            exchange=SimpleNamespace(set_known_addresses=lambda addresses: None),
+            deployment=SimpleNamespace(
+                vm="a", host="10.0.0.1", peer_port=7, data_centre="x", cores=1.0
+            ),
+            exchange=SimpleNamespace(set_known_daemons=lambda daemons: None),
             freshness=self.freshness,
             route_index=object(),
             adopt=self._adopt,
