End answers of servers whose bytes never end or make no progress

Cause: the time-out of a socket restarts with every byte, and nothing bounded the size of what was read. A server that sent interim answers, header lines, trailers or chunks without end, or a byte now and then, held a request, a feed of the store or a run of a batch item for ever, or until the process had no memory left. A stalled stream that sent comments counted as live.

Slow streams whose events keep coming are not cut. Comments no longer become empty lines of a result.

Ruled out: late second answers on a connection in use again, as each request to a worker has a connection of its own.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -37,6 +37,7 @@
 from trefoilreach._internal.coordination.serving.choice import choose_batch
 from trefoilreach._internal.coordination.serving.crashes import compute_fingerprint
 from trefoilreach._internal.coordination.serving.queue_order import BatchTimes, rank_batch
+from trefoilreach._internal.coordination.serving.relay import split_events
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
 from trefoilreach._internal.coordination.serving.worker_client import (
@@ -414,11 +415,17 @@
 
     def _read_events(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
         clock, splitter = self._tools.clock, EventSplitter()
-        read_started_at = clock.now()
+        read_started_at = progressed_at = clock.now()
         while data := answer.read_chunk(_NEXT_EVENT_TIMEOUT_SECONDS):
             self._tools.admission.workers.record_partial_answer(worker.id)
-            for event in splitter.feed(data):
-                run.events.append((event.id, event.data))
+            for event in split_events(splitter, data):
+                if not event.is_empty:
+                    run.events.append((event.id, event.data))
+                    progressed_at = clock.now()
+            # A stalled worker may still send a byte or a comment now and then.
+            if clock.now() - progressed_at > _NEXT_EVENT_TIMEOUT_SECONDS:
+                message = "the stream made no progress"
+                raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
             pause = choose_read_pause(clock.now() - read_started_at)
             if pause:
                 clock.sleep(pause)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -1,12 +1,18 @@
 """Reads the events of one worker's answer to an online request."""
 
+import math
+
 from trefoilreach._internal.coordination.serving.request import (
     Attempt,
     OnlineRequest,
     ServingDependencies,
 )
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
-from trefoilreach._internal.protocol.event_stream import EventSplitter, StreamEvent
+from trefoilreach._internal.protocol.event_stream import (
+    EventSplitter,
+    EventTooLargeError,
+    StreamEvent,
+)
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
 
@@ -21,6 +27,7 @@
 _STALL_FACTOR = 2.0
 _MIN_STALL_TIMEOUT_SECONDS = 0.3
 _MIN_TIMEOUT_SECONDS = 0.001
+_TIMEOUT_STEP_SECONDS = 0.1
 
 
 def find_first_answer_timeout(route: ServingRoute) -> float:
@@ -30,6 +37,17 @@
     return max(_MIN_FIRST_ANSWER_TIMEOUT_SECONDS, _PLAIN_TARGET_FACTOR * route.target_seconds)
 
 
+def split_events(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+    """Return the events that the next bytes of a stream complete.
+
+    :raises WorkerFailure: when an event is too large.
+    """
+    try:
+        return splitter.feed(data)
+    except EventTooLargeError as error:
+        raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
+
+
 class Relay:
     """Reads the events of an answer; owns the attempt's slot and releases it on close.
 
@@ -53,6 +71,7 @@
         self._splitter = EventSplitter()
         # A resumed stream may have no events left, if the earlier worker failed after the last.
         self._events_seen = resumed
+        self._progressed_at = tools.clock.now()
         self.ended = False
 
     @property
@@ -69,7 +88,14 @@
             data = self._attempt.answer.read_chunk(self._find_timeout())
             self._tools.admission.workers.record_partial_answer(self.worker.id)
             self.ended = not data
-            events = self._splitter.feed(data)
+            events = split_events(self._splitter, data)
+            now = self._tools.clock.now()
+            if not all(event.is_empty for event in events):
+                self._progressed_at = now
+            elif self._may_resume and now - self._progressed_at > self._stall_timeout:
+                # A stalled worker may still send a byte or a comment now and then.
+                message = f"no progress for {self._stall_timeout:.3g} s"
+                raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
             if events:
                 self._events_seen = True
                 return events
@@ -84,15 +110,22 @@
         self._attempt.answer.close()
         self._tools.admission.release(self._attempt.ticket)
 
+    @property
+    def _stall_timeout(self) -> float:
+        """Seconds without an event after which another worker is tried."""
+        route = self._request.route
+        if not self._events_seen:
+            return find_first_answer_timeout(route)
+        return max(_MIN_STALL_TIMEOUT_SECONDS, _STALL_FACTOR * route.event_gap_target_seconds)
+
     def _find_timeout(self) -> float:
-        request = self._request
-        time_left = max(request.end - self._tools.clock.now(), _MIN_TIMEOUT_SECONDS)
+        """Return how long to wait for more of the stream."""
+        request, now = self._request, self._tools.clock.now()
+        time_left = max(request.end - now, _MIN_TIMEOUT_SECONDS)
         if not self._may_resume:
             return time_left
-        stall_timeout = max(
-            _MIN_STALL_TIMEOUT_SECONDS, _STALL_FACTOR * request.route.event_gap_target_seconds
-        )
-        return min(
-            time_left,
-            stall_timeout if self._events_seen else find_first_answer_timeout(request.route),
-        )
+        left = self._progressed_at + self._stall_timeout - now
+        # After a stall of this process the next events may have arrived already. In coarse steps,
+        # so that the socket's timeout need not be set again for every event.
+        steps = max(1, math.ceil(left / _TIMEOUT_STEP_SECONDS))
+        return min(time_left, steps * _TIMEOUT_STEP_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -21,6 +21,9 @@
 _CONNECT_TIMEOUT_SECONDS = 0.3
 _LOAD_TIMEOUT_SECONDS = 0.3
 _READ_SIZE_BYTES = 65536
+_MIN_TIMEOUT_SECONDS = 0.001
+# Largest plain answer that is relayed; it is kept in memory until it is complete.
+_MAX_ANSWER_BYTES = 16 * 2**20
 _WRONG_WORKER_STATUS = 421
 _MILLISECONDS_PER_SECOND = 1000.0
 # Headers of an answer that apply only to the connection to the worker.
@@ -41,10 +44,10 @@
 class PlatformAnswer:
     """A worker's answer whose head was received and whose body is read on demand."""
 
-    def __init__(self, exchange: HttpExchange) -> None:
+    def __init__(self, exchange: HttpExchange, clock: Clock) -> None:
+        self._clock = clock
         self._exchange = exchange
         self._response = exchange.response
-        self._timeout = 0.0
 
     @property
     def status(self) -> int:
@@ -85,9 +88,7 @@
         :raises WorkerFailure: when the connection fails or closes before the end, or nothing
             arrives in time.
         """
-        if timeout != self._timeout:
-            self._exchange.set_timeout(timeout)
-            self._timeout = timeout
+        self._exchange.limit_next_read(timeout)
         try:
             data = self._response.read1(_READ_SIZE_BYTES)
         except (OSError, HTTPException, ValueError) as error:
@@ -102,12 +103,18 @@
     def read_all(self, timeout: float) -> bytes:
         """Return the rest of the body.
 
-        :param timeout: limit in seconds on each wait.
-        :raises WorkerFailure: as for :meth:`read_chunk`.
+        :param timeout: limit in seconds on the whole body.
+        :raises WorkerFailure: as for :meth:`read_chunk`, or when the body is too large.
         """
-        parts = []
-        while data := self.read_chunk(timeout):
+        deadline = self._clock.now() + timeout
+        parts: list[bytes] = []
+        size = 0
+        while data := self.read_chunk(max(deadline - self._clock.now(), _MIN_TIMEOUT_SECONDS)):
             parts.append(data)
+            size += len(data)
+            if size > _MAX_ANSWER_BYTES or self._clock.now() > deadline:
+                message = f"the answer does not end after {size} bytes"
+                raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
         return b"".join(parts)
 
     def close(self) -> None:
@@ -119,6 +126,7 @@
     """Sends requests to workers over HTTP."""
 
     def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._pools = HttpPools(clock, _CONNECT_TIMEOUT_SECONDS)
 
     def close(self) -> None:
@@ -149,7 +157,7 @@
             raise WorkerFailure(
                 str(failure), failure.verdict, unreachable=not_sent, timed_out=failure.timed_out
             ) from failure
-        answer = PlatformAnswer(exchange)
+        answer = PlatformAnswer(exchange, self._clock)
         echoed = exchange.response.getheader(names.REQUEST_ID)
         if echoed is not None and echoed != call.request_id:
             exchange.close()
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -1,5 +1,6 @@
 """HTTP connections to one backend server, reused only after complete answers."""
 
+import io
 import socket
 import threading
 from collections import deque
@@ -12,6 +13,10 @@
 
 # A network device between both ends may drop the state of a connection idle for longer.
 IDLE_LIMIT_SECONDS = 5.0
+# Largest head of an answer, with interim answers: twice the largest that usual servers send.
+_MAX_HEAD_BYTES = 65536
+# Largest body that is read at once. The largest object of the platform's store has 8 MiB.
+_MAX_BODY_BYTES = 16 * 2**20
 
 
 class HttpFailure(Exception):
@@ -69,16 +74,102 @@
         open_socket.shutdown(socket.SHUT_RDWR)
 
 
+class _LimitedReader(io.RawIOBase):
+    """Reads from a socket for a limited time and up to a limited size.
+
+    A socket's own timeout restarts with every byte, so a server that sends a byte now and then
+    would hold its reader for ever.
+
+    :param raw: unbuffered reader of the socket.
+    """
+
+    def __init__(self, raw: io.RawIOBase, open_socket: socket.socket, clock: Clock) -> None:
+        self._raw = raw
+        self._socket = open_socket
+        self._clock = clock
+        self._wait: float | None = open_socket.gettimeout()
+        self._socket_timeout = self._wait
+        self._seconds: float | None = None
+        self._deadline: float | None = None
+        self._bytes_left: int | None = None
+
+    def limit(self, wait: float | None, seconds: float | None, size: int | None) -> None:
+        """Set the limits of what is read from now on; the time starts with the first read.
+
+        :param wait: longest wait in seconds for any bytes; None for no limit.
+        :param seconds: longest time for all of it; None for no limit.
+        :param size: most bytes; None for no limit.
+        """
+        self._wait = wait
+        self._seconds = seconds
+        self._deadline = None
+        self._bytes_left = size
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read available bytes into a buffer.
+
+        :raises TimeoutError: when the time is over.
+        :raises HTTPException: when the size is exceeded.
+        """
+        self._apply_timeout()
+        count = self._raw.readinto(buffer)
+        if self._bytes_left is not None and count:
+            self._bytes_left -= count
+            if self._bytes_left < 0:
+                raise HTTPException("the answer is too large")
+        return count
+
+    def close(self) -> None:
+        """Release the socket."""
+        if not self.closed:
+            self._raw.close()
+        super().close()
+
+    def _apply_timeout(self) -> None:
+        """Set the socket's timeout to what is left of the time, if that differs."""
+        timeout = self._wait
+        if self._seconds is not None:
+            now = self._clock.now()
+            if self._deadline is None:
+                self._deadline = now + self._seconds
+            left = self._deadline - now
+            if left <= 0:
+                raise TimeoutError("the answer took too long")
+            timeout = left if timeout is None else min(timeout, left)
+        if timeout != self._socket_timeout:
+            self._socket.settimeout(timeout)
+            self._socket_timeout = timeout
+
+
+class _Response(HTTPResponse):
+    """A response that is read with limits on time and size."""
+
+    def __init__(self, open_socket: socket.socket, clock: Clock, **arguments: Any) -> None:
+        super().__init__(open_socket, **arguments)
+        self.limited = _LimitedReader(self.fp.detach(), open_socket, clock)
+        self.limited.limit(None, open_socket.gettimeout(), _MAX_HEAD_BYTES)
+        self.fp = io.BufferedReader(self.limited)
+
+
 class _Connection(HTTPConnection):
     """Sends head and body in one call; separately they cost two system calls and two packets."""
 
-    def __init__(self, host: str, port: int, timeout: float) -> None:
+    response_class: Any
+
+    def __init__(self, host: str, port: int, timeout: float, clock: Clock) -> None:
         super().__init__(host, port, timeout=timeout)
+        self._clock = clock
         self._buffered: list[bytes] | None = None
+        self.response_class = self._create_response
+
+    def _create_response(self, open_socket: socket.socket, **arguments: Any) -> _Response:
+        return _Response(open_socket, self._clock, **arguments)
 
-    def exchange(
-        self, method: str, path: str, body: bytes, headers: dict[str, str]
-    ) -> HTTPResponse:
+    def exchange(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> _Response:
         """Send a request and return the response once its head has arrived."""
         buffered: list[bytes] = []
         self._buffered = buffered
@@ -87,7 +178,9 @@
         finally:
             self._buffered = None
         self.send(b"".join(buffered))
-        return self.getresponse()
+        response = self.getresponse()
+        assert isinstance(response, _Response)
+        return response
 
     def send(self, data: Any) -> None:
         """Send bytes, or buffer them while a request is being built."""
@@ -125,7 +218,8 @@
     ) -> "HttpExchange":
         """Send a request and wait for the response head.
 
-        :param timeout: longest wait in seconds for each receipt of data from the other side.
+        :param timeout: longest time in seconds until the head has arrived, and longest wait for
+            more data of the body.
         :param fresh: open a new connection even if the pool has an idle one.
         :param interrupt: lets another thread end the exchange.
         :raises HttpFailure: when no response head arrives.
@@ -147,7 +241,8 @@
             message = f"no answer from {self._host}:{self._port}: {error!r}"
             silent = isinstance(error, TimeoutError)
             raise HttpFailure(message, Verdict.MAY_HAVE_RUN, timed_out=silent) from error
-        return HttpExchange(self, connection, response, open_socket, interrupt)
+        response.limited.limit(timeout, None, None)
+        return HttpExchange(self, connection, response, timeout, interrupt)
 
     def is_refused(self) -> bool:
         """Return whether a new connection is refused."""
@@ -169,7 +264,7 @@
         self.drop_idle()
 
     def _connect(self) -> _Connection:
-        connection = _Connection(self._host, self._port, self._connect_timeout)
+        connection = _Connection(self._host, self._port, self._connect_timeout, self._clock)
         try:
             connection.connect()
         except OSError as error:
@@ -202,14 +297,14 @@
         self,
         pool: HttpPool,
         connection: _Connection,
-        response: HTTPResponse,
-        open_socket: socket.socket,
+        response: _Response,
+        timeout: float,
         interrupt: Interrupt | None,
     ) -> None:
         self._pool = pool
         self._connection = connection
         self._response = response
-        self._socket = open_socket
+        self._timeout = timeout
         self._interrupt = interrupt
         self._complete = False
 
@@ -224,10 +319,11 @@
         return self._response
 
     def read(self) -> bytes:
-        """Read the complete body.
+        """Read the complete body within the timeout.
 
-        :raises HttpFailure: when the body ends early.
+        :raises HttpFailure: when the body ends early, takes too long or is too large.
         """
+        self._response.limited.limit(self._timeout, self._timeout, _MAX_BODY_BYTES)
         try:
             data = self._response.read()
         except (OSError, HTTPException) as error:
@@ -237,7 +333,12 @@
 
     def set_timeout(self, seconds: float) -> None:
         """Change the timeout of each wait for the other side."""
-        self._socket.settimeout(seconds)
+        self._timeout = seconds
+        self._response.limited.limit(seconds, None, None)
+
+    def limit_next_read(self, seconds: float) -> None:
+        """Limit the time of the next read of the response, however many waits it takes."""
+        self._response.limited.limit(seconds, seconds, _MAX_BODY_BYTES)
 
     def close(self) -> None:
         """Return the connection to the pool, or close it after an incomplete answer."""
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -67,6 +67,7 @@
     :param failure_after_pieces: raised after the parts of the body.
     :param silence_seconds: time to wait before ``failure_after_pieces`` is raised.
     :param gate: holds back the last part of the body until it is set.
+    :param piece_seconds: time before each part of the body after the first.
     """
 
     status: int = 200
@@ -78,6 +79,7 @@
     failure_after_pieces: WorkerFailure | None = None
     silence_seconds: float = 0.0
     gate: threading.Event | None = None
+    piece_seconds: float = 0.0
 
 
 class FakeAnswer:
@@ -103,6 +105,8 @@
         if self.interrupt.reason:
             raise WorkerFailure("interrupted", Verdict.MAY_HAVE_RUN)
         if self.pending_pieces:
+            if len(self.pending_pieces) < len(self.script.pieces):
+                time.sleep(self.script.piece_seconds)
             return self.pending_pieces.pop(0)
         if self.script.failure_after_pieces is not None:
             time.sleep(self.script.silence_seconds)
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -408,6 +408,24 @@
     assert [dispatch.resume_after for dispatch in fleet.link.sent] == [None, 2]
 
 
+@pytest.mark.parametrize("filler", [b"x", b": comment\n\n"])
+def test_item_of_a_worker_that_sends_bytes_but_no_events_is_resumed(
+    stack: ExitStack, filler: bytes
+) -> None:
+    """Guards against a stalled run of an item that never ends, and comments in its result."""
+
+    def decide(dispatch: Dispatch) -> Script:
+        if dispatch.resume_after is None:
+            return Script(pieces=(EVENTS[0], EVENTS[1], *[filler] * 60), piece_seconds=0.1)
+        return send_all_events(dispatch)
+
+    fleet = Fleet(stack, decide)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+    assert [dispatch.resume_after for dispatch in fleet.link.sent] == [None, 2]
+
+
 def test_ended_job_stops_at_its_owner(stack: ExitStack) -> None:
     fleet = Fleet(stack, send_all_events)
     keeper, other = fleet.start("d0", workers=0), fleet.start("d1", workers=0)
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -135,6 +135,33 @@
     assert case.link.sent[0].worker.id in case.tools.admission.workers.suspects
 
 
+@pytest.mark.parametrize("filler", [b"x", b": comment\n\n"])
+def test_stalled_stream_that_sends_bytes_now_and_then_is_resumed(filler: bytes) -> None:
+    """Guards against a stalled worker that keeps its request by bytes that are no event."""
+    case = Case(
+        RESUMABLE,
+        Script(pieces=(EVENTS[0], *[filler] * 60), piece_seconds=0.05),
+        Script(pieces=tuple(EVENTS[1:])),
+    )
+    begun = time.monotonic()
+    answer = case.run()
+    assert answer.events is not None
+    received = b"".join(answer.events)
+    # Twice the longest pause that counts as on time, and room for a busy machine.
+    assert time.monotonic() - begun < 1.5
+    assert received.replace(filler, b"") == b"".join(EVENTS).replace(filler, b"")
+    assert case.link.answers[0].closed
+
+
+def test_slow_stream_whose_events_keep_coming_is_not_cut() -> None:
+    """Guards against the loss of a stream that is slow but makes progress."""
+    case = Case(RESUMABLE, Script(pieces=tuple(EVENTS), piece_seconds=0.35))
+    answer = case.run()
+    assert answer.events is not None
+    assert b"".join(answer.events) == b"".join(EVENTS)
+    assert len(case.link.sent) == 1
+
+
 def test_stream_that_cannot_be_resumed_is_cut() -> None:
     case = Case(RUN_ONCE, Script(pieces=tuple(EVENTS[:2]), failure_after_pieces=BROKEN))
     answer = case.run()
