--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from typing import NamedTuple
@@ -63,7 +63,10 @@
 
 
 class JobManager:
-    """Serves calls for all batch jobs, and runs those that this daemon owns."""
+    """Serves calls for all batch jobs, and runs those that this daemon owns.
+
+    :ivar start_following: called when a job is submitted to a daemon that does not follow jobs.
+    """
 
     def __init__(self, tools: JobDependencies) -> None:
         self.table = JobTable(tools.clock, tools.rows, tools.blobs)
@@ -85,6 +88,7 @@
         self._context = JobRunContext(
             tools.serving, tools.rows, tools.blobs, self._executor, MeanRunTime()
         )
+        self.start_following: Callable[[], None] = lambda: None
         self._following_since = float("inf")
         self._stop = threading.Event()
         identity = tools.service.exchange.identity
@@ -167,6 +171,8 @@
 
         :raises Refusal: when the job is not accepted, or when the outcome is unknown.
         """
+        if not self.table.wait_until_complete():
+            self.start_following()
         if not self.table.wait_until_complete():
             # The account's waiting tokens are not known here.
             raise Refusal(503, "standby", "this daemon does not know the jobs yet", retry_after=0.0)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
@@ -148,6 +148,13 @@
             self.role = Role(active=False, offered=False)
         return self.role
 
+    def activate(self, now: float) -> Role:
+        """Become active without being offered to callers, because one of them needs it."""
+        if not self.role.active:
+            self._withdrawn_at = now
+            self.role = Role(active=True, offered=False)
+        return self.role
+
     def _must_withdraw(
         self, ranked: Sequence[FleetMember], place: int, wanted: int, now: float
     ) -> bool:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -22,6 +22,7 @@
 from trefoilreach._internal.coordination.serving.activation import (
     FleetMember,
     FleetView,
+    Role,
     RolePolicy,
     count_wanted,
 )
@@ -142,6 +143,8 @@
         self._admission.get_load_timeout = lambda: self._exchange.load_timeout_seconds
         self._jobs.table.count_live_daemons = self._count_active
         self._roles = RolePolicy(deployment.vm, self._started_at)
+        self._role_lock = threading.Lock()
+        self._jobs.start_following = self._activate
         # Numbers of daemons and slots at the last decision on the role.
         self._fleet = (0, 0, 0)
         self._exchange.set_active(False)
@@ -303,19 +306,33 @@
         own = FleetMember(deployment.vm, deployment.data_centre, deployment.cores, before.active)
         view = FleetView([*members, own], self._feeds.member_count, slots)
         busy = self._admission.has_requests or self._jobs.has_runs
-        role = self._roles.update(view, self._clock.now(), busy)
-        if role == before:
-            return
-        log_decision(
-            "role",
-            "active" if role.active else "standby",
-            "place of this VM among the live daemons",
-            offered=role.offered,
-            live=len(view.members),
-            active=sum(member.active for member in view.members),
-            wanted=count_wanted(view),
-            slots=view.slots,
-        )
+        with self._role_lock:
+            before = self._roles.role
+            role = self._roles.update(view, self._clock.now(), busy)
+            if role == before:
+                return
+            log_decision(
+                "role",
+                "active" if role.active else "standby",
+                "place of this VM among the live daemons",
+                offered=role.offered,
+                live=len(view.members),
+                active=sum(member.active for member in view.members),
+                wanted=count_wanted(view),
+                slots=view.slots,
+            )
+            self._apply_role(before, role)
+
+    def _activate(self) -> None:
+        """Become active at once for a caller that submits a job here."""
+        with self._role_lock:
+            before = self._roles.role
+            role = self._roles.activate(self._clock.now())
+            if role != before:
+                log_decision("role", "active", "a job is submitted here", offered=role.offered)
+                self._apply_role(before, role)
+
+    def _apply_role(self, before: Role, role: Role) -> None:
         self._service.offered = role.offered
         if role.active and not before.active:
             self._jobs.follow(self._active_stack)
