Pass submissions of batch jobs on from standby to active daemons

Cause: callers submit jobs to any daemon, not only to those offered to them.

It now sends the submission, with the caller's key, to an active daemon of its data centre, which checks it anew. Ruled out: becoming active for each such job, as 2.2 jobs a second at random daemons would have made some 60 more of them active, each for 28 s.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -111,6 +111,11 @@
         """Seconds for which the store has answered this daemon without a failure."""
         return 0.0 if self._feed is None else self._feed.answering_seconds
 
+    @property
+    def following(self) -> bool:
+        """Whether this daemon follows the feed of jobs."""
+        return self._feed is not None
+
     def wait_until_complete(self) -> bool:
         """Return whether all rows are known, after a short wait if they are being read."""
         timeout = 0.0 if self._feed is None else _FIRST_READ_TIMEOUT_SECONDS
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -5,6 +5,7 @@
 takes the job over by a conditional write of the row. Later transactions of the former owner fail.
 """
 
+import random
 import threading
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -14,6 +15,7 @@
 from result import Err, Ok
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.exchange.report_exchange import Peer
 from trefoilreach._internal.coordination.jobs.acceptance import JobAcceptance
 from trefoilreach._internal.coordination.jobs.job_run import (
     JobDeadlines,
@@ -48,6 +50,8 @@
 # its jobs over.
 _OWNER_STORE_OUTAGE_LIMIT_SECONDS = 4.0
 _MAX_CHANGE_ATTEMPTS = 5
+# Peers that a standby daemon tries for one submission, within the caller's patience.
+_MAX_ACCEPTORS = 2
 _CHANGE_RETRY_SECONDS = 0.1
 _HAND_OVER_RETRY_SECONDS = 0.3
 
@@ -189,6 +193,20 @@
             with self._lock:
                 self._being_accepted.discard(job)
 
+    def choose_acceptors(self) -> list[Peer]:
+        """Return active peers to which a submission should go, the best first.
+
+        The list is empty if this daemon follows the jobs and accepts them itself.
+        """
+        if self.table.following:
+            return []
+        exchange = self._tools.service.exchange
+        peers = [peer for peer in exchange.active_peers if peer.statement.accepting]
+        random.shuffle(peers)
+        own = exchange.identity.data_centre
+        peers.sort(key=lambda peer: peer.identity.data_centre != own)
+        return peers[:_MAX_ACCEPTORS]
+
     def read_results(self, job: str, account: str, after: int, wait: float) -> JobPage:
         """Return results, starting at position ``after``.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -10,6 +10,9 @@
 EXPECTED_WORKER = "X-Target-Instance"
 NOT_RUN = "X-Not-Executed"
 
+# Marks a submission that a daemon passes on to another, which must not pass it on again.
+FORWARDED = "X-Trefoilreach-Forwarded"
+
 # Content type of every body except those that workers return.
 JSON = ("Content-Type", "application/json")
 
