Keep threads, feeds and kept connections sound after malformed messages and late answers

An idle connection with bytes is closed now.

Ruled out: settings that cannot be read while they change (refused and logged before).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -345,7 +345,12 @@
             with self._report_condition:
                 self._report_pending = False
             last_sent_at = self._clock.now()
-            pause = self._send_report()
+            try:
+                pause = self._send_report()
+            except Exception as error:
+                # The next report follows; without reports, peers would consider this daemon lost.
+                log_event("exchange:report-failed", error=repr(error))
+                pause = _REPORT_INTERVAL_SECONDS
 
     def _send_report(self) -> float:
         """Send a report to the peers or a relay; return the seconds to wait before the next."""
@@ -451,7 +456,12 @@
     def _run_relay(self) -> None:
         """Relay reports of other daemons in bundles until the exchange is closed."""
         while self._outbox.wait():
-            self._clock.sleep(self._send_bundles())
+            try:
+                pause = self._send_bundles()
+            except Exception as error:
+                log_event("exchange:relay-failed", error=repr(error))
+                pause = _REPORT_INTERVAL_SECONDS
+            self._clock.sleep(pause)
 
     def _send_bundles(self) -> float:
         """Send the queued reports; return the seconds to wait before the next bundles."""
@@ -653,11 +663,14 @@
 
     def _answer_freshness_query(self, query: FreshnessQuery) -> None:
         assert self._hooks is not None
-        # The age is read after the version, so that it is never too small for that version.
         version = self._hooks.get_state().config_version
         age = self._hooks.get_state_age()
         if age > PEER_LATE_SECONDS * 10:
             return
+        if self._hooks.get_state().config_version != version:
+            # The age may be that of a newer version, and must not confirm this one. The peer asks
+            # again.
+            return
         reply = FreshnessReply(query.nonce, version, int(age * _MS_PER_SECOND) + 1)
         self._send_to(encode(Datagram(reply=reply)), (query.host, query.port))
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -34,6 +34,7 @@
     FeedWatch,
     WatchedTable,
 )
+from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.rows import BlobStore, RowPrecondition, RowStore, StoredRow
 from trefoilreach._internal.state.table import StoreError, StoreUnavailable
@@ -267,8 +268,13 @@
         for stored in rows:
             if stored.deleted:
                 self.drop_row(stored.name.key)
+                continue
+            try:
+                row = parse_job(stored)
+            except (ValueError, TypeError) as error:
+                log_event("job:undecodable", job=stored.name.key, error=repr(error))
             else:
-                self.apply_row(parse_job(stored))
+                self.apply_row(row)
 
 
 def store_refusal(error: StoreError) -> Refusal:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/orphans.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/orphans.py
@@ -89,7 +89,10 @@
             # for every worker.
             self._clock.sleep(_POLL_INTERVAL_SECONDS)
             while self._clock.now() < self._watch_until and not self._stopped:
-                self.poll()
+                try:
+                    self.poll()
+                except Exception as error:
+                    log_event("leftovers:failed", error=repr(error))
                 self._clock.sleep(_POLL_INTERVAL_SECONDS)
             self._admission.clear_leftovers()
             self._known_before.clear()
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
@@ -84,7 +84,12 @@
     def _run(self) -> None:
         retry_delay = _FIRST_RETRY_SECONDS
         while not self._stop.is_set():
-            error = self._call_store()
+            try:
+                error = self._call_store()
+            except Exception as unexpected:
+                # A row that cannot be applied must not end the feed; all rows are read again.
+                log_event("feed:error", table=self._watched.table, error=repr(unexpected))
+                error = StoreError(f"a change could not be applied: {unexpected!r}")
             if error is None:
                 retry_delay = _FIRST_RETRY_SECONDS
                 continue
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -266,17 +266,23 @@
     def _run_maintenance(self, stop: threading.Event) -> None:
         """Run the periodic work that no message triggers."""
         while not self._clock.wait(stop, self._maintenance_interval):
-            self._update_role()
-            active = self._count_active()
-            silent = self._find_silent_peers()
-            self._buckets.set_reporting_daemons(active, active + len(silent))
-            if silent - self._silent_peers:
-                self._leftovers.start_polling(f"silent: {', '.join(sorted(silent))}")
-            self._silent_peers = silent
-            if self._service.freshness.age > _STALE_AGE_SECONDS:
-                self._exchange.query_newest_version()
-            self._fetch_from_peer()
-            self._admission.grant_waiting()
+            try:
+                self._maintain()
+            except Exception as error:
+                log_event("maintenance:failed", error=repr(error))
+
+    def _maintain(self) -> None:
+        self._update_role()
+        active = self._count_active()
+        silent = self._find_silent_peers()
+        self._buckets.set_reporting_daemons(active, active + len(silent))
+        if silent - self._silent_peers:
+            self._leftovers.start_polling(f"silent: {', '.join(sorted(silent))}")
+        self._silent_peers = silent
+        if self._service.freshness.age > _STALE_AGE_SECONDS:
+            self._exchange.query_newest_version()
+        self._fetch_from_peer()
+        self._admission.grant_waiting()
 
     @property
     def _maintenance_interval(self) -> float:
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -163,8 +163,11 @@
         for row in rows:
             if row.deleted:
                 self._members.pop(row.name.key, None)
-            else:
+                continue
+            try:
                 self._members[row.name.key] = _parse_member(orjson.loads(row.value))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                log_event("member:undecodable", daemon=row.name.key, error=repr(error))
         self._service.exchange.set_known_daemons(self._members.values())
 
     def _register_address(self) -> None:
@@ -177,7 +180,19 @@
 
 
 def _parse_member(row: Mapping[str, Any]) -> KnownDaemon:
-    """Return the daemon of a row; older versions stored its address only."""
-    return KnownDaemon(
+    """Return the daemon of a row; older versions stored its address only.
+
+    :raises ValueError: when a field has another type; ``KeyError`` without an address.
+    """
+    daemon = KnownDaemon(
         (row["host"], row["port"]), row.get("data_centre", ""), row.get("cores", 0.0)
     )
+    host, port = daemon.address
+    if not (
+        isinstance(host, str)
+        and isinstance(port, int)
+        and isinstance(daemon.data_centre, str)
+        and isinstance(daemon.cores, int | float)
+    ):
+        raise ValueError(f"malformed daemon {daemon}")
+    return daemon
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -1,6 +1,7 @@
 """HTTP connections to one backend server, reused only after complete answers."""
 
 import io
+import select
 import socket
 import threading
 from collections import deque
@@ -74,6 +75,16 @@
         open_socket.shutdown(socket.SHUT_RDWR)
 
 
+def _has_data(open_socket: socket.socket) -> bool:
+    """Return whether an idle connection was closed or has bytes, such as a late second answer.
+
+    The next request would take these bytes for its own answer.
+    """
+    poll = select.poll()
+    poll.register(open_socket, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class _LimitedReader(io.RawIOBase):
     """Reads from a socket for a limited time and up to a limited size.
 
@@ -280,7 +291,7 @@
         with self._lock:
             while self._idle:
                 entry = self._idle.pop()
-                if entry.since >= oldest:
+                if entry.since >= oldest and not _has_data(entry.connection.sock):
                     return entry.connection
                 entry.connection.close()
         return None
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -413,3 +413,23 @@
     time.sleep(1.0)
     # Four short reports a second to each of three peers, and a full one to the relay.
     assert all(10 <= nodes[name].exchange.sent - count <= 24 for name, count in before.items())
+
+
+def test_age_of_a_newer_version_does_not_confirm_an_older_one(stack: ExitStack) -> None:
+    """Guards against a withdrawn key that stays in use because its version is confirmed falsely.
+
+    The peer adopts a newer version between the reads of the version and of its age.
+    """
+    first = Node(stack, "a", [])
+    second = Node(stack, "b", [first.address])
+    wait_until(lambda: second.exchange.live_peers and first.exchange.live_peers)
+    hooks = first.exchange._hooks
+    assert hooks is not None
+    versions = iter([3, 4])
+    first.exchange._hooks = hooks._replace(
+        get_state=lambda: STATEMENT._replace(config_version=next(versions, 4)),
+        get_state_age=lambda: 0.0,
+    )
+    second.exchange.query_newest_version()
+    time.sleep(0.3)
+    assert all(version == 4 for version, _ in second.confirmed)
