End a planned stop also with descriptors above 1023

The accept loop at the end of listening would not have ended without a free descriptor; its number of rounds is bounded now.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -1,7 +1,6 @@
 """HTTP connections to one backend server, reused only after complete answers."""
 
 import io
-import select
 import socket
 import threading
 from collections import deque
@@ -11,6 +10,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.protocol.verdict import Verdict
+from trefoilreach._internal.transport.readiness import is_readable
 
 # A network device between both ends may drop the state of a connection idle for longer.
 IDLE_LIMIT_SECONDS = 5.0
@@ -75,16 +75,6 @@
         open_socket.shutdown(socket.SHUT_RDWR)
 
 
-def _has_data(open_socket: socket.socket) -> bool:
-    """Return whether an idle connection was closed or has bytes, such as a late second answer.
-
-    The next request would take these bytes for its own answer.
-    """
-    poll = select.poll()
-    poll.register(open_socket, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class _LimitedReader(io.RawIOBase):
     """Reads from a socket for a limited time and up to a limited size.
 
@@ -291,7 +281,9 @@
         with self._lock:
             while self._idle:
                 entry = self._idle.pop()
-                if entry.since >= oldest and not _has_data(entry.connection.sock):
+                # Bytes on an idle connection are a late second answer, or its end. The next request
+                # would take them for its own answer.
+                if entry.since >= oldest and not is_readable(entry.connection.sock):
                     return entry.connection
                 entry.connection.close()
         return None
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -1,6 +1,5 @@
 """HTTP server for callers, operators and the monitor."""
 
-import select
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +11,7 @@
 from waitress.task import ThreadedTaskDispatcher, WSGITask
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.transport.readiness import is_readable
 
 # Send every yielded chunk at once; by default waitress buffers 18,000 bytes before it sends.
 _MIN_SEND_BYTES = 1
@@ -193,7 +193,10 @@
 
         def stop() -> None:
             try:
-                while select.select([self._server.socket], [], [], 0)[0]:
+                # Accepting fails without a free descriptor, and must not be tried for ever.
+                for _ in range(_CONNECTION_LIMIT):
+                    if not is_readable(self._server.socket):
+                        break
                     self._server.handle_accept()
                 wasyncore.dispatcher.close(self._server)
             finally:
@@ -224,5 +227,5 @@
     def _close_idle(self) -> None:
         """Close connections without a request; runs on the server's own thread."""
         for channel in list(self._server.active_channels.values()):
-            if not channel.busy and not select.select([channel.socket], [], [], 0)[0]:
+            if not channel.busy and not is_readable(channel.socket):
                 channel.will_close = True
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -1,14 +1,16 @@
 """Guards the HTTP server against stalled answers, undetected disconnects and idle threads."""
 
+import os
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import closing
+from contextlib import ExitStack, closing
 from types import SimpleNamespace
 from typing import Any
 
+import harness
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.transport.http_server import HttpServer, _DrainingChannel
 
@@ -130,3 +132,22 @@
             assert all(answer.endswith(b"ok") for answer in answers)
             assert max_running == expected
         assert len(server._server.task_dispatcher.threads) == 4
+
+
+def test_planned_stop_closes_idle_connections_with_high_descriptors() -> None:
+    """Guards against a planned stop under load that waits for idle connections until its end.
+
+    select() refuses descriptors above 1023, which a daemon with many callers has.
+    """
+    with ExitStack() as stack:
+        server = _serve(lambda environ, start_response: [])
+        stack.callback(server.close)
+        for _ in range(1100):
+            stack.callback(os.close, os.dup(0))
+        client = stack.enter_context(closing(_connect(server.port)))
+        harness.wait_until(lambda: server._server.active_channels, 3.0)
+        assert max(server._server.active_channels) > 1023
+        server.begin_drain()
+        server.stop_listening()
+        assert server.wait_idle(8.0)
+        assert client.recv(1) == b""
