Offer callers active daemons, not all of them, while the store is down

Cause: without a recent desired state no daemon accepts callers; the fallback then named all running daemons, so that in a large fleet the requests went to standby ones, which do not know the slots in use. Found by reading; the test failed before for one of its three cases.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -1,13 +1,14 @@
 """State of a serving daemon, and the checks of a request before its admission."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from result import Err, Result
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.exchange.report_exchange import Peer, ReportExchange
+from trefoilreach._internal.coordination.exchange.reports import Identity
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.entry_points import EntryPoint, choose_entry_points
 from trefoilreach._internal.coordination.serving.freshness import Freshness
@@ -153,14 +154,26 @@
         if self.accepting:
             offered.append(self.exchange.identity)
         if not offered:
-            # No daemon has a recent desired state; any running daemon is better than none.
-            offered = [p.identity for p in live if not p.statement.leaving]
-            if not self.leaving:
-                offered.append(self.exchange.identity)
+            # No daemon has a recent desired state; any active daemon is better than none. Standby
+            # ones do not know which slots are in use.
+            offered = self._list_running(live, only_active=True)
+        if not offered:
+            offered = self._list_running(live, only_active=False)
         keep = min(_MAX_ENTRY_KEEP_SECONDS, self.deployment.entry_keep_seconds)
         entry_points = [EntryPoint(identity.front, identity.cores) for identity in offered]
         return choose_entry_points(self.deployment.vm, entry_points), keep
 
+    def _list_running(self, live: Iterable[Peer], only_active: bool) -> list[Identity]:
+        """Return the daemons that are not leaving, perhaps only the active ones."""
+        running = [
+            peer.identity
+            for peer in live
+            if not peer.statement.leaving and (peer.statement.active or not only_active)
+        ]
+        if not self.leaving and (self.exchange.active or not only_active):
+            running.append(self.exchange.identity)
+        return running
+
     def find_peer_with_newest_state(self) -> Peer | None:
         """Return the peer with the newest desired state; None if no peer has a newer one."""
         newer = [p for p in self.exchange.live_peers if p.statement.config_version > self.version]
--- a/tests/unit/test_entry_points.py
+++ b/tests/unit/test_entry_points.py
@@ -1,6 +1,12 @@
 """Tests which daemons callers are given as entry points."""
 
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.serving.entry_points import EntryPoint, choose_entry_points
+from trefoilreach._internal.coordination.serving.service import ServingState
 
 
 def make_entry_points(count: int, cores: float, name: str) -> list[EntryPoint]:
@@ -41,3 +47,34 @@
         for entry_point in entry_points
     ]
     assert min(counts) > 30 and max(counts) < 110
+
+
+def make_peer(vm: str, **statement: bool) -> Any:
+    flags = {"accepting": False, "leaving": False, "active": True, **statement}
+    return SimpleNamespace(
+        identity=SimpleNamespace(front=f"{vm}:80", cores=1.0), statement=SimpleNamespace(**flags)
+    )
+
+
+@pytest.mark.parametrize(
+    ("peers", "expected"),
+    [
+        ([make_peer("a", accepting=True), make_peer("b")], ["a:80"]),
+        ([make_peer("a"), make_peer("b", active=False)], ["a:80"]),
+        ([make_peer("a", leaving=True), make_peer("b", active=False)], ["b:80", "self:80"]),
+    ],
+)
+def test_standby_daemons_are_offered_only_when_no_active_one_is_left(
+    peers: list[Any], expected: list[str]
+) -> None:
+    """Guards against callers that are spread over all daemons while the store is down.
+
+    No daemon has a recent desired state then, and standby ones do not know the slots in use.
+    """
+    identity = SimpleNamespace(front="self:80", cores=1.0)
+    exchange: Any = SimpleNamespace(live_peers=peers, identity=identity, active=False)
+    deployment: Any = SimpleNamespace(vm="self", revocation_seconds=5.0, entry_keep_seconds=5.0)
+    online: Any = SimpleNamespace(tools=SimpleNamespace(metrics=None))
+    unused: Any = None
+    state = ServingState(SystemClock(), deployment, exchange, unused, online, unused)
+    assert state.entry_points()[0] == expected
