--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -522,3 +522,20 @@
 @given(st.binary(max_size=200))
 def test_invalid_datagrams_do_not_raise_fuzz(data: bytes) -> None:
     decode(data)
+
+
+def test_daemon_reports_only_accounts_that_it_admitted_itself() -> None:
+    """Guards against reports of every daemon that name all accounts of the fleet.
+
+    A daemon that merely heard of an account reported it as its own, with no admissions.
+    """
+    clock = ManualClock(0.0)
+    buckets = FleetBuckets(clock, QuotaBound())
+    other = ServingAccount("other", frozenset({"o"}), None, 20.0, 20.0)
+    buckets.set_accounts([ACCOUNT, other])
+    buckets.apply_peer_usage("d1", 1, {other.name: AccountUsage(5, 10.0)}, peer_is_older=False)
+    assert buckets.admit(ACCOUNT) is None
+    assert set(buckets.local_usage()) == {ACCOUNT.name}
+    # A refunded request is still reported, since the peers have counted it.
+    buckets.refund(ACCOUNT)
+    assert buckets.local_usage()[ACCOUNT.name].admitted == 0
