--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -113,8 +113,8 @@
 
     @property
     def has_runs(self) -> bool:
-        """Whether jobs of this daemon are running."""
-        return bool(self._runs)
+        """Whether jobs of this daemon are running or being accepted."""
+        return bool(self._runs or self._being_accepted)
 
     def result_counts(self) -> Mapping[str, int]:
         """Return the number of listed results of each job that this daemon runs."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -292,6 +292,8 @@
 
     def _update_role(self) -> None:
         """Become active or standby as the fleet needs; an active daemon follows the jobs."""
+        if self._service.leaving:
+            return
         before = self._roles.role
         peers = [peer for peer in self._exchange.live_peers if not peer.statement.leaving]
         slots = sum(worker.slots for worker in self._admission.workers.entries())
