Let the daemons of a test of resent jobs know of each other

Cause: the two daemons had no reports of each other, so that the second took the job over once its grace of 0.1 s had ended, and an item ran twice. Being taken over without reports has a test of its own.

--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -167,6 +167,9 @@
     """Guards against a job that runs twice because its first answer was lost."""
     fleet = Fleet(stack, send_all_events)
     first, second = fleet.start("d0"), fleet.start("d1")
+    # Without reports of each other, the second daemon would take the job over.
+    first._tools.service.exchange.peers.append(make_peer("d1"))
+    second._tools.service.exchange.peers.append(make_peer("d0"))
     first.submit("j1", CHECKED, make_document(4))
     second.submit("j1", CHECKED, make_document(4))
     first.submit("j1", CHECKED, make_document(4))
