--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -154,7 +154,7 @@
 
 
 class StandbyOutbox:
-    """Newest whole report of each daemon that a relay has not yet sent to its standby daemons.
+    """Newest full report of each daemon that a relay has not yet sent to its standby daemons.
 
     Used by the thread that sends bundles only.
     """
@@ -164,7 +164,7 @@
         self._sent_at = float("-inf")
 
     def add(self, reports: Iterable[Report]) -> None:
-        """Queue the whole reports among those given."""
+        """Queue the full reports among those given."""
         for report in reports:
             if report.identity is not None:
                 self._reports[report.vm] = report
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
@@ -22,7 +22,7 @@
 # Callers of the platform accept no more addresses than this.
 MAX_ACTIVE_DAEMONS = 64
 # A VM with less than this share of the cores of the strongest VM counts as weak.
-_STRONG_VM_CORES_SHARE = 0.5
+STRONG_VM_CORES_SHARE = 0.5
 # A daemon that has just started knows few of the others, and would consider itself among the best.
 _LEARNING_SECONDS = 1.5
 # Standby daemons hear of a new active one within about this time.
@@ -33,7 +33,7 @@
 _MAX_SHORTAGE_DOUBLINGS = 10.0
 # Longest time for which callers use the addresses that they were given.
 _CALLERS_LEAVE_SECONDS = 10.0
-# An active daemon that others should replace takes callers for this long after they are active.
+# An active daemon still takes callers for this long after better ones have become active.
 _SURPLUS_SECONDS = 3.0
 
 
@@ -94,7 +94,7 @@
     counts: dict[tuple[bool, str], int] = {}
     keys: dict[str, tuple[bool, int, str]] = {}
     for member in ordered:
-        weak = member.cores < _STRONG_VM_CORES_SHARE * strongest
+        weak = member.cores < STRONG_VM_CORES_SHARE * strongest
         turn = counts.get((weak, member.data_centre), 0)
         counts[weak, member.data_centre] = turn + 1
         keys[member.vm] = (weak, turn, member.data_centre)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
@@ -8,11 +8,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from trefoilreach._internal.coordination.serving.activation import MAX_ACTIVE_DAEMONS
+from trefoilreach._internal.coordination.serving.activation import (
+    MAX_ACTIVE_DAEMONS,
+    STRONG_VM_CORES_SHARE,
+)
 from trefoilreach._internal.state.serving import rank_by_rendezvous_hash
 
-# A VM with less than this share of the cores of the strongest VM counts as weak.
-_STRONG_VM_CORES_SHARE = 0.5
 # Only strong VMs are used while they have at least this share of all cores; with less they
 # could not handle the whole load.
 _MIN_STRONG_CORES_SHARE = 0.5
@@ -40,7 +41,7 @@
     strong = [
         entry_point
         for entry_point in entry_points
-        if entry_point.cores >= _STRONG_VM_CORES_SHARE * strongest
+        if entry_point.cores >= STRONG_VM_CORES_SHARE * strongest
     ]
     cores = sum(entry_point.cores for entry_point in strong)
     enough = cores >= _MIN_STRONG_CORES_SHARE * sum(
