Count the addresses of short reports, not the datagrams of one second

Cause: the test counted datagrams within a second of wall time. It now looks at each short report: to all active peers, to none besides, and not through a relay.

--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -52,15 +52,17 @@
 
 
 class CountingExchange(ReportExchange):
-    """An exchange that counts its datagrams and loses those to the addresses in ``blocked``."""
+    """An exchange that keeps its datagrams and loses those to the addresses in ``blocked``."""
 
     def __init__(self, clock: Clock, identity: Identity, seeds: list[tuple[str, int]]) -> None:
         super().__init__(clock, identity, seeds)
         self.sent = 0
+        self.datagrams: list[tuple[tuple[str, int], bytes]] = []
         self.blocked: set[tuple[str, int]] = set()
 
     def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
         self.sent += 1
+        self.datagrams.append((address, data))
         if address not in self.blocked:
             super()._send_to(data, address)
 
@@ -406,13 +408,25 @@
     standby_fleet: RelayedFleet,
 ) -> None:
     """Guards against batch items preempted because a taken slot is heard of after 50 ms."""
-    nodes = standby_fleet.nodes
-    peers = {"a1", "b0", "b1"}
-    wait_until(lambda: peers <= {p.identity.vm for p in nodes["a0"].exchange.active_peers})
-    before = {name: nodes[name].exchange.sent for name in ("a1", "b1")}
-    time.sleep(1.0)
-    # Four short reports a second to each of three peers, and a full one to the relay.
-    assert all(10 <= nodes[name].exchange.sent - count <= 24 for name, count in before.items())
+    exchange = standby_fleet.nodes["a1"].exchange
+    peers = {standby_fleet.nodes[name].address for name in ("a0", "b0", "b1")}
+    wait_until(lambda: len(exchange.active_peers) == len(peers))
+    exchange.datagrams.clear()
+
+    def find_short_reports() -> dict[int, set[tuple[str, int]]]:
+        """Return the addresses that each short report was sent to, by its number."""
+        found: dict[int, set[tuple[str, int]]] = {}
+        for address, data in list(exchange.datagrams):
+            datagram = decode(data)
+            bundle = None if datagram is None else datagram.bundle
+            for report in () if bundle is None else bundle.reports:
+                if report.identity is None:
+                    assert bundle is not None and bundle.spread == Spread.NOWHERE
+                    found.setdefault(report.sequence, set()).add(address)
+        return found
+
+    wait_until(lambda: peers in find_short_reports().values(), timeout=10.0)
+    assert all(addresses <= peers for addresses in find_short_reports().values())
 
 
 def test_age_of_a_newer_version_does_not_confirm_an_older_one(stack: ExitStack) -> None:
