Answer 401 to a withdrawn key while the daemon is isolated

The models handler has two sources of a 503, both in IsolationGuard.check; the daemon had its configuration, so it was the isolated one: a daemon frozen for 5 s with the store down has the withdrawal within one probe, but counts as isolated until the result of that probe is recorded. A withdrawal is final, so the true answer is 401. Ruled out: a daemon that serves the key.

--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -12,6 +12,7 @@
     monitor,
     services,
 )
+from trefoilreach._internal.api.auth import reject_withdrawn_key
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.refusals import respond_refusal
 from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
@@ -45,7 +46,7 @@
         try:
             handler, values = routes.find_handler(request.method, request.path)
             if request.path != HEALTH_PATH:
-                self._parts.isolation.check()
+                self._check_isolation(request)
             return handler(self._parts, request, **values)
         except Refusal as refusal:
             self._record_refusal(request, refusal)
@@ -56,6 +57,18 @@
             message = f"internal error, incident {incident}"
             return respond_refusal(Refusal(500, "internal", message, Verdict.MAY_HAVE_RUN))
 
+    def _check_isolation(self, request: WebRequest) -> None:
+        """Check that the daemon may serve a request.
+
+        :raises Refusal: 401 when the key of the request is withdrawn, else 503.
+        """
+        try:
+            self._parts.isolation.check()
+        except Refusal:
+            # No retry would be served, so the caller must not be told to come back.
+            reject_withdrawn_key(self._parts, request)
+            raise
+
     def _record_refusal(self, request: WebRequest, refusal: Refusal) -> None:
         key = self._parts.config.view.keys_by_hash.get(hash_key(request.bearer_key() or ""))
         fields = {
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -32,10 +32,26 @@
     hashed = hash_key(secret)
     key = parts.config.view.keys_by_hash.get(hashed) or _find_bootstrap_key(parts, hashed)
     if key is None or key.id in parts.config_sync.get_withdrawn_key_ids():
-        raise Refusal(401, "invalid_key", "the key is unknown or withdrawn")
+        raise _build_invalid_key_refusal()
     return key
 
 
+def reject_withdrawn_key(parts: Parts, request: WebRequest) -> None:
+    """Check that the key of a request is not one that this daemon knows to be withdrawn.
+
+    A withdrawal is final, so the answer holds even while newer ones cannot arrive.
+
+    :raises Refusal: 401 when the key is withdrawn.
+    """
+    key = parts.config.view.keys_by_hash.get(hash_key(request.bearer_key() or ""))
+    if key is not None and key.id in parts.config_sync.get_withdrawn_key_ids():
+        raise _build_invalid_key_refusal()
+
+
+def _build_invalid_key_refusal() -> Refusal:
+    return Refusal(401, "invalid_key", "the key is unknown or withdrawn")
+
+
 def _find_bootstrap_key(parts: Parts, hashed: str) -> Key | None:
     """Return the bootstrap operator key when ``hashed`` is its hash, else None.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -400,8 +400,7 @@
         """
         live_addresses = {_address(peer) for peer in live}
         own = self.identity
-        with self._lock:
-            known = list(({seed.address: seed for seed in self._seeds} | self._known).values())
+        known = self._list_known_daemons()
         own_rank = 0
         ranks: dict[str, int] = {}
         candidates: list[tuple[int, bool, Address]] = []
@@ -423,6 +422,15 @@
         self._contacted_at.update(dict.fromkeys(due, now))
         return due
 
+    def _list_known_daemons(self) -> list[KnownDaemon]:
+        """Return the daemons that the settings, the store or their own reports name."""
+        known = {seed.address: seed for seed in self._seeds}
+        with self._lock:
+            known |= self._known
+            # A late peer may be known by its reports only, as while the store is down.
+            known |= {_address(peer): _known_daemon(peer) for peer in self._peers.values()}
+        return list(known.values())
+
     def _send_to_relays(self, report: Report, live: list[Peer], now: float) -> None:
         """Send a report by a relay of this data centre, which may be this daemon."""
         own = self.identity
@@ -522,6 +530,8 @@
                 if running_time - peer.last_report_running_time > gone_seconds:
                     gone.append(self._peers.pop(vm))
                     self._late.discard(vm)
+                    # It may only be cut off, so it is contacted until the store no longer lists it.
+                    self._known.setdefault(_address(peer), _known_daemon(peer))
                 elif self._is_late(peer, now, running_time):
                     late.add(vm)
                 else:
@@ -697,5 +707,9 @@
     return peer.identity.host, peer.identity.port
 
 
+def _known_daemon(peer: Peer) -> KnownDaemon:
+    return KnownDaemon(_address(peer), peer.identity.data_centre, peer.identity.cores)
+
+
 def _relay_candidate(peer: Peer) -> RelayCandidate:
     return RelayCandidate(peer.identity.vm, peer.identity.cores, peer.statement.leaving)
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -201,6 +201,24 @@
     wait_until(lambda: not first.exchange.live_peers, timeout=2.0)
 
 
+@pytest.mark.parametrize("until", ["late", "gone"])
+def test_silent_peer_known_only_by_its_reports_is_contacted(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch, until: str
+) -> None:
+    """Guards against daemons that never meet again after a cut while the store is down."""
+    monkeypatch.setattr(exchange_module, "PEER_GONE_SECONDS", 1.5)
+    monkeypatch.setattr(exchange_module, "_LATE_FULL_REPORTS", 0.5)
+    first = Node(stack, "first", [])
+    second = Node(stack, "second", [first.address])
+    wait_until(lambda: first.exchange.live_peers and second.exchange.live_peers)
+    first.exchange.blocked.add(second.address)
+    second.exchange.blocked.add(first.address)
+    wait_until(lambda: first.exchange.late_peers if until == "late" else not first.exchange.peers)
+    received_before = len(second.received)
+    first.exchange.blocked.clear()
+    wait_until(lambda: len(second.received) > received_before)
+
+
 class RelayedFleet:
     """Daemons of two data centres, the first two of each on the VMs with the most cores.
 
