--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -46,6 +46,7 @@
     },
 ]
 STOP_SECONDS = 4
+_SHOWN_LOG_LINES = 20
 # Holds a ``sitecustomize`` module that steps the time of day of a process.
 _CLOCK_FOLDER = Path(__file__).parent / "soak" / "clock"
 REVOKE_SECONDS = 2
@@ -118,7 +119,30 @@
                 stderr=subprocess.STDOUT,
             )
         if ready:
-            wait_until(self.is_ready, what=f"{self.vm} to be ready")
+            self._wait_until_ready()
+
+    def _wait_until_ready(self) -> None:
+        """Wait until the daemon says that it is ready.
+
+        :raises TimeoutError: when it does not, or ends; with the last lines of its log.
+        """
+        process = self.process
+        assert process is not None
+        try:
+            wait_until(
+                lambda: process.poll() is not None or self.is_ready(),
+                what=f"{self.vm} to be ready",
+            )
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; {self._describe_log_end()}") from error
+        if process.poll() is not None:
+            raise TimeoutError(
+                f"{self.vm} ended with {process.returncode}; {self._describe_log_end()}"
+            )
+
+    def _describe_log_end(self) -> str:
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "its log ends with: " + "\n".join(lines[-_SHOWN_LOG_LINES:])
 
     def is_ready(self) -> bool:
         """Return whether the daemon says that it is ready."""
@@ -186,7 +210,7 @@
     :param subnet: the daemons listen on 127.0.``subnet``.N.
     """
 
-    def __init__(self, folder: Path, stack: ExitStack, subnet: int = 7) -> None:
+    def __init__(self, folder: Path, stack: ExitStack, subnet: int) -> None:
         self.folder = folder
         self._subnet = subnet
         self.platform = RowPlatform()
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/idempotency.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/idempotency.py
@@ -11,6 +11,7 @@
     KeyClaim,
     Outcome,
 )
+from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 
 
@@ -47,7 +48,7 @@
 
 
 def _record_body(
-    records: IdempotencyStore, record: KeyClaim, response: WebResponse
+    records: IdempotencyStore, claim: KeyClaim, response: WebResponse
 ) -> Iterator[bytes]:
     """Yield the body and record it when it is complete.
 
@@ -55,19 +56,47 @@
     """
     source = iter(response.body)
     pieces: list[bytes] = []
+    remaining = _find_content_length(response)
+    recorded = False
     try:
         for piece in source:
             pieces.append(piece)
+            if remaining is not None:
+                remaining -= len(piece)
+            if remaining == 0 and not recorded:
+                # The caller has the whole answer after this piece, and a resend to another VM must
+                # not be told that the first request still runs.
+                recorded = True
+                records.record_outcome(claim, _build_outcome(response, pieces))
             yield piece
     except GeneratorExit:
-        pieces.extend(source)
+        if not recorded:
+            records.record_outcome(claim, _read_rest(response, pieces, source))
         raise
     except Exception:
-        records.record_outcome(record, _build_unknown_outcome())
+        if not recorded:
+            records.record_outcome(claim, _build_unknown_outcome())
         raise
-    finally:
-        # Has no effect when an outcome was already recorded above.
-        records.record_outcome(record, Outcome(response.status, response.headers, b"".join(pieces)))
+    if not recorded:
+        records.record_outcome(claim, _build_outcome(response, pieces))
+
+
+def _read_rest(response: WebResponse, pieces: list[bytes], source: Iterator[bytes]) -> Outcome:
+    try:
+        pieces.extend(source)
+    except Exception as error:
+        log_event("idempotency:body-failed", error=repr(error))
+        return _build_unknown_outcome()
+    return _build_outcome(response, pieces)
+
+
+def _find_content_length(response: WebResponse) -> int | None:
+    lengths = [value for name, value in response.headers if name.lower() == "content-length"]
+    return int(lengths[0]) if lengths else None
+
+
+def _build_outcome(response: WebResponse, pieces: list[bytes]) -> Outcome:
+    return Outcome(response.status, response.headers, b"".join(pieces))
 
 
 def _finish_refused(records: IdempotencyStore, record: KeyClaim, refusal: Refusal) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/idempotency.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/idempotency.py
@@ -62,6 +62,13 @@
     outcome: Outcome | None
 
 
+class _SeenRecord(NamedTuple):
+    """A record in state "running" of another VM, and when this daemon read it."""
+
+    first_read_at: float
+    last_read_at: float
+
+
 class IdempotencyStore:
     """Keeps a record of each key in the table service, and outcomes in the object store."""
 
@@ -75,7 +82,7 @@
         self._process_id = uuid.uuid4().hex
         self._lock = threading.Lock()
         self._pending_writes: list[_PendingWrite] = []
-        self._first_seen_at: dict[str, float] = {}
+        self._running_records: dict[str, _SeenRecord] = {}
         self._stop = threading.Event()
 
     def start(self, stack: ExitStack) -> None:
@@ -162,14 +169,30 @@
         if vm == self._peers.own_member.vm:
             return bool(row.value["process"] != self._process_id)
         now = self._clock.now()
-        first = self._first_seen_at.setdefault(row.value["writer"], now)
-        if now - first > _RUNNING_RECORD_TTL_SECONDS:
+        if now - self._record_read(row.value["writer"], now) > _RUNNING_RECORD_TTL_SECONDS:
             return True
         found = [member for member in self._peers.members() if member.vm == vm]
         if not found or found[0].state == UNREACHABLE:
             return True
         return found[0].incarnation - row.value["incarnation"] > _MAX_REFUTATIONS
 
+    def _record_read(self, writer: str, now: float) -> float:
+        """Record that a record in state "running" was read; return when it was read first."""
+        with self._lock:
+            first_read_at = self._running_records.get(writer, _SeenRecord(now, now)).first_read_at
+            self._running_records[writer] = _SeenRecord(first_read_at, now)
+        return first_read_at
+
+    def _forget_old_records(self) -> None:
+        """Forget the records of which no caller has asked for as long as they may be kept."""
+        oldest = self._clock.now() - _RUNNING_RECORD_TTL_SECONDS
+        with self._lock:
+            self._running_records = {
+                writer: record
+                for writer, record in self._running_records.items()
+                if record.last_read_at >= oldest
+            }
+
     def _load_outcome(self, row: Row) -> Outcome:
         found = self._objects.get(row.value["object"])
         if isinstance(found, Err) or found.ok_value is None:
@@ -219,6 +242,7 @@
         while not self._clock.wait(self._stop, _PENDING_RETRY_SECONDS):
             try:
                 self.retry_pending_writes()
+                self._forget_old_records()
             except Exception as error:
                 log_event("idempotency:error", error=repr(error))
 
