Write warnings of libraries as structured log lines

They go to the structured log now. Those about new threads are left out, as threads start on demand; a server whose threads are all in use logs http:threads-used-up. Both tests failed before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/logs.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/logs.py
@@ -1,5 +1,6 @@
 """Structured logs: one JSON line per decision or event, written with eliot."""
 
+import logging
 import sys
 import threading
 from collections import deque
@@ -10,6 +11,7 @@
 
 import eliot
 import orjson
+from eliot.stdlib import EliotHandler
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.settings import LogSettings
@@ -31,6 +33,18 @@
     eliot.add_destinations(destination)
     stack.callback(eliot.remove_destination, destination)
     eliot.add_global_fields(vm=vm)
+    _forward_library_logs(stack)
+
+
+def _forward_library_logs(stack: ExitStack) -> None:
+    """Write warnings and errors of libraries as structured lines until the exit stack closes.
+
+    Without a handler, the logging module writes them to standard error as plain text.
+    """
+    handler = EliotHandler(logging.WARNING)
+    root = logging.getLogger()
+    root.addHandler(handler)
+    stack.callback(root.removeHandler, handler)
 
 
 def log_decision(kind: str, choice: str, reason: str, **fields: Any) -> None:
@@ -169,3 +183,4 @@
     eliot.add_destinations(log)
     stack.callback(eliot.remove_destination, log)
     eliot.add_global_fields(vm=vm)
+    _forward_library_logs(stack)
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers, operators and the monitor."""
 
+import logging
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 from waitress.task import ThreadedTaskDispatcher, WSGITask
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.transport.readiness import is_readable
 
 # Send every yielded chunk at once; by default waitress buffers 18,000 bytes before it sends.
@@ -129,6 +131,8 @@
     def __init__(self, limit: int) -> None:
         super().__init__()
         self._limit = limit
+        # waitress warns of each request that finds no idle thread, and so of each new thread.
+        self.queue_logger.setLevel(logging.ERROR)
 
     def add_task(self, task: Any) -> None:
         """Queue a request, and start a thread for it if none is idle."""
@@ -137,6 +141,8 @@
             needed = len(self.threads) + (idle <= len(self.queue))
         if needed <= self._limit:
             self.set_thread_count(needed)
+        else:
+            log_event("http:threads-used-up", limit=self._limit, queued=len(self.queue) + 1)
         super().add_task(task)
 
 
--- a/tests/unit/test_bounded_log.py
+++ b/tests/unit/test_bounded_log.py
@@ -1,12 +1,14 @@
 """Guards the log under load: callers never wait, volume is bounded, lost lines are counted."""
 
+import logging
 import os
 import threading
 from contextlib import ExitStack
 
 import orjson
+import pytest
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.logs import BoundedLog
+from trefoilreach._internal.logs import BoundedLog, open_bounded_log
 
 # 20,000 calls take 0.3 s on a quiet machine.
 CALLS_TIMEOUT_SECONDS = 30.0
@@ -51,8 +53,6 @@
         caller.join(CALLS_TIMEOUT_SECONDS)
         assert not caller.is_alive()
         assert lost and lost[-1] > 1000
-        reader_thread = threading.Thread(target=lambda: os.read(reader, 1 << 20), daemon=True)
-        reader_thread.start()
 
 
 def test_lines_of_one_kind_do_not_displace_other_kinds() -> None:
@@ -70,3 +70,17 @@
     assert "request:cut" in kinds
     assert kinds.count("request:refused") < 100
     assert output.lines[-1]["lines_left_out"] == 500 - (kinds.count("request:refused") - 1)
+
+
+def test_warnings_of_libraries_are_structured_lines(
+    capfdbinary: pytest.CaptureFixture[bytes],
+) -> None:
+    """Guards against plain text of the logging module between the lines of the log."""
+    with ExitStack() as stack:
+        open_bounded_log(ManualClock(), "vm1", stack, lambda lost: None, lambda kind: None)
+        logging.getLogger("waitress").warning("cannot parse %s", "x")
+    captured = capfdbinary.readouterr()
+    assert captured.err == b""
+    # Lines of earlier tests may come first, as eliot keeps them until there is a destination.
+    lines = [orjson.loads(line) for line in captured.out.splitlines()]
+    assert lines[-1]["message"] == "cannot parse x"
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import harness
+import pytest
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.transport.http_server import HttpServer, _DrainingChannel
 
@@ -103,8 +104,11 @@
         assert ended and ended[0] - disconnected_at < 0.8
 
 
-def test_threads_start_on_demand_up_to_the_limit() -> None:
-    """Guards against threads that are started before requests need them or above the limit."""
+def test_threads_start_on_demand_up_to_the_limit(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against threads that are started before requests need them or above the limit.
+
+    No new thread is worth a warning.
+    """
     lock, running, max_running = threading.Lock(), 0, 0
 
     def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
@@ -132,6 +136,7 @@
             assert all(answer.endswith(b"ok") for answer in answers)
             assert max_running == expected
         assert len(server._server.task_dispatcher.threads) == 4
+    assert not caplog.records
 
 
 def test_planned_stop_closes_idle_connections_with_high_descriptors() -> None:
