Lose the owner in the test of a lost daemon's job; name two pauses

test_job_of_a_lost_daemon_is_taken_over handed its job over by a planned stop, which other tests cover, and lost no daemon. It now cuts the owner off from the store in mid-run, and checks that a live owner keeps its job. release_slots slept for a constant made for spent tokens; the coordinator's pause had no name. Both item:attempt-failed lines have one place.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/coordinator.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/coordinator.py
@@ -29,6 +29,8 @@
 # often, so that the reads a second stay bounded.
 _DAEMONS_PER_SCAN_INTERVAL = 24
 _STORE_RETRY_SECONDS = 1.0
+# Pause between two looks at the chunks that still run at a planned stop.
+_RELEASE_POLL_SECONDS = 0.02
 _STOP_TIMEOUT_SECONDS = 5.0
 # Time without a worker for its model after which a chunk is released.
 _UNSERVED_GRACE_SECONDS = 5.0
@@ -269,4 +271,4 @@
             for entry in held:
                 if entry.drained and isinstance(self._store_result(entry), Err):
                     log_event("batch:not-handed-back", chunk=entry.key)
-            self._clock.sleep(0.02)
+            self._clock.sleep(_RELEASE_POLL_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -9,7 +9,7 @@
 import threading
 from collections.abc import Mapping
 from concurrent.futures import Executor
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from result import Err
 
@@ -436,13 +436,8 @@
     def _handle_error_status(
         self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer
     ) -> float:
-        log_event(
-            "item:attempt-failed",
-            request_id=run.item.id,
-            worker=worker.id,
-            status=answer.status,
-            not_run=answer.not_run,
-            failures=run.failures,
+        _log_failed_attempt(
+            run, worker, status=answer.status, not_run=answer.not_run, failures=run.failures
         )
         if answer.status == _PERMANENT_FAILURE_STATUS:
             self._list_result(run, None, "the worker reported a permanent failure")
@@ -461,9 +456,7 @@
         if interrupt.reason:
             log_event("item:left-slot", request_id=run.item.id, reason=interrupt.reason)
             return 0.0
-        log_event(
-            "item:attempt-failed", request_id=run.item.id, worker=worker.id, reason=str(failure)
-        )
+        _log_failed_attempt(run, worker, reason=str(failure))
         self._tools.admission.outcomes.note(worker.id, good=False)
         dead = not failure.timed_out and self._tools.worker_client.is_refused(worker)
         if dead and not failure.unreachable:
@@ -571,3 +564,7 @@
             self._listed_count += 1
             self._open_items.pop(result.id, None)
         self._tools.admission.send_report_soon()
+
+
+def _log_failed_attempt(run: _ItemRun, worker: WorkerEntry, **fields: Any) -> None:
+    log_event("item:attempt-failed", request_id=run.item.id, worker=worker.id, **fields)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/loan_policy.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/loan_policy.py
@@ -35,6 +35,9 @@
 # expired during a pause of the process; another one is taken at the present time.
 _MAX_SPEND_DELAY_SECONDS = 0.2
 
+# Pause between two attempts to transfer the slots at a planned stop. Each may write to the table.
+_TRANSFER_RETRY_SECONDS = 0.2
+
 # Retry hint of a refused request when the local bucket cannot fill up to a token by itself.
 _DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
@@ -143,7 +146,7 @@
         self._slot_manager.leave()
         end = self._clock.now() + 2.0 * self._settings.loan
         while not self._slot_manager.transfer_slots() and self._clock.now() < end:
-            self._clock.sleep(_MAX_SPEND_DELAY_SECONDS)
+            self._clock.sleep(_TRANSFER_RETRY_SECONDS)
 
     def _take_token(self, name: str, is_arrival: bool) -> bool:
         with self._ledger.lock:
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -74,6 +74,18 @@
         return Err(OutcomeUnknown("lost")) if fault == "lost" else outcome
 
 
+class CutRows:
+    """The store as one daemon reaches it, until it is cut off."""
+
+    def __init__(self, rows: MemoryRows) -> None:
+        self.cut = False
+        self._rows = rows
+
+    def __getattr__(self, name: str) -> Any:
+        call = getattr(self._rows, name)
+        return lambda *args: Err(StoreUnavailable("cut")) if self.cut else call(*args)
+
+
 class Fleet:
     """Daemons that share a store and a fake link to the workers.
 
@@ -87,11 +99,17 @@
         self.clock = SystemClock()
 
     def start(
-        self, vm: str, incarnation: int = 1, workers: int = 3, route: Any = ROUTE
+        self,
+        vm: str,
+        incarnation: int = 1,
+        workers: int = 3,
+        route: Any = ROUTE,
+        rows: Any = None,
     ) -> JobManager:
         tools = make_tools(self.link, workers, self.clock)
         service = make_service(vm, incarnation, route)
-        keeper = JobManager(JobDependencies(self.clock, self.rows, self.blobs, tools, service))
+        parts = JobDependencies(self.clock, rows or self.rows, self.blobs, tools, service)
+        keeper = JobManager(parts)
         keeper.start(self.stack)
         keeper.follow(self.stack)
         return keeper
@@ -250,14 +268,26 @@
 
 
 def test_job_of_a_lost_daemon_is_taken_over(stack: ExitStack) -> None:
-    """Guards against a job that no daemon runs after the loss of its owner."""
-    fleet = Fleet(stack, send_all_events)
-    former_owner = fleet.start("d0", workers=0)
-    former_owner.submit("j1", CHECKED, make_document(5))
-    former_owner.start_hand_over()
-    new_owner = fleet.start("d1")
-    assert len(read_until(new_owner, "j1", 5)) == 5
-    # The row names the new owner, although the former one still runs in this process.
+    """Guards against a job that no daemon runs after the loss of its owner.
+
+    While the owner reports, no other daemon takes its job.
+    """
+    gate = threading.Event()
+    stack.callback(gate.set)
+    fleet = Fleet(stack, lambda dispatch: Script(pieces=tuple(EVENTS), gate=gate))
+    fleet.link.lock = _NoLock()
+    rows = CutRows(fleet.rows)
+    owner, other = fleet.start("d0", rows=rows), fleet.start("d1")
+    owner._tools.service.exchange.peers.append(make_peer("d1"))
+    other._tools.service.exchange.peers.append(make_peer("d0"))
+    owner.submit("j1", CHECKED, make_document(5))
+    wait_until(lambda: other.table.get("j1") is not None)
+    time.sleep(0.3)
+    assert other.table.get("j1").record.owner == "d0/1"
+    rows.cut = True
+    other._tools.service.exchange.peers.clear()
+    fleet.link.decide = send_all_events
+    assert len(read_until(other, "j1", 5)) == 5
     row = fleet.rows.read(*job_key("j1")[:2], "j1", "j1\0").ok_value.rows[0]
     assert parse_job(row).record.owner == "d1/1" and parse_job(row).record.state == "done"
 
