Recall a fair share of lent quota at once

The log of the owner of all slots has no route decision: the two other daemons' requests came first and borrowed all tokens, as the owner had no demand of its own yet. Its own two requests then recalled one token together, and could recall the next only 50 ms later. A recall now also moves half of what a borrower holds above its fair share.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/ledger.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/ledger.py
@@ -222,8 +222,10 @@
             bucket.set_own(own)
         bucket.set_lendable_fraction(holding.lendable / holding.owned if holding.owned else 0.0)
         entry.generation = holding.generation
-        if not entry.initial_tokens_added and own.ends_at > now and holding.owned:
-            # No token of these slots has been spent for the account so far.
+        known = account is not _NO_ACCOUNT
+        if known and not entry.initial_tokens_added and own.ends_at > now and holding.owned:
+            # No token of these slots has been spent for the account so far. A peer may have named
+            # the account before the configuration with it arrived here.
             entry.initial_tokens_added = True
             bucket.add(sum(_initial_tokens(account, holding, now)))
         return entry
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/lender.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/quota/lender.py
@@ -24,6 +24,11 @@
 _MIN_BORROWER_CAPACITY_TOKENS = 2.0
 
 
+# Part of the capacity above its fair share that a borrower gives up at one recall. If it gave up no
+# more than the deficit, a burst would need a recall for each request.
+_RECALLED_EXCESS_FRACTION = 0.5
+
+
 class Recall(NamedTuple):
     """Request to a borrower to shrink its terms.
 
@@ -193,7 +198,10 @@
     def _recallable_capacity(
         self, entry: Entry, borrower: str, fair_share: float, deficit: Deficit
     ) -> float:
-        """Return the capacity that may be recalled from a borrower.
+        """Return the capacity to recall from a borrower.
+
+        Load pattern: one daemon holds all tokens of an account, and a burst of its requests arrives
+        at another one.
 
         :param fair_share: the borrower's fraction of the total demand.
         """
@@ -201,11 +209,12 @@
         held = bucket.lent(borrower).capacity
         burst = self._ledger.account(entry.account).burst
         excess = held - bucket.own.capacity * fair_share
+        wanted = max(deficit.capacity, deficit.tokens, _RECALLED_EXCESS_FRACTION * excess)
         if self._is_too_small_to_split(entry):
             excess = held
         elif deficit.capacity > EPSILON:
             excess = max(excess, held - _MIN_BORROWER_CAPACITY_TOKENS * bucket.own.capacity / burst)
-        return max(0.0, min(held, excess, max(deficit.capacity, deficit.tokens)))
+        return max(0.0, min(held, excess, wanted))
 
     def _is_too_small_to_split(self, entry: Entry) -> bool:
         """Return whether the burst is too small to be split by demand.
--- a/tests/unit/test_quota_waiting.py
+++ b/tests/unit/test_quota_waiting.py
@@ -69,6 +69,34 @@
         return Member(vm, "h", 1, 2, "dc", "r", 1, LIVE)
 
 
+class SteppedClock(ManualClock):
+    """Clock on which pauses take no real time."""
+
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
+
+def start_two_daemons(
+    clock: ManualClock, account: Account, reply_delays: dict[str, float]
+) -> tuple[dict[str, LoanQuota], DelayedPeers]:
+    """Start two daemons, the first of which owns all slots; return them and the other's peers."""
+    config = ActiveConfig()
+    config.adopt(ConfigDocument(version=1, accounts=(account,)))
+    table = MemoryTable()
+    daemons: dict[str, LoanQuota] = {}
+    for vm in reply_delays:
+        peers = DelayedPeers(vm, daemons, reply_delays, clock)
+        tools = QuotaDependencies(QuotaSettings(), clock, config, peers, table)  # type: ignore[arg-type]
+        daemons[vm] = LoanQuota(tools)
+    # The first daemon claims its share, and later the rest, which the other one does not claim.
+    end = clock.now() + 10.0
+    while len(daemons["vm0"].ledger.slots.in_use()) < 12 and clock.now() < end:
+        daemons["vm0"].slot_manager.tick()
+        clock.advance(0.05)
+    daemons["vm1"].slot_manager._read_row()
+    return daemons, peers
+
+
 class WaitingBorrower(NamedTuple):
     """A daemon that owns no slot, and its peer that owns them all.
 
@@ -93,21 +121,8 @@
 @pytest.fixture
 def borrower() -> Iterator[WaitingBorrower]:
     """Start two daemons; return the one that owns no slot."""
-    config = ActiveConfig()
-    config.adopt(ConfigDocument(version=1, accounts=(ACCOUNT,)))
-    clock, table = ManualClock(), MemoryTable()
-    daemons: dict[str, LoanQuota] = {}
-    reply_delays = {"vm0": 0.0, "vm1": 0.0}
-    for vm in reply_delays:
-        peers = DelayedPeers(vm, daemons, reply_delays, clock)
-        tools = QuotaDependencies(QuotaSettings(), clock, config, peers, table)  # type: ignore[arg-type]
-        daemons[vm] = LoanQuota(tools)
-    # The first daemon claims its share, and later the rest, which the other one does not claim.
-    end = clock.now() + 10.0
-    while len(daemons["vm0"].ledger.slots.in_use()) < 12 and clock.now() < end:
-        daemons["vm0"].slot_manager.tick()
-        clock.advance(0.05)
-    daemons["vm1"].slot_manager._read_row()
+    clock, reply_delays = ManualClock(), {"vm0": 0.0, "vm1": 0.0}
+    daemons, peers = start_two_daemons(clock, ACCOUNT, reply_delays)
     with ThreadPoolExecutor(1) as pool:
         yield WaitingBorrower(clock, daemons["vm1"], peers, reply_delays, pool)
         # Ends the calls that still wait for their time-out.
@@ -131,3 +146,33 @@
     borrower.clock.advance(0.31)
     refused = admitted.result(RESULT_TIMEOUT_SECONDS)
     assert isinstance(refused, Err) and not refused.err_value.over_rate
+
+
+@pytest.mark.parametrize("lent_to", ["vm1", ""])
+def test_burst_at_an_owner_that_has_lent_everything_is_admitted(lent_to: str) -> None:
+    """Guards against a 429 for an account that has used a hundredth of its burst.
+
+    The first request to a daemon without slots borrowed all tokens of the account. Requests to the
+    owner right after it were refused, as each recalled one token, 50 ms after the one before.
+    """
+    account = Account("a", 1000.0, 1000.0)
+    daemons, _ = start_two_daemons(SteppedClock(), account, {"vm0": 0.0, "vm1": 0.0})
+    if lent_to:
+        assert isinstance(daemons[lent_to].admit(account), Ok)
+    admitted = [isinstance(daemons["vm0"].admit(account), Ok) for _ in range(10)]
+    assert all(admitted), admitted
+
+
+def test_account_that_a_peer_names_early_has_its_burst() -> None:
+    """Guards against an empty bucket of an account that a peer named before its configuration."""
+    admitted: list[int] = []
+    for named_early in (False, True):
+        clock = SteppedClock()
+        daemons, _ = start_two_daemons(clock, Account("b", 1.0, 1.0), {"vm0": 0.0, "vm1": 0.0})
+        ledger = daemons["vm0"].ledger
+        if named_early:
+            ledger.refresh("a", clock.now())
+        account = Account("a", 0.001, 24.0)
+        ledger._config.adopt(ConfigDocument(version=2, accounts=(account,)))
+        admitted.append(sum(daemons["vm0"]._take_token("a", is_arrival=True) for _ in range(24)))
+    assert admitted[0] == admitted[1] > 0
