--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -6,7 +6,7 @@
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.choice import choose_online
-from trefoilreach._internal.coordination.serving.overload import OverloadPolicy
+from trefoilreach._internal.coordination.serving.overload import OverloadPolicy, Pressure
 from trefoilreach._internal.coordination.serving.queue_order import (
     OnlineTimes,
     compute_online_times,
@@ -198,16 +198,7 @@
         ticket = Ticket(request)
         begun = self._now
         self._tools.admission.submit(ticket)
-        reason = "no slot became free in time"
-        while not granted.is_set() and self._now < latest_start:
-            pressure = self._tools.admission.pressure_on(ticket)
-            # A stream that has begun elsewhere is kept as long as there is any chance.
-            if not self._may_have_run and self._overload_policy.is_hopeless(
-                pressure, latest_start - self._now
-            ):
-                reason = f"no slot can become free in time: {pressure}"
-                break
-            self._tools.clock.wait(granted, min(latest_start - self._now, _RECHECK_SECONDS))
+        reason = self._wait_for_grant(ticket, granted, latest_start)
         if ticket.worker is None and self._tools.admission.withdraw(ticket):
             raise self._give_up(_CALLER_DISCONNECTED if self._caller.disconnected else reason)
         self._tools.metrics.observe_slot_wait(self._now - begun)
@@ -219,6 +210,38 @@
             )
         return ticket, worker
 
+    def _wait_for_grant(self, ticket: Ticket, granted: threading.Event, latest_start: float) -> str:
+        """Wait until a ticket has a slot, its caller leaves or there is no hope of a slot.
+
+        :returns: the reason if no slot was granted.
+        """
+        queued = False
+        while not granted.is_set() and self._now < latest_start:
+            pressure = self._tools.admission.pressure_on(ticket)
+            # A stream that has begun elsewhere is kept as long as there is any chance.
+            hopeless = not self._may_have_run and self._overload_policy.is_hopeless(
+                pressure, latest_start - self._now
+            )
+            if hopeless or not queued:
+                self._log_wait(pressure, latest_start, hopeless)
+                queued = True
+            if hopeless:
+                return "no slot can become free in time"
+            self._tools.clock.wait(granted, min(latest_start - self._now, _RECHECK_SECONDS))
+        return "no slot became free in time"
+
+    def _log_wait(self, pressure: Pressure, latest_start: float, hopeless: bool) -> None:
+        log_decision(
+            "queue",
+            "leave" if hopeless else "wait",
+            "no slot can become free in time" if hopeless else "no free slot",
+            request_id=self._request.call.request_id,
+            account=self._request.account_name,
+            pressure=pressure._asdict(),
+            estimated_wait=round(self._overload_policy.estimate_wait(pressure), 3),
+            seconds_to_latest_start=round(latest_start - self._now, 3),
+        )
+
     def _rank(self, now: float) -> QueueRank:
         return rank_online(self._times, now)
 
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -2,9 +2,11 @@
 
 import threading
 import time
+from typing import Any
 
 import pytest
 from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from trefoilreach._internal.coordination.serving import online as online_module
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.relay import find_first_answer_timeout
@@ -273,8 +275,19 @@
     assert (refusal.retry_after or 0) > 0
 
 
-def test_queued_request_is_refused_as_soon_as_it_has_become_hopeless() -> None:
-    """Guards against a request that stays queued after the loss of the workers it waits for."""
+def test_queued_request_is_refused_as_soon_as_it_has_become_hopeless(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that stays queued after the loss of the workers it waits for.
+
+    The log tells its place and the expected wait, when it is queued and when it leaves.
+    """
+    lines: list[dict[str, Any]] = []
+    monkeypatch.setattr(
+        online_module,
+        "log_decision",
+        lambda kind, choice, reason, **fields: lines.append({"is": (kind, choice), **fields}),
+    )
     case = Case(RUN_ONCE, workers=1)
     report_queue(case, waiting=2)
     threading.Timer(0.4, report_queue, (case, 60)).start()
@@ -282,6 +295,11 @@
     refusal = case.expect_refusal(time_left=4.0)
     assert 0.4 <= time.monotonic() - begun < 1.5
     assert refusal.verdict is Verdict.NOT_RUN
+    waits, leaves = (line for line in lines if line["is"][0] == "queue")
+    assert (waits["is"][1], leaves["is"][1]) == ("wait", "leave")
+    assert waits["pressure"]["before"] < leaves["pressure"]["before"]
+    assert waits["estimated_wait"] < waits["seconds_to_latest_start"]
+    assert leaves["estimated_wait"] > leaves["seconds_to_latest_start"]
 
 
 def test_queued_request_that_can_be_served_late_is_not_refused() -> None:
