Count the age of an idle desired state from the store's last answer

The feed's call is held for a second and was counted from its start, so that an unchanged state seemed up to two seconds old. A held answer is now counted from the end of the hold, but no later than the store's clock has advanced since the answer before; one call in ten seconds is not held and corrects the drift of a hundredth. Ruled out: a slow store, its answers took 4 ms. The replay of an idle feed had ages of 1.0 s right after an answer, now below 0.25 s at drifts of half a percent; a frozen call, a late answer and a reset clock confirm no more than before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.serving.freshness import StoreAnswer
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.state.rows import HistoryTruncated, RowStore, StoredRow
 from trefoilreach._internal.state.table import StoreError
@@ -26,12 +27,16 @@
         changes.
     :param pause_after_changes: returns the seconds to wait after changes, so that the next call
         gets several at once.
+    :param unheld_call_interval: seconds after which one call is not held. The time of its answer
+        is known best; the estimate for the held ones after it loses a hundredth of a second each
+        second. None if all calls may be held.
     """
 
     table: str
     parts: Sequence[str]
     long_poll_seconds: float
     pause_after_changes: Callable[[], float] = lambda: 0.0
+    unheld_call_interval: float | None = None
 
 
 class FeedHooks(NamedTuple):
@@ -39,13 +44,12 @@
 
     :param on_replaced: gets all rows after a full read, and whether the read follows a failure.
     :param on_changed: gets the changed rows.
-    :param on_answered: gets the time just before a call that the store has answered, and the
-        store's clock in milliseconds.
+    :param on_answered: called after each answer of the store.
     """
 
     on_replaced: Callable[[list[StoredRow], bool], None]
     on_changed: Callable[[list[StoredRow]], None]
-    on_answered: Callable[[float, float], None] = lambda at, store_ms: None
+    on_answered: Callable[[StoreAnswer], None] = lambda answer: None
 
 
 class FeedWatch:
@@ -63,6 +67,8 @@
         self._answering_since: float | None = None
         self._version: int | None = None
         self._store_ms = 0.0
+        self._held_seconds = 0.0
+        self._unheld_call_at = float("-inf")
 
     @property
     def failing(self) -> bool:
@@ -106,7 +112,8 @@
             self._version = None
             return None
         if error is None:
-            self._hooks.on_answered(called_at, self._store_ms)
+            answer = StoreAnswer(called_at, self._clock.now(), self._store_ms, self._held_seconds)
+            self._hooks.on_answered(answer)
             self._note_answer()
         return error
 
@@ -120,18 +127,21 @@
             rows += found.ok_value.rows
             # The feed starts at the version of the first part, so that it includes changes made
             # between the reads of two parts.
-            version = found.ok_value.version if version is None else version
-            self._store_ms = found.ok_value.store_ms
+            if version is None:
+                version = found.ok_value.version
+                self._store_ms = found.ok_value.store_ms
         self._hooks.on_replaced(rows, self.failing)
         self._version = version
+        self._held_seconds = 0.0
+        self._unheld_call_at = self._clock.now()
         return None
 
     def _read_changes(self, version: int) -> StoreError | None:
-        found = self._rows.poll_changes(
-            self._watched.table, version, self._watched.long_poll_seconds
-        )
+        hold_seconds = self._choose_hold()
+        found = self._rows.poll_changes(self._watched.table, version, hold_seconds)
         if isinstance(found, Err):
             return found.err_value
+        self._held_seconds = 0.0 if found.ok_value.rows else hold_seconds
         if found.ok_value.rows:
             self._hooks.on_changed(found.ok_value.rows)
             self._clock.wait(self._stop, self._watched.pause_after_changes())
@@ -139,6 +149,14 @@
         self._store_ms = found.ok_value.store_ms
         return None
 
+    def _choose_hold(self) -> float:
+        """Return for how many seconds the store may hold the next call."""
+        now, interval = self._clock.now(), self._watched.unheld_call_interval
+        if interval is None or now - self._unheld_call_at < interval:
+            return self._watched.long_poll_seconds
+        self._unheld_call_at = now
+        return 0.0
+
     def _note_failure(self, error: StoreError) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -9,6 +9,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.exchange.report_exchange import KnownDaemon
+from trefoilreach._internal.coordination.serving.freshness import AnswerTimes, StoreAnswer
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.coordination.serving.table_feed import (
     FeedHooks,
@@ -24,8 +25,10 @@
 # Long polls: how long the store may hold a call while nothing changes. The desired state is
 # confirmed once a second, at the cost of one call.
 _DESIRED_STATE_POLL_SECONDS = 1.0
-# An unchanged feed answers at the end of its long poll and confirms the view as of the poll's
-# start, so the view's age reaches two polls; the rest of the bound allows for slow answers.
+# One call of the desired state's feed in so many seconds is not held by the store.
+_UNHELD_CALL_INTERVAL_SECONDS = 10.0
+# An answer after a change confirms the view as of the call's start only, so that the view's age may
+# reach two polls; the rest of the bound allows for slow answers.
 _POLLS_IN_REVOCATION_BOUND = 4
 # A feed that stops answering is detected one second after its long poll should have ended; a
 # worker that leaves must get no more requests after two to three seconds.
@@ -67,6 +70,7 @@
         self._workers = service.admission.workers
         self._deployment = service.deployment
         self._note_store_time = note_store_time
+        self._answer_times = AnswerTimes()
         self._store_answered_at = float("-inf")
         self._store_regained_at = clock.now()
         self._state_undecodable = False
@@ -93,20 +97,31 @@
         wait = choose_confirmation_poll_seconds(self._deployment.revocation_seconds)
         self._follow(
             stack,
-            WatchedTable(names.OPERATOR_TABLE, [""], wait),
+            WatchedTable(
+                names.OPERATOR_TABLE,
+                [""],
+                wait,
+                unheld_call_interval=_UNHELD_CALL_INTERVAL_SECONDS,
+            ),
             FeedHooks(self._replace_state, self._change_state, self._note_answer),
         )
         self._follow(
             stack,
             WatchedTable(
-                names.WORKER_TABLE, [""], _WORKERS_POLL_SECONDS, lambda: _WORKERS_PAUSE_SECONDS
+                names.WORKER_TABLE,
+                [""],
+                _WORKERS_POLL_SECONDS,
+                pause_after_changes=lambda: _WORKERS_PAUSE_SECONDS,
             ),
             FeedHooks(self._replace_workers, self._change_workers),
         )
         self._follow(
             stack,
             WatchedTable(
-                _MEMBER_TABLE, [""], _MEMBERS_POLL_SECONDS, lambda: _MEMBERS_PAUSE_SECONDS
+                _MEMBER_TABLE,
+                [""],
+                _MEMBERS_POLL_SECONDS,
+                pause_after_changes=lambda: _MEMBERS_PAUSE_SECONDS,
             ),
             FeedHooks(self._replace_members, self._change_members),
         )
@@ -122,12 +137,13 @@
             if row.name.key == names.DESIRED_STATE_KEY and not row.deleted:
                 self._state_undecodable = not self._service.adopt(row.value, "store")
 
-    def _note_answer(self, asked_at: float, store_ms: float) -> None:
+    def _note_answer(self, answer: StoreAnswer) -> None:
         self._store_answered_at = self._clock.now()
-        self._note_store_time(store_ms)
+        self._note_store_time(answer.store_ms)
+        built_at = self._answer_times.find_earliest_build(answer)
         # A newer version that cannot be decoded may withdraw a key, so nothing is confirmed.
         if self._service.route_index is not None and not self._state_undecodable:
-            self._service.freshness.confirm(asked_at)
+            self._service.freshness.confirm(built_at)
 
     def _replace_workers(self, rows: list[StoredRow], regained: bool) -> None:
         if regained:
--- a/tests/unit/test_feeds.py
+++ b/tests/unit/test_feeds.py
@@ -5,13 +5,22 @@
 
 import orjson
 import pytest
-from result import Err
+from result import Err, Ok
 from test_platform_wire import WORKER, make_state
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.serving.freshness import Freshness
+from trefoilreach._internal.coordination.serving.freshness import (
+    AnswerTimes,
+    Freshness,
+    StoreAnswer,
+)
+from trefoilreach._internal.coordination.serving.table_feed import (
+    FeedHooks,
+    FeedWatch,
+    WatchedTable,
+)
 from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
 from trefoilreach._internal.platform.desired_state import decode_desired_state
-from trefoilreach._internal.state.rows import MemoryRows, RowKey, StoredRow
+from trefoilreach._internal.state.rows import MemoryRows, RowKey, Snapshot, StoredRow
 from trefoilreach._internal.store_feeds import StoreFeeds, choose_confirmation_poll_seconds
 
 
@@ -44,7 +53,8 @@
 
     def apply_state(self, document: bytes) -> None:
         self.feeds._change_state([StoredRow(RowKey("op", "", "config"), document, 1)])
-        self.feeds._note_answer(self.clock.now(), 0.0)
+        now = self.clock.now()
+        self.feeds._note_answer(StoreAnswer(now, now, 0.0))
 
 
 def make_rows(*names: str, value: bytes = orjson.dumps(WORKER)) -> list[StoredRow]:
@@ -104,3 +114,70 @@
     deletion = StoredRow(RowKey("servers", "", "w2"), b"", 9, deleted=True)
     daemon.feeds._change_workers([deletion])
     assert daemon.workers.list_usable("s") == []
+
+
+class QuietRows(MemoryRows):
+    """A store without changes, whose clock runs ``drift`` times as fast as the daemon's.
+
+    :ivar delay: seconds for which each answer is under way.
+    """
+
+    def __init__(self, clock: ManualClock, drift: float = 1.0) -> None:
+        super().__init__()
+        self._clock, self._drift = clock, drift
+        self.delay = 0.0
+        self.built_at = 0.0
+
+    def read(self, table: str, part: str, *options: Any) -> Any:
+        return self._answer(0.0)
+
+    def poll_changes(self, table: str, after: int, wait: float) -> Any:
+        return self._answer(wait / self._drift)
+
+    def _answer(self, held: float) -> Any:
+        self._clock.advance(0.002 + held)
+        self.built_at = self._clock.now()
+        self._clock.advance(0.002 + self.delay)
+        return Ok(Snapshot([], 1, self.built_at * self._drift * 1000.0))
+
+
+def make_idle_feed(rows: QuietRows, clock: ManualClock, freshness: Freshness) -> FeedWatch:
+    times = AnswerTimes()
+    hooks = FeedHooks(
+        lambda found, regained: None,
+        lambda changed: None,
+        lambda answer: freshness.confirm(times.find_earliest_build(answer)),
+    )
+    return FeedWatch(clock, rows, WatchedTable("op", [""], 1.0, unheld_call_interval=10.0), hooks)
+
+
+@pytest.mark.parametrize("drift", [0.995, 1.0, 1.005])
+def test_age_of_an_idle_state_is_counted_from_its_last_answer(drift: float) -> None:
+    """Guards against 503 instead of 404, and keys that expire early, while nothing changes."""
+    clock = ManualClock(100.0)
+    rows, freshness = QuietRows(clock, drift), Freshness(clock, 5.0)
+    feed = make_idle_feed(rows, clock, freshness)
+    for _ in range(40):
+        assert feed._call_store() is None
+        assert 0.0 < clock.now() - rows.built_at <= freshness.age < 0.25
+        assert freshness.absence_is_certain
+
+
+def test_answer_that_was_under_way_for_long_is_as_old_as_it_is() -> None:
+    """Guards against a withdrawn key that stays in use at a daemon that was frozen in a call."""
+    clock = ManualClock(100.0)
+    rows, freshness = QuietRows(clock), Freshness(clock, 5.0)
+    feed = make_idle_feed(rows, clock, freshness)
+    for delay in (0.0, 0.0, 30.0, 0.0, 2.0, 0.0):
+        rows.delay = delay
+        assert feed._call_store() is None
+        assert freshness.age >= clock.now() - rows.built_at
+
+
+@pytest.mark.parametrize("store_ms", [0.0, 1e9])
+def test_store_clock_that_was_reset_does_not_confirm_more_than_the_call(store_ms: float) -> None:
+    """Guards against keys confirmed by the clock of a store that was replaced."""
+    times = AnswerTimes()
+    times.find_earliest_build(StoreAnswer(10.0, 10.01, 5000.0))
+    early_but_late_to_arrive = StoreAnswer(10.01, 40.0, store_ms, held_seconds=1.0)
+    assert 10.01 <= times.find_earliest_build(early_but_late_to_arrive) <= 11.01
