--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -294,25 +294,14 @@
         """Become active or standby as the fleet needs; an active daemon follows the jobs."""
         if self._service.leaving:
             return
-        before = self._roles.role
         peers = [peer for peer in self._exchange.live_peers if not peer.statement.leaving]
         slots = sum(worker.slots for worker in self._admission.workers.entries())
         fleet = (len(peers), sum(peer.statement.active for peer in peers), slots)
         if fleet == self._fleet and not self._roles.deciding:
             return
         self._fleet = fleet
-        deployment = self._deployment
-        members = [
-            FleetMember(
-                peer.identity.vm,
-                peer.identity.data_centre,
-                peer.identity.cores,
-                peer.statement.active,
-            )
-            for peer in peers
-        ]
-        own = FleetMember(deployment.vm, deployment.data_centre, deployment.cores, before.active)
-        view = FleetView([*members, own], self._feeds.member_count, slots)
+        members = [*map(_describe_member, peers), self._describe_self()]
+        view = FleetView(members, self._feeds.member_count, slots)
         busy = self._admission.has_requests or self._jobs.has_runs
         with self._role_lock:
             before = self._roles.role
@@ -331,6 +320,10 @@
             )
             self._apply_role(before, role)
 
+    def _describe_self(self) -> FleetMember:
+        own = self._deployment
+        return FleetMember(own.vm, own.data_centre, own.cores, self._roles.role.active)
+
     def _activate(self) -> None:
         """Become active at once for a caller that submits a job here."""
         with self._role_lock:
@@ -425,6 +418,11 @@
         log_event("daemon:drained", all_requests_ended=all_ended, all_jobs_handed_over=handed_over)
 
 
+def _describe_member(peer: Peer) -> FleetMember:
+    identity = peer.identity
+    return FleetMember(identity.vm, identity.data_centre, identity.cores, peer.statement.active)
+
+
 def _read_modification_time(path: Path) -> float:
     try:
         return path.stat().st_mtime
