--- a/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/app.py
@@ -12,14 +12,13 @@
     monitor,
     services,
 )
-from trefoilreach._internal.api.auth import reject_withdrawn_key
+from trefoilreach._internal.api.auth import find_configured_key, reject_withdrawn_key
 from trefoilreach._internal.api.parts import Parts
 from trefoilreach._internal.api.refusals import respond_refusal
 from trefoilreach._internal.api.web import WebRequest, WebResponse, routes
 from trefoilreach._internal.coordination.audit.audit import REFUSED_KIND
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.config import hash_key
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 # Answered even while the daemon is isolated.
@@ -70,7 +69,7 @@
             raise
 
     def _record_refusal(self, request: WebRequest, refusal: Refusal) -> None:
-        key = self._parts.config.view.keys_by_hash.get(hash_key(request.bearer_key() or ""))
+        key = find_configured_key(self._parts, request)
         fields = {
             "account": "" if key is None else key.account,
             "key_id": "" if key is None else key.id,
--- a/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/api/auth.py
@@ -29,13 +29,18 @@
     secret = request.bearer_key()
     if secret is None:
         raise Refusal(401, "missing_key", "the Authorization header has no bearer key")
-    hashed = hash_key(secret)
-    key = parts.config.view.keys_by_hash.get(hashed) or _find_bootstrap_key(parts, hashed)
+    key = find_configured_key(parts, request) or _find_bootstrap_key(parts, hash_key(secret))
     if key is None or key.id in parts.config_sync.get_withdrawn_key_ids():
         raise _build_invalid_key_refusal()
     return key
 
 
+def find_configured_key(parts: Parts, request: WebRequest) -> Key | None:
+    """Return the configured key that a request names, also if it is withdrawn."""
+    secret = request.bearer_key()
+    return None if secret is None else parts.config.view.keys_by_hash.get(hash_key(secret))
+
+
 def reject_withdrawn_key(parts: Parts, request: WebRequest) -> None:
     """Check that the key of a request is not one that this daemon knows to be withdrawn.
 
@@ -43,7 +48,7 @@
 
     :raises Refusal: 401 when the key is withdrawn.
     """
-    key = parts.config.view.keys_by_hash.get(hash_key(request.bearer_key() or ""))
+    key = find_configured_key(parts, request)
     if key is not None and key.id in parts.config_sync.get_withdrawn_key_ids():
         raise _build_invalid_key_refusal()
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/activation.py
@@ -22,7 +22,7 @@
 # Callers of the platform accept no more addresses than this.
 MAX_ACTIVE_DAEMONS = 64
 # A VM with less than this share of the cores of the strongest VM counts as weak.
-STRONG_VM_CORES_SHARE = 0.5
+_STRONG_VM_CORES_SHARE = 0.5
 # A daemon that has just started knows few of the others, and would consider itself among the best.
 _LEARNING_SECONDS = 1.5
 # Standby daemons hear of a new active one within about this time.
@@ -73,6 +73,15 @@
     offered: bool
 
 
+def is_strong(cores: float, strongest: float) -> bool:
+    """Return whether a VM is strong.
+
+    :param cores: its processor cores.
+    :param strongest: cores of the strongest VM.
+    """
+    return cores >= _STRONG_VM_CORES_SHARE * strongest
+
+
 def count_wanted(view: FleetView) -> int:
     """Return how many daemons of the fleet should be active."""
     data_centres = len({member.data_centre for member in view.members})
@@ -94,7 +103,7 @@
     counts: dict[tuple[bool, str], int] = {}
     keys: dict[str, tuple[bool, int, str]] = {}
     for member in ordered:
-        weak = member.cores < STRONG_VM_CORES_SHARE * strongest
+        weak = not is_strong(member.cores, strongest)
         turn = counts.get((weak, member.data_centre), 0)
         counts[weak, member.data_centre] = turn + 1
         keys[member.vm] = (weak, turn, member.data_centre)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/admission.py
@@ -189,27 +189,32 @@
         """Return the load of a service as a new online request of an urgency finds it."""
         now = self._clock.now()
         with self._lock:
-            loads = self._slot_table.loads(self.workers.list_usable(service))
             waiting = self._waiting.get(service, ())
             own = sum(ticket.request.rank(now).urgency <= urgency for ticket in waiting)
             before = own + self._slot_table.count_waiting(service, urgency)
-            return _make_pressure(before, loads, self.count_live_daemons())
+            return self._make_pressure(service, before)
 
     def pressure_on(self, ticket: Ticket) -> Pressure:
         """Return the load of a service as a queued online request finds it."""
         now, service = self._clock.now(), ticket.request.service
         with self._lock:
-            loads = self._slot_table.loads(self.workers.list_usable(service))
             rank = ticket.request.rank(now)
             own = sum(
                 other is not ticket and other.request.rank(now) < rank
                 for other in self._waiting.get(service, ())
             )
-            return _make_pressure(
-                own + self._slot_table.count_before(service, rank),
-                loads,
-                self.count_live_daemons(),
-            )
+            before = own + self._slot_table.count_before(service, rank)
+            return self._make_pressure(service, before)
+
+    def _make_pressure(self, service: str, before: int) -> Pressure:
+        """Return the load of a service for a request that some queued ones go before."""
+        loads = self._slot_table.loads(self.workers.list_usable(service))
+        return Pressure(
+            before=before,
+            slots=sum(load.worker.slots for load in loads),
+            taken=sum(min(load.online, load.worker.slots) for load in loads),
+            daemons=self.count_live_daemons(),
+        )
 
     def _schedule_service(self, service: str, wake: bool) -> None:
         with self._lock:
@@ -309,15 +314,6 @@
         return actions
 
 
-def _make_pressure(before: int, loads: list[WorkerLoad], daemons: int) -> Pressure:
-    return Pressure(
-        before=before,
-        slots=sum(load.worker.slots for load in loads),
-        taken=sum(min(load.online, load.worker.slots) for load in loads),
-        daemons=daemons,
-    )
-
-
 def _count_available_slots(loads: list[WorkerLoad], batch: bool) -> int:
     if not batch:
         return sum(load.available_to_online for load in loads)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/entry_points.py
@@ -10,7 +10,7 @@
 
 from trefoilreach._internal.coordination.serving.activation import (
     MAX_ACTIVE_DAEMONS,
-    STRONG_VM_CORES_SHARE,
+    is_strong,
 )
 from trefoilreach._internal.state.serving import rank_by_rendezvous_hash
 
@@ -38,11 +38,7 @@
         returns a different selection.
     """
     strongest = max((entry_point.cores for entry_point in entry_points), default=0.0)
-    strong = [
-        entry_point
-        for entry_point in entry_points
-        if entry_point.cores >= STRONG_VM_CORES_SHARE * strongest
-    ]
+    strong = [point for point in entry_points if is_strong(point.cores, strongest)]
     cores = sum(entry_point.cores for entry_point in strong)
     enough = cores >= _MIN_STRONG_CORES_SHARE * sum(
         entry_point.cores for entry_point in entry_points
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
 from trefoilreach._internal.transport.http_client import (
+    MAX_BODY_BYTES,
     HttpExchange,
     HttpFailure,
     HttpPools,
@@ -22,8 +23,6 @@
 _LOAD_TIMEOUT_SECONDS = 0.3
 _READ_SIZE_BYTES = 65536
 _MIN_TIMEOUT_SECONDS = 0.001
-# Largest plain answer that is relayed; it is kept in memory until it is complete.
-_MAX_ANSWER_BYTES = 16 * 2**20
 _WRONG_WORKER_STATUS = 421
 _MILLISECONDS_PER_SECOND = 1000.0
 # Headers of an answer that apply only to the connection to the worker.
@@ -112,7 +111,7 @@
         while data := self.read_chunk(max(deadline - self._clock.now(), _MIN_TIMEOUT_SECONDS)):
             parts.append(data)
             size += len(data)
-            if size > _MAX_ANSWER_BYTES or self._clock.now() > deadline:
+            if size > MAX_BODY_BYTES or self._clock.now() > deadline:
                 message = f"the answer does not end after {size} bytes"
                 raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
         return b"".join(parts)
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -16,8 +16,9 @@
 IDLE_LIMIT_SECONDS = 5.0
 # Largest head of an answer, with interim answers: twice the largest that usual servers send.
 _MAX_HEAD_BYTES = 65536
-# Largest body that is read at once. The largest object of the platform's store has 8 MiB.
-_MAX_BODY_BYTES = 16 * 2**20
+# Largest body that is kept in memory as a whole; the largest object of the platform's store has
+# 8 MiB.
+MAX_BODY_BYTES = 16 * 2**20
 
 
 class HttpFailure(Exception):
@@ -326,7 +327,7 @@
 
         :raises HttpFailure: when the body ends early, takes too long or is too large.
         """
-        self._response.limited.limit(self._timeout, self._timeout, _MAX_BODY_BYTES)
+        self._response.limited.limit(self._timeout, self._timeout, MAX_BODY_BYTES)
         try:
             data = self._response.read()
         except (OSError, HTTPException) as error:
@@ -341,7 +342,7 @@
 
     def limit_next_read(self, seconds: float) -> None:
         """Limit the time of the next read of the response, however many waits it takes."""
-        self._response.limited.limit(seconds, seconds, _MAX_BODY_BYTES)
+        self._response.limited.limit(seconds, seconds, MAX_BODY_BYTES)
 
     def close(self) -> None:
         """Return the connection to the pool, or close it after an incomplete answer."""
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -107,16 +107,21 @@
     assert peak < LIMIT_BYTES
 
 
+def measure_failure(failure: type[Exception], action: Callable[[], object]) -> None:
+    """Run an action that must fail, in time and without much memory."""
+
+    def run() -> None:
+        with pytest.raises(failure):
+            action()
+
+    measure(run)
+
+
 @pytest.mark.parametrize("name", HEADS)
 def test_head_without_end_fails_in_time(stack: ExitStack, name: str) -> None:
     server = Server(stack, *HEADS[name])
     pool = HttpPool("127.0.0.1", server.port, SystemClock())
-
-    def request() -> None:
-        with pytest.raises(HttpFailure):
-            pool.request("GET", "/", timeout=TIMEOUT_SECONDS)
-
-    measure(request)
+    measure_failure(HttpFailure, lambda: pool.request("GET", "/", timeout=TIMEOUT_SECONDS))
     assert pool._take_idle() is None
     assert server.closed.wait(LIMIT_SECONDS)
 
@@ -126,12 +131,7 @@
     server = Server(stack, *BODIES[name])
     pool = HttpPool("127.0.0.1", server.port, SystemClock())
     exchange = pool.request("GET", "/", timeout=TIMEOUT_SECONDS)
-
-    def read() -> None:
-        with pytest.raises(HttpFailure):
-            exchange.read()
-
-    measure(read)
+    measure_failure(HttpFailure, exchange.read)
     exchange.close()
     assert pool._take_idle() is None
     assert server.closed.wait(LIMIT_SECONDS)
@@ -142,12 +142,7 @@
     server = Server(stack, *BODIES[name])
     pool = HttpPool("127.0.0.1", server.port, SystemClock())
     answer = PlatformAnswer(pool.request("GET", "/", timeout=TIMEOUT_SECONDS), SystemClock())
-
-    def read() -> None:
-        with pytest.raises(WorkerFailure):
-            answer.read_all(TIMEOUT_SECONDS)
-
-    measure(read)
+    measure_failure(WorkerFailure, lambda: answer.read_all(TIMEOUT_SECONDS))
     answer.close()
     assert server.closed.wait(LIMIT_SECONDS)
 
--- a/tests/unit/test_idempotency_store.py
+++ b/tests/unit/test_idempotency_store.py
@@ -43,18 +43,13 @@
         self.clock, self.table, objects = ManualClock(), OutageTable(), MemoryObjectStore()
         members = [Member(f"vm{n}", "h", 1, 2, "dc", "r", 1, LIVE) for n in range(2)]
         self.stores = [
-            IdempotencyStore(self.clock, self.table, objects, FixedPeers(own, members))  # type: ignore[arg-type]
+            IdempotencyStore(self.clock, self.table, objects, make_peers(own, members))
             for own in members
         ]
 
 
-class FixedPeers:
-    def __init__(self, own: Member, members: list[Member]) -> None:
-        self.own_member = own
-        self._members = members
-
-    def members(self) -> list[Member]:
-        return self._members
+def make_peers(own: Member, members: list[Member]) -> Any:
+    return SimpleNamespace(own_member=own, members=lambda: members)
 
 
 @pytest.fixture
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -131,17 +131,20 @@
     return Script(pieces=tuple(EVENTS[dispatch.resume_after or 0 :]))
 
 
-def hold_last_event(gate: threading.Event) -> Callable[[Dispatch], Script]:
-    """Send the last event of a first run only once the gate is open; resumed runs do not wait."""
+def answer_first_run(script: Script) -> Callable[[Dispatch], Script]:
+    """Answer a first run with a script, and resumed runs with all events left."""
 
     def decide(dispatch: Dispatch) -> Script:
-        if dispatch.resume_after is None:
-            return Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate)
-        return send_all_events(dispatch)
+        return script if dispatch.resume_after is None else send_all_events(dispatch)
 
     return decide
 
 
+def hold_last_event(gate: threading.Event) -> Callable[[Dispatch], Script]:
+    """Send the last event of a first run only once the gate is open; resumed runs do not wait."""
+    return answer_first_run(Script(pieces=(EVENTS[0] + EVENTS[1], EVENTS[2]), gate=gate))
+
+
 def read_until(keeper: JobManager, job: str, count: int, timeout: float = 5.0) -> list[Any]:
     """Return the listed results once there are at least ``count``; fail after the timeout."""
     deadline = time.monotonic() + timeout
@@ -423,40 +426,29 @@
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
 
 
-def test_interrupted_item_resumes_after_its_events(stack: ExitStack) -> None:
-    """Guards against an item that starts from the beginning after each interruption of its run."""
-    broken = WorkerFailure("reset", Verdict.MAY_HAVE_RUN)
-
-    def decide(dispatch: Dispatch) -> Script:
-        if dispatch.resume_after is None:
-            return Script(
-                pieces=(EVENTS[0], EVENTS[1] + EVENTS[2][:5]), failure_after_pieces=broken
-            )
-        return send_all_events(dispatch)
-
-    fleet = Fleet(stack, decide)
+def check_item_resumes(stack: ExitStack, first_run: Script) -> None:
+    """Run an item whose first run breaks off after its second event."""
+    fleet = Fleet(stack, answer_first_run(first_run))
     keeper = fleet.start("d0")
     keeper.submit("j1", CHECKED, make_document(1))
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
     assert [dispatch.resume_after for dispatch in fleet.link.sent] == [None, 2]
 
 
+def test_interrupted_item_resumes_after_its_events(stack: ExitStack) -> None:
+    """Guards against an item that starts from the beginning after each interruption of its run."""
+    broken = WorkerFailure("reset", Verdict.MAY_HAVE_RUN)
+    pieces = (EVENTS[0], EVENTS[1] + EVENTS[2][:5])
+    check_item_resumes(stack, Script(pieces=pieces, failure_after_pieces=broken))
+
+
 @pytest.mark.parametrize("filler", [b"x", b": comment\n\n"])
 def test_item_of_a_worker_that_sends_bytes_but_no_events_is_resumed(
     stack: ExitStack, filler: bytes
 ) -> None:
     """Guards against a stalled run of an item that never ends, and comments in its result."""
-
-    def decide(dispatch: Dispatch) -> Script:
-        if dispatch.resume_after is None:
-            return Script(pieces=(EVENTS[0], EVENTS[1], *[filler] * 60), piece_seconds=0.1)
-        return send_all_events(dispatch)
-
-    fleet = Fleet(stack, decide)
-    keeper = fleet.start("d0")
-    keeper.submit("j1", CHECKED, make_document(1))
-    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
-    assert [dispatch.resume_after for dispatch in fleet.link.sent] == [None, 2]
+    pieces = (EVENTS[0], EVENTS[1], *[filler] * 60)
+    check_item_resumes(stack, Script(pieces=pieces, piece_seconds=0.1))
 
 
 def test_ended_job_stops_at_its_owner(stack: ExitStack) -> None:
