Log the prompt parts of requests and whether a crashed worker had begun

Callers saw: all workers crashed by requests that are not alike. crash:noted named neither the content of the request nor whether the worker had begun to answer, so that the log could not tell a culprit from a request that was only in flight.

Change: request:admitted and crash:noted name the shared prompt parts, crash:noted the fingerprint and whether the worker had sent an event. The request keeps all shared parts, not only the last. No decision changes; unit tests of the serving path pass.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
@@ -34,8 +34,18 @@
         self._crash_times: dict[str, dict[str, float]] = {}
         self._own_crashes: list[tuple[float, CrashedRun]] = []
 
-    def record(self, fingerprint: str, worker: str, request_id: str) -> None:
-        """Record that a worker crashed with a request in flight."""
+    def record(
+        self,
+        fingerprint: str,
+        worker: str,
+        request_id: str,
+        shared_parts: tuple[str, ...] = (),
+        begun: bool = False,
+    ) -> None:
+        """Record that a worker crashed with a request in flight.
+
+        :param begun: whether the worker had begun to write the answer.
+        """
         now = self._clock.now()
         run = CrashedRun(fingerprint, worker)
         with self._lock:
@@ -48,6 +58,9 @@
             "crash:noted",
             request_id=request_id,
             worker=worker,
+            fingerprint=fingerprint,
+            shared_parts=shared_parts,
+            begun=begun,
             crashes=self.count(fingerprint),
         )
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -359,7 +359,7 @@
         """
         request = self._request
         try:
-            self._record_failure(broken.worker, failure)
+            self._record_failure(broken.worker, failure, broken.begun)
             while True:
                 attempt = self._open_attempt()
                 answer = attempt.answer
@@ -385,9 +385,12 @@
             )
             raise AnswerAbortedError(refusal.message) from failure
 
-    def _record_failure(self, worker: WorkerEntry, failure: WorkerFailure) -> None:
+    def _record_failure(
+        self, worker: WorkerEntry, failure: WorkerFailure, begun: bool = False
+    ) -> None:
         """Record a failed attempt; returns if the request may be sent again.
 
+        :param begun: whether the worker had begun to write the answer.
         :raises Refusal: when it may not.
         """
         request, workers = self._request, self._tools.admission.workers
@@ -400,7 +403,11 @@
         dead = not failure.timed_out and self._tools.worker_client.is_refused(worker)
         if dead:
             self._tools.crashes.record(
-                request.fingerprint, f"{worker.id}/{worker.started_ms}", request.call.request_id
+                request.fingerprint,
+                f"{worker.id}/{worker.started_ms}",
+                request.call.request_id,
+                request.shared_parts,
+                begun,
             )
         if dead or failure.timed_out:
             workers.note_failure(worker.id, str(failure), failure.timed_out)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -51,6 +51,8 @@
 class Relay:
     """Reads the events of an answer; owns the attempt's slot and releases it on close.
 
+    ``begun`` tells whether the worker has sent an event.
+
     :param may_resume: whether the stream may be resumed at another worker, so that a long pause
         ends the attempt.
     :param resumed: whether an earlier worker has sent the preceding events.
@@ -69,8 +71,8 @@
         self._attempt = attempt
         self._may_resume = may_resume
         self._splitter = EventSplitter()
-        # A resumed stream may have no events left, if the earlier worker failed after the last.
-        self._events_seen = resumed
+        self._resumed = resumed
+        self.begun = False
         self._progressed_at = tools.clock.now()
         self.ended = False
 
@@ -97,11 +99,12 @@
                 message = f"no progress for {self._stall_timeout:.3g} s"
                 raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
             if events:
-                self._events_seen = True
+                self.begun = True
                 return events
         if self._splitter.incomplete:
             raise WorkerFailure("the stream ended inside an event", Verdict.MAY_HAVE_RUN)
-        if not self._events_seen:
+        # A resumed stream may have no events left, if the earlier worker failed after the last.
+        if not self.begun and not self._resumed:
             raise WorkerFailure("the stream ended without an event", Verdict.MAY_HAVE_RUN)
         return []
 
@@ -114,7 +117,7 @@
     def _stall_timeout(self) -> float:
         """Seconds without an event after which another worker is tried."""
         route = self._request.route
-        if not self._events_seen:
+        if not self.begun and not self._resumed:
             return find_first_answer_timeout(route)
         return max(_MIN_STALL_TIMEOUT_SECONDS, _STALL_FACTOR * route.event_gap_target_seconds)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
@@ -21,7 +21,7 @@
 
     :param received_at: time of its arrival, by the daemon's clock.
     :param time_left: seconds that its caller will wait from then on.
-    :param shared_prefix_id: prompt prefix that it has in common with other requests; may be empty.
+    :param shared_parts: ids of the prompt parts that other requests may have too, in order.
     :param resume_after: id of the last event that the caller has received, or None.
     :param fingerprint: the same for all attempts of one request.
     """
@@ -31,7 +31,7 @@
     account: ServingAccount | None
     received_at: float
     time_left: float
-    shared_prefix_id: str
+    shared_parts: tuple[str, ...]
     resume_after: int | None
     fingerprint: str
 
@@ -40,6 +40,11 @@
         """Deadline of the final answer, by the daemon's clock."""
         return self.received_at + min(self.time_left, self.route.timeout_seconds)
 
+    @property
+    def shared_prefix_id(self) -> str:
+        """Id of the last shared prompt part, which names the whole shared prefix; may be empty."""
+        return self.shared_parts[-1] if self.shared_parts else ""
+
     @property
     def account_name(self) -> str:
         """Name of the client account; empty on a route that is open to all."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -23,7 +23,7 @@
     read_time_left,
 )
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.serving import RouteKind, find_shared_prefix_id
+from trefoilreach._internal.state.serving import RouteKind, list_shared_parts
 from trefoilreach._internal.transport.http_server import ON_DISCONNECT
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -77,7 +77,7 @@
             account=checked.account,
             received_at=self._service.clock.now(),
             time_left=read_time_left(environ),
-            shared_prefix_id=find_shared_prefix_id(parts),
+            shared_parts=list_shared_parts(parts),
             resume_after=read_number(environ.get("HTTP_LAST_EVENT_ID")),
             fingerprint=compute_fingerprint(account, call.target, call.body),
         )
@@ -86,6 +86,7 @@
             request_id=call.request_id,
             route=checked.route.name,
             account=account,
+            shared_parts=request.shared_parts,
             time_left=request.time_left,
             desired_state=self._service.version,
             desired_state_age=round(self._service.freshness.age, 3),
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -172,12 +172,12 @@
     tokens: int
 
 
-def find_shared_prefix_id(parts: Sequence[PromptPart]) -> str:
-    """Return the id of the last part that other requests may share, or an empty text.
+def list_shared_parts(parts: Sequence[PromptPart]) -> tuple[str, ...]:
+    """Return the ids of the parts that other requests may share.
 
     The very last part of a prompt is specific to its request.
     """
-    return parts[-2].id if len(parts) > 1 else ""
+    return tuple(part.id for part in parts[:-1])
 
 
 def rank_by_rendezvous_hash(key: str, names: Sequence[str]) -> list[str]:
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -43,7 +43,7 @@
             ACCOUNT,
             self.tools.clock.now(),
             time_left,
-            "part",
+            ("part",),
             None,
             fingerprint,
         )
@@ -316,7 +316,7 @@
     case = Case(RUN_ONCE, COMPLETE, COMPLETE)
     case.tools.buckets.set_accounts([account])
     request = OnlineRequest(
-        make_call(), RUN_ONCE, account, case.tools.clock.now(), 5.0, "", None, "f"
+        make_call(), RUN_ONCE, account, case.tools.clock.now(), 5.0, (), None, "f"
     )
     list(case.runner.run(request, CallerConnection()).events or ())
     with pytest.raises(Refusal) as caught:
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -17,7 +17,7 @@
 )
 from trefoilreach._internal.protocol.event_stream import EventSplitter
 from trefoilreach._internal.settings import SettingsError
-from trefoilreach._internal.state.serving import RouteIndex, RouteKind, find_shared_prefix_id
+from trefoilreach._internal.state.serving import RouteIndex, RouteKind, list_shared_parts
 
 SETTINGS = """node=edge-a-1
 ip=10.1.0.21
@@ -160,7 +160,7 @@
 def test_request_headers_are_parsed() -> None:
     """Guards against misread prompt parts, keys and deadlines."""
     parts = read_prompt_parts("5c1e:800,91bd:410,e440:250")
-    assert find_shared_prefix_id(parts) == "91bd" and parts[0].tokens == 800
+    assert list_shared_parts(parts) == ("5c1e", "91bd") and parts[0].tokens == 800
     assert read_prompt_parts("") == () and read_prompt_parts("x:y") == ()
     assert read_key(make_environ(AUTHORIZATION="bearer k")) == "k"
     assert read_key(make_environ(AUTHORIZATION="Basic k")) is None
