Do not block streams that crashed workers were already answering

Cause: each request in flight at a crashed worker was counted as a possible culprit. A request that crashes workers does so before the first event; one that has had an event is not at fault.

Change: only runs without an event count. The log line names the others too (begun=true). Test: a stream that three crashed workers had begun is completed by a fourth; it failed before with 'this request crashed the workers that ran it'.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
@@ -1,8 +1,8 @@
 """Tracks requests that were in flight at workers that crashed.
 
 The caller of a request that crashes workers sends it again to any daemon, with another id but
-the same account, path and body. A request that was in flight at three workers that crashed is
-not sent to a fourth.
+the same account, path and body. A request under which three workers crashed before they began to
+answer it is not sent to a fourth. Requests that a worker was already answering did not crash it.
 """
 
 import hashlib
@@ -44,16 +44,10 @@
     ) -> None:
         """Record that a worker crashed with a request in flight.
 
-        :param begun: whether the worker had begun to write the answer.
+        :param begun: whether the worker had begun to answer, so that another request is at fault.
         """
-        now = self._clock.now()
-        run = CrashedRun(fingerprint, worker)
-        with self._lock:
-            self._own_crashes = [
-                (at, crash) for at, crash in self._own_crashes if now - at < _CRASH_REPORT_SECONDS
-            ]
-            self._own_crashes.append((now, run))
-        self.apply_peer_crashes([run])
+        if not begun:
+            self._add_own_crash(CrashedRun(fingerprint, worker))
         log_event(
             "crash:noted",
             request_id=request_id,
@@ -64,6 +58,15 @@
             crashes=self.count(fingerprint),
         )
 
+    def _add_own_crash(self, run: CrashedRun) -> None:
+        now = self._clock.now()
+        with self._lock:
+            self._own_crashes = [
+                (at, crash) for at, crash in self._own_crashes if now - at < _CRASH_REPORT_SECONDS
+            ]
+            self._own_crashes.append((now, run))
+        self.apply_peer_crashes([run])
+
     def apply_peer_crashes(self, crashes: Collection[CrashedRun]) -> None:
         """Add the crashes that a peer reports."""
         if not crashes:
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -223,6 +223,15 @@
     assert len(case.link.sent) == 3
 
 
+def test_stream_that_had_begun_at_three_crashed_workers_is_resumed() -> None:
+    """Guards against a sound stream that is blocked for crashes while it was being answered."""
+    broken = [Script(pieces=(event,), failure_after_pieces=BROKEN) for event in EVENTS[:3]]
+    case = Case(make_route(max_runs=9), *broken, Script(pieces=tuple(EVENTS[3:])), workers=6)
+    case.link.dead = {f"w{n}" for n in range(6)}
+    answer = case.run()
+    assert answer.events is not None and b"".join(answer.events) == b"".join(EVENTS)
+
+
 def test_disconnect_of_the_caller_ends_the_run() -> None:
     """Guards against a worker that continues a run whose caller has disconnected."""
     gate = threading.Event()
