Block prompt parts under which workers keep crashing

Cause: crashes were counted by request, and requests that crash workers by a part of their prompts are not alike, so that the crashes of one taught nothing about the next.

Change: daemons report the prompt parts of requests that crashed workers before an answer began, and those of answers that began since. A part is blocked after three crashed workers and two different requests with no answer since. A crash blocks one part at most: the one in most crashes, then one that was never answered, then the last in the prompt. Requests with it are refused at once as not run. Sound requests with the other parts go on: an answer clears a part.

Blocks are in memory only, and hold until an answer.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
@@ -8,6 +8,11 @@
 from thrift.TSerialization import deserialize, serialize
 
 from trefoilreach._internal.coordination.quota.fleet_buckets import AccountUsage
+from trefoilreach._internal.coordination.serving.crashing_parts import (
+    AnsweredPart,
+    BlockedPart,
+    CrashedRun,
+)
 from trefoilreach._internal.coordination.serving.outcomes import OutcomeCounts
 from trefoilreach._internal.coordination.serving.slot_table import PeerLoad, QueueRank, RunCounts
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
@@ -21,6 +26,8 @@
     WorkerOutcomes,
     WorkerRuns,
 )
+from trefoilreach._internal.protocol.gen.fleet.ttypes import AnsweredPart as AnsweredPartEntry
+from trefoilreach._internal.protocol.gen.fleet.ttypes import BlockedPart as BlockedPartEntry
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Identity as IdentityEntry
 
 _MS_PER_SECOND = 1000.0
@@ -28,6 +35,8 @@
 # A report must fit in a datagram that no link fragments, so lists that can be long are limited.
 _MAX_WAITERS = 16
 _MAX_CRASHES = 32
+_MAX_CRASH_PARTS = 96
+_MAX_ANSWERED_PARTS = 32
 _MAX_JOBS = 32
 _MILLICORES_PER_CORE = 1000.0
 _FACTORY = TCompactProtocolAcceleratedFactory()
@@ -52,13 +61,6 @@
     cores: float = 1.0
 
 
-class CrashedRun(NamedTuple):
-    """A request that was running on a worker when the worker crashed."""
-
-    fingerprint: str
-    worker: str
-
-
 class DaemonState(NamedTuple):
     """State that a report carries besides the sender's identity.
 
@@ -74,6 +76,8 @@
     :param suspects: workers that do not answer the sender.
     :param outcomes: numbers of successful and failed requests, by worker.
     :param active: whether the sender follows every change of the other active daemons.
+    :param answered_parts: suspected prompt parts of requests that workers have answered here.
+    :param blocked_parts: prompt parts that crash workers.
     """
 
     accepting: bool
@@ -89,6 +93,8 @@
     crashes: tuple[CrashedRun, ...]
     outcomes: Mapping[str, OutcomeCounts]
     active: bool = True
+    answered_parts: tuple[AnsweredPart, ...] = ()
+    blocked_parts: tuple[BlockedPart, ...] = ()
 
     def slot_load(self, now: float) -> PeerLoad:
         """Return the running and waiting requests, as known at ``now``."""
@@ -158,9 +164,19 @@
             accounts=[AccountUse(name, u.admitted, u.level) for name, u in uses.items()] or None,
             jobs=[JobProgress(job, count) for job, count in jobs.items()][-_MAX_JOBS:] or None,
             suspects=list(statement.suspects) or None,
-            crashes=[Crash(*crash) for crash in statement.crashes[-_MAX_CRASHES:]] or None,
+            crashes=_encode_crashes(statement.crashes) or None,
             outcomes=[WorkerOutcomes(name, *o) for name, o in outcomes.items()] or None,
             standby=None if statement.active else True,
+            answered_parts=[
+                AnsweredPartEntry(entry.part, _to_milliseconds(entry.age_seconds))
+                for entry in statement.answered_parts[-_MAX_ANSWERED_PARTS:]
+            ]
+            or None,
+            blocked_parts=[
+                BlockedPartEntry(entry.part, _to_milliseconds(entry.age_seconds), entry.trials)
+                for entry in statement.blocked_parts
+            ]
+            or None,
         )
 
 
@@ -188,6 +204,25 @@
     ]
 
 
+def _encode_crashes(crashes: tuple[CrashedRun, ...]) -> list[Crash]:
+    """Return the newest crashes, as many as a datagram has room for."""
+    entries: list[Crash] = []
+    parts = 0
+    for crash in reversed(crashes[-_MAX_CRASHES:]):
+        parts += len(crash.shared_parts)
+        if entries and parts > _MAX_CRASH_PARTS:
+            break
+        entries.append(
+            Crash(
+                crash.fingerprint,
+                crash.worker,
+                list(crash.shared_parts) or None,
+                _to_milliseconds(crash.age_seconds),
+            )
+        )
+    return entries[::-1]
+
+
 def parse_identity(report: Report) -> Identity | None:
     """Return the sender of a full report; None for a short report."""
     entry = report.identity
@@ -230,11 +265,27 @@
         },
         job_result_counts={entry.job: entry.results for entry in report.jobs or ()},
         suspects=tuple(report.suspects or ()),
-        crashes=tuple(CrashedRun(c.fingerprint, c.worker) for c in report.crashes or ()),
+        crashes=tuple(
+            CrashedRun(
+                entry.fingerprint,
+                entry.worker,
+                tuple(entry.parts or ()),
+                (entry.age_ms or 0) / _MS_PER_SECOND,
+            )
+            for entry in report.crashes or ()
+        ),
         outcomes={
             entry.worker: OutcomeCounts(entry.good, entry.bad) for entry in report.outcomes or ()
         },
         active=not report.standby,
+        answered_parts=tuple(
+            AnsweredPart(entry.part, entry.age_ms / _MS_PER_SECOND)
+            for entry in report.answered_parts or ()
+        ),
+        blocked_parts=tuple(
+            BlockedPart(entry.part, entry.age_ms / _MS_PER_SECOND, entry.trials)
+            for entry in report.blocked_parts or ()
+        ),
     )
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashes.py
@@ -3,14 +3,16 @@
 The caller of a request that crashes workers sends it again to any daemon, with another id but
 the same account, path and body. A request under which three workers crashed before they began to
 answer it is not sent to a fourth. Requests that a worker was already answering did not crash it.
+Requests that are not alike may crash workers by a prompt part that they share
+(:mod:`~trefoilreach._internal.coordination.serving.crashing_parts`).
 """
 
 import hashlib
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.exchange.reports import CrashedRun
+from trefoilreach._internal.coordination.serving.crashing_parts import CrashedRun, CrashingParts
 from trefoilreach._internal.logs import log_event
 
 _MAX_CRASHES = 3
@@ -26,13 +28,22 @@
 
 
 class CrashRegistry:
-    """Crashed workers by request fingerprint, from this daemon and its peers."""
+    """Crashed workers by request fingerprint and prompt part, from this daemon and its peers.
+
+    ``on_part_blocked`` and ``on_part_unblocked`` are called with a part that this daemon has
+    blocked, or unblocked after an answer. ``claim_trial`` asks whether a request may try a blocked
+    part; no more than one daemon gets the permission for a trial.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._crash_times: dict[str, dict[str, float]] = {}
         self._own_crashes: list[tuple[float, CrashedRun]] = []
+        self.parts = CrashingParts(clock)
+        self.on_part_blocked: Callable[[str], None] = lambda part: None
+        self.on_part_unblocked: Callable[[str], None] = lambda part: None
+        self.claim_trial: Callable[[str], bool] = lambda part: False
 
     def record(
         self,
@@ -47,7 +58,7 @@
         :param begun: whether the worker had begun to answer, so that another request is at fault.
         """
         if not begun:
-            self._add_own_crash(CrashedRun(fingerprint, worker))
+            self._add_own_crash(CrashedRun(fingerprint, worker, shared_parts))
         log_event(
             "crash:noted",
             request_id=request_id,
@@ -58,6 +69,11 @@
             crashes=self.count(fingerprint),
         )
 
+    def record_answered(self, shared_parts: Collection[str]) -> None:
+        """Record that a worker has begun to answer a request with some prompt parts."""
+        for part in self.parts.record_answered(shared_parts):
+            self.on_part_unblocked(part)
+
     def _add_own_crash(self, run: CrashedRun) -> None:
         now = self._clock.now()
         with self._lock:
@@ -82,13 +98,19 @@
             ]
             for name in expired:
                 del self._crash_times[name]
+        for crash in crashes:
+            blocked = self.parts.add_crash(crash)
+            if blocked is not None:
+                self.on_part_blocked(blocked)
 
     def own_crashes_to_report(self) -> tuple[CrashedRun, ...]:
         """Return this daemon's recent crashes for its next report."""
         now = self._clock.now()
         with self._lock:
             return tuple(
-                crash for at, crash in self._own_crashes if now - at < _CRASH_REPORT_SECONDS
+                crash._replace(age_seconds=now - at)
+                for at, crash in self._own_crashes
+                if now - at < _CRASH_REPORT_SECONDS
             )
 
     def count(self, fingerprint: str) -> int:
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -0,0 +1,281 @@
+"""Finds the prompt parts that crash workers, from the crashes that all daemons report.
+
+Load pattern: requests of one kind, no two alike, have a prompt part in common under which each
+worker crashes before it begins to answer. They come at any daemon, beside sound requests of the
+same callers that have the other parts. Workers also crash for other reasons, with sound requests
+in flight.
+
+A part is blocked when several workers have crashed under different requests with it and none has
+begun to answer such a request since. Each crash blocks at most one part. A block holds until a
+request with the part has been answered: one request may try it after a pause, which doubles with
+each failed trial.
+"""
+
+import threading
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import log_decision, log_event
+
+# Two crashes may meet the same sound part by chance while workers crash in series.
+_MIN_CRASHED_WORKERS = 3
+# A single request may be at fault by itself; it is blocked by its fingerprint.
+_MIN_REQUESTS = 2
+_CRASH_EXPIRY_SECONDS = 600.0
+_MAX_CRASHES = 512
+# Limits for parts that were answered, about 150 bytes each.
+_MAX_ANSWERED_PARTS = 2048
+_MAX_BLOCKED_PARTS = 32
+# Peers hear for this long that a part in a crash was answered. Reports may be lost.
+_REPORT_SECONDS = 10.0
+_FIRST_BLOCK_SECONDS = 60.0
+_MAX_BLOCK_SECONDS = 3600.0
+
+
+class CrashedRun(NamedTuple):
+    """A request that had not been answered yet when its worker crashed.
+
+    :param worker: the worker's process (``id/start time``).
+    :param shared_parts: ids of the prompt parts that other requests may have too, in order.
+    :param age_seconds: time since the crash.
+    """
+
+    fingerprint: str
+    worker: str
+    shared_parts: tuple[str, ...] = ()
+    age_seconds: float = 0.0
+
+
+class AnsweredPart(NamedTuple):
+    """A prompt part of a request that a worker has begun to answer.
+
+    :param age_seconds: time since the latest such answer began.
+    """
+
+    part: str
+    age_seconds: float
+
+
+class BlockedPart(NamedTuple):
+    """A prompt part that crashes workers.
+
+    :param age_seconds: time since the last crash or the start of the last trial.
+    :param trials: number of requests that have tried it since it was blocked.
+    """
+
+    part: str
+    age_seconds: float
+    trials: int
+
+
+class PartBlock(NamedTuple):
+    """A block as one request finds it.
+
+    :param retry_after: seconds until a request may try the part; 0 when it is time for that.
+    """
+
+    part: str
+    trials: int
+    retry_after: float
+
+
+class _Crash(NamedTuple):
+    fingerprint: str
+    worker: str
+    parts: tuple[str, ...]
+    at: float
+
+
+class _Block(NamedTuple):
+    since: float
+    trials: int
+
+    @property
+    def ends_at(self) -> float:
+        """Time from which a request may try the part."""
+        return self.since + find_block_seconds(self.trials)
+
+
+def find_block_seconds(trials: int) -> float:
+    """Return for how long a part is blocked after a number of failed trials."""
+    return float(min(_MAX_BLOCK_SECONDS, _FIRST_BLOCK_SECONDS * 2**trials))
+
+
+class CrashingParts:
+    """Prompt parts that crash workers, as this daemon knows from itself and its peers."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._crashes: dict[tuple[str, str], _Crash] = {}
+        # When a worker began to answer a request with a part, as seen here and by peers.
+        self._answered_here: OrderedDict[str, float] = OrderedDict()
+        self._answered_at_peers: OrderedDict[str, float] = OrderedDict()
+        # Parts in recent crashes, with the time of the last one.
+        self._suspects: dict[str, float] = {}
+        self._blocks: dict[str, _Block] = {}
+
+    def find_block(self, parts: Collection[str]) -> PartBlock | None:
+        """Return the block of the first blocked part, or None if no part is blocked."""
+        if not self._blocks:
+            return None
+        now = self._clock.now()
+        with self._lock:
+            for part in parts:
+                block = self._blocks.get(part)
+                if block is not None:
+                    return PartBlock(part, block.trials, max(0.0, block.ends_at - now))
+        return None
+
+    def add_crash(self, run: CrashedRun) -> str | None:
+        """Add a crash; return the part that is blocked because of it, if any."""
+        at = self._clock.now() - run.age_seconds
+        crash = _Crash(run.fingerprint, run.worker, run.shared_parts, at)
+        with self._lock:
+            key = (crash.worker, crash.fingerprint)
+            if key in self._crashes:
+                return None
+            self._prune_crashes()
+            self._crashes[key] = crash
+            for part in crash.parts:
+                self._suspects[part] = max(at, self._suspects.get(part, at))
+            blocked = [part for part in crash.parts if part in self._blocks]
+            for part in blocked:
+                block = self._blocks[part]
+                self._blocks[part] = block._replace(since=max(at, block.since))
+            return None if blocked else self._block_culprit(crash)
+
+    def record_answered(self, parts: Iterable[str]) -> list[str]:
+        """Record that a worker begins to answer a request; return the parts that it unblocks."""
+        now = self._clock.now()
+        with self._lock:
+            return [p for p in parts if self._add_answered(self._answered_here, p, now)]
+
+    def apply_peer_findings(
+        self, answered: Sequence[AnsweredPart], blocked: Sequence[BlockedPart]
+    ) -> None:
+        """Add what a peer states about parts."""
+        if not answered and not blocked:
+            return
+        now = self._clock.now()
+        with self._lock:
+            for part, age in answered:
+                self._add_answered(self._answered_at_peers, part, now - age)
+            for part, age, trials in blocked:
+                self._add_block(part, _Block(now - age, trials), "a peer has blocked it")
+
+    def start_trial(self, part: str, trials: int, seconds_ago: float = 0.0) -> None:
+        """Record that a request tries a blocked part, or that the store says so.
+
+        :param trials: number of trials with this one.
+        """
+        with self._lock:
+            since = self._clock.now() - seconds_ago
+            self._add_block(part, _Block(since, trials), "the store lists it as blocked")
+
+    def list_answered(self) -> tuple[AnsweredPart, ...]:
+        """Return the suspected parts of requests that were answered here, for a report."""
+        if not self._suspects:
+            return ()
+        now = self._clock.now()
+        with self._lock:
+            for part in [p for p, at in self._suspects.items() if now - at > _REPORT_SECONDS]:
+                del self._suspects[part]
+            return tuple(
+                AnsweredPart(part, now - self._answered_here[part])
+                for part in self._suspects
+                if part in self._answered_here
+            )
+
+    def list_blocked(self) -> tuple[BlockedPart, ...]:
+        """Return the blocked parts, for a report."""
+        if not self._blocks:
+            return ()
+        now = self._clock.now()
+        with self._lock:
+            return tuple(
+                BlockedPart(part, now - block.since, block.trials)
+                for part, block in self._blocks.items()
+            )
+
+    def _find_answered_at(self, part: str) -> float:
+        never = float("-inf")
+        return max(self._answered_here.get(part, never), self._answered_at_peers.get(part, never))
+
+    def _add_answered(self, answered: OrderedDict[str, float], part: str, at: float) -> bool:
+        """Record an answer to a request with a part; return whether this unblocks it."""
+        answered[part] = max(at, answered.get(part, at))
+        answered.move_to_end(part)
+        if len(answered) > _MAX_ANSWERED_PARTS:
+            answered.popitem(last=False)
+        block = self._blocks.get(part)
+        if block is None or at <= block.since:
+            return False
+        del self._blocks[part]
+        # Peers learn of the answer from the next reports.
+        self._suspects[part] = self._clock.now()
+        log_event("part:unblocked", part=part, trials=block.trials, age=at - block.since)
+        return True
+
+    def _block_culprit(self, crash: _Crash) -> str | None:
+        """Block the part that most probably caused a crash, if there is enough evidence.
+
+        Of the parts in enough crashes it is the one in most of them. Parts that no worker is known
+        to have answered go first, then those that come last in the prompt, which fewer sound
+        requests share.
+        """
+        candidates = []
+        for place, part in enumerate(crash.parts):
+            answered_at = self._find_answered_at(part)
+            crashes = [c for c in self._crashes.values() if part in c.parts and c.at > answered_at]
+            workers = len({c.worker for c in crashes})
+            requests = len({c.fingerprint for c in crashes})
+            if workers >= _MIN_CRASHED_WORKERS and requests >= _MIN_REQUESTS:
+                never_answered = answered_at == float("-inf")
+                candidates.append((workers, never_answered, place, requests, part))
+        if not candidates:
+            return None
+        workers, never_answered, place, requests, part = max(candidates)
+        self._blocks[part] = _Block(crash.at, 0)
+        self._limit_blocks()
+        log_decision(
+            "block-part",
+            part,
+            "workers crashed under different requests with it and none has answered one since",
+            workers=workers,
+            requests=requests,
+            never_answered=never_answered,
+            place=place,
+            parts=crash.parts,
+            candidates=len(candidates),
+        )
+        return part
+
+    def _add_block(self, part: str, block: _Block, reason: str) -> None:
+        known = self._blocks.get(part)
+        if self._find_answered_at(part) > block.since:
+            return
+        if known is None:
+            log_decision("block-part", part, reason, trials=block.trials)
+            self._blocks[part] = block
+            self._limit_blocks()
+        else:
+            self._blocks[part] = _Block(
+                max(block.since, known.since), max(block.trials, known.trials)
+            )
+
+    def _limit_blocks(self) -> None:
+        """Drop the oldest block beyond the limit."""
+        if len(self._blocks) > _MAX_BLOCKED_PARTS:
+            oldest = min(self._blocks, key=lambda part: self._blocks[part].since)
+            del self._blocks[oldest]
+            log_event("part:block-dropped", part=oldest, limit=_MAX_BLOCKED_PARTS)
+
+    def _prune_crashes(self) -> None:
+        oldest = self._clock.now() - _CRASH_EXPIRY_SECONDS
+        for key in [key for key, crash in self._crashes.items() if crash.at < oldest]:
+            del self._crashes[key]
+        while len(self._crashes) >= _MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -6,6 +6,7 @@
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.choice import choose_online
+from trefoilreach._internal.coordination.serving.crashing_parts import PartBlock
 from trefoilreach._internal.coordination.serving.overload import OverloadPolicy, Pressure
 from trefoilreach._internal.coordination.serving.queue_order import (
     OnlineTimes,
@@ -44,6 +45,7 @@
 # Time reserved at the end of a request, so that its final answer is within its limit.
 _FINAL_ANSWER_MARGIN_SECONDS = 0.05
 _CALLER_DISCONNECTED = "the caller disconnected"
+_PART_BLOCKED = "workers crashed under requests with a part of this prompt"
 
 
 class OnlineRunner:
@@ -67,8 +69,9 @@
         """
         if self.tools.crashes.is_blocked(request.fingerprint):
             raise Refusal(500, "crashing", "this request crashed the workers that ran it")
+        tried_part = self._refuse_if_blocked(request)
         self._take_quota(request)
-        run = _OnlineAttempts(self, request, caller)
+        run = _OnlineAttempts(self, request, caller, tried_part)
         try:
             return run.start()
         except Refusal as refusal:
@@ -76,6 +79,29 @@
                 self.tools.buckets.refund(request.account)
             raise
 
+    def _refuse_if_blocked(self, request: OnlineRequest) -> str:
+        """Refuse a request with a prompt part that crashes workers.
+
+        :returns: the blocked part that the request may try; empty if none is blocked.
+        :raises Refusal: with the time after which a request may try the part.
+        """
+        block = self.tools.crashes.parts.find_block(request.shared_parts)
+        if block is None:
+            return ""
+        trial = block.retry_after == 0.0 and self.tools.crashes.claim_trial(block.part)
+        log_decision(
+            "blocked-part",
+            "try" if trial else "refuse",
+            "workers crashed under requests with this part",
+            request_id=request.call.request_id,
+            account=request.account_name,
+            **block._asdict(),
+        )
+        if trial:
+            return block.part
+        retry_after = max(_MIN_RETRY_AFTER_SECONDS, block.retry_after)
+        raise Refusal(503, "blocked_part", _PART_BLOCKED, retry_after=retry_after)
+
     def _take_quota(self, request: OnlineRequest) -> None:
         if request.account is None:
             return
@@ -86,15 +112,23 @@
 
 
 class _OnlineAttempts:
-    """The attempts of one request, up to its final answer."""
+    """The attempts of one request, up to its final answer.
+
+    :param tried_part: blocked prompt part that one run of the request may try; may be empty.
+    """
 
     def __init__(
-        self, runner: OnlineRunner, request: OnlineRequest, caller: CallerConnection
+        self,
+        runner: OnlineRunner,
+        request: OnlineRequest,
+        caller: CallerConnection,
+        tried_part: str = "",
     ) -> None:
         self._runner = runner
         self._tools = runner.tools
         self._request = request
         self._caller = caller
+        self._tried_part = tried_part
         self._service = request.route.pick_service(request.call.request_id)
         self._overload_policy = runner.overload_policy(self._service)
         self._times = self._compute_times()
@@ -168,6 +202,10 @@
         """
         while True:
             ticket, worker = self._wait_for_slot()
+            block = self._find_new_block()
+            if block is not None:
+                self._tools.admission.release(ticket)
+                raise self._give_up(_PART_BLOCKED, block.retry_after)
             try:
                 answer = self._send(worker)
             except WorkerFailure as failure:
@@ -181,6 +219,13 @@
             self._tools.admission.release(ticket)
             self._record_not_run(worker, f"worker answered {answer.status}, not run")
 
+    def _find_new_block(self) -> PartBlock | None:
+        """Return the block of a prompt part since the request was admitted, or None."""
+        block = self._tools.crashes.parts.find_block(self._request.shared_parts)
+        if block is not None and block.part == self._tried_part and not self._may_have_run:
+            return None
+        return block
+
     def _wait_for_slot(self) -> tuple[Ticket, WorkerEntry]:
         granted = threading.Event()
         request = SlotRequest(
@@ -306,6 +351,8 @@
         if answer.status >= 500 and self._may_run_again():
             self._record_failed_run(attempt.worker, f"worker answered {answer.status}")
             return None
+        if answer.status < 500:
+            self._tools.crashes.record_answered(self._request.shared_parts)
         self._record_outcome(attempt.worker, good=answer.status < 500)
         self._overload_policy.record_run(self._now - begun)
         self._log_end("answered", attempt.worker, answer.status)
@@ -409,6 +456,7 @@
                 request.shared_parts,
                 begun,
             )
+            self._tools.admission.send_report_soon()
         if dead or failure.timed_out:
             workers.note_failure(worker.id, str(failure), failure.timed_out)
         # An attempt at a worker that has crashed doesn't count towards the route's limit of runs.
@@ -463,15 +511,20 @@
         if self._not_run_attempts > 1:
             self._tools.clock.sleep(_NOT_RUN_RETRY_DELAY_SECONDS)
 
-    def _give_up(self, reason: str) -> Refusal:
-        """Return the final answer for a request that no worker has answered."""
+    def _give_up(self, reason: str, retry_after: float | None = None) -> Refusal:
+        """Return the final answer for a request that no worker has answered.
+
+        :param retry_after: seconds after which the caller should retry a request that has not run;
+            None for the time until a slot is expected.
+        """
         request = self._request
         verdict = Verdict.MAY_HAVE_RUN if self._may_have_run else Verdict.NOT_RUN
         status = 503
         if self._may_have_run:
             status = 504 if self._now >= request.end - _FINAL_ANSWER_MARGIN_SECONDS else 502
-        pressure = self._tools.admission.pressure(self._service, 0)
-        seconds = self._overload_policy.assign_retry_delay(pressure, self._now)
+        if retry_after is None:
+            pressure = self._tools.admission.pressure(self._service, 0)
+            retry_after = self._overload_policy.assign_retry_delay(pressure, self._now)
         log_decision(
             "give-up",
             str(status),
@@ -482,8 +535,8 @@
             runs=self._run_count,
             held_seconds=round(self._now - request.received_at, 3),
         )
-        retry_after = max(_MIN_RETRY_AFTER_SECONDS, seconds) if status == 503 else None
-        return Refusal(status, "unavailable", reason, verdict, retry_after)
+        seconds = max(_MIN_RETRY_AFTER_SECONDS, retry_after) if status == 503 else None
+        return Refusal(status, "unavailable", reason, verdict, seconds)
 
     def _stop_for_caller(self) -> None:
         interrupt = self._interrupt
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -99,7 +99,9 @@
                 message = f"no progress for {self._stall_timeout:.3g} s"
                 raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
             if events:
-                self.begun = True
+                if not self.begun:
+                    self.begun = True
+                    self._tools.crashes.record_answered(self._request.shared_parts)
                 return events
         if self._splitter.incomplete:
             raise WorkerFailure("the stream ended inside an event", Verdict.MAY_HAVE_RUN)
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -237,6 +237,8 @@
             crashes=self._crashes.own_crashes_to_report(),
             outcomes=self._admission.outcomes.counts_to_report(),
             active=self._exchange.active,
+            answered_parts=self._crashes.parts.list_answered(),
+            blocked_parts=self._crashes.parts.list_blocked(),
         )
 
     def _apply_report(self, peer: Peer) -> None:
@@ -246,6 +248,7 @@
             identity.vm, identity.incarnation, statement.account_uses, older
         )
         self._crashes.apply_peer_crashes(statement.crashes)
+        self._crashes.parts.apply_peer_findings(statement.answered_parts, statement.blocked_parts)
         self._admission.outcomes.apply_peer_outcomes(
             identity.vm, identity.incarnation, statement.outcomes
         )
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/fleet.thrift
@@ -32,10 +32,25 @@
   2: i32 results,
 }
 
-// A request that was in flight at a worker that died.
+// A request that had not been answered yet when its worker died.
 struct Crash {
   1: string fingerprint,
   2: string worker,
+  3: optional list<string> parts,   // shared prompt parts
+  4: optional i32 age_ms,
+}
+
+// A suspected prompt part of a request that a worker has begun to answer.
+struct AnsweredPart {
+  1: string part,
+  2: i32 age_ms,
+}
+
+// A prompt part that crashes workers.
+struct BlockedPart {
+  1: string part,
+  2: i32 age_ms,           // since the last crash or the start of the last trial
+  3: i32 trials,
 }
 
 // Requests of the sender at one worker since the sender started.
@@ -73,6 +88,8 @@
   14: optional list<Crash> crashes,
   15: optional list<WorkerOutcomes> outcomes,   // those that changed, like accounts
   16: optional bool standby,   // the sender takes no callers and gets whole reports only
+  17: optional list<AnsweredPart> answered_parts,
+  18: optional list<BlockedPart> blocked_parts,
 }
 
 // How far the receiver passes reports on.
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/gen/fleet/ttypes.py
@@ -344,13 +344,17 @@
     Attributes:
      - fingerprint
      - worker
+     - parts
+     - age_ms
 
     """
 
 
-    def __init__(self, fingerprint=None, worker=None,):
+    def __init__(self, fingerprint=None, worker=None, parts=None, age_ms=None,):
         self.fingerprint = fingerprint
         self.worker = worker
+        self.parts = parts
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -371,6 +375,21 @@
                     self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -389,6 +408,164 @@
             oprot.writeFieldBegin('worker', TType.STRING, 2)
             oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter6 in self.parts:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AnsweredPart(object):
+    """
+    Attributes:
+     - part
+     - age_ms
+
+    """
+
+
+    def __init__(self, part=None, age_ms=None,):
+        self.part = part
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnsweredPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BlockedPart(object):
+    """
+    Attributes:
+     - part
+     - age_ms
+     - trials
+
+    """
+
+
+    def __init__(self, part=None, age_ms=None, trials=None,):
+        self.part = part
+        self.age_ms = age_ms
+        self.trials = trials
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BlockedPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 3)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -628,11 +805,13 @@
      - crashes
      - outcomes
      - standby
+     - answered_parts
+     - blocked_parts
 
     """
 
 
-    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, outcomes=None, standby=None,):
+    def __init__(self, vm=None, incarnation=None, sequence=None, identity=None, accepting=None, leaving=None, config_version=None, store_age_ms=None, runs=None, waiters=None, accounts=None, jobs=None, suspects=None, crashes=None, outcomes=None, standby=None, answered_parts=None, blocked_parts=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
@@ -649,6 +828,8 @@
         self.crashes = crashes
         self.outcomes = outcomes
         self.standby = standby
+        self.answered_parts = answered_parts
+        self.blocked_parts = blocked_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -703,76 +884,76 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = WorkerRuns()
-                        _elem5.read(iprot)
-                        self.runs.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = WorkerRuns()
+                        _elem12.read(iprot)
+                        self.runs.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.waiters = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = Waiter()
-                        _elem11.read(iprot)
-                        self.waiters.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Waiter()
+                        _elem18.read(iprot)
+                        self.waiters.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = AccountUse()
-                        _elem17.read(iprot)
-                        self.accounts.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = AccountUse()
+                        _elem24.read(iprot)
+                        self.accounts.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = JobProgress()
-                        _elem23.read(iprot)
-                        self.jobs.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = JobProgress()
+                        _elem30.read(iprot)
+                        self.jobs.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem29)
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Crash()
-                        _elem35.read(iprot)
-                        self.crashes.append(_elem35)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = Crash()
+                        _elem42.read(iprot)
+                        self.crashes.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.outcomes = []
-                    (_etype39, _size36) = iprot.readListBegin()
-                    for _i40 in range(_size36):
-                        _elem41 = WorkerOutcomes()
-                        _elem41.read(iprot)
-                        self.outcomes.append(_elem41)
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = WorkerOutcomes()
+                        _elem48.read(iprot)
+                        self.outcomes.append(_elem48)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -781,6 +962,28 @@
                     self.standby = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.answered_parts = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = AnsweredPart()
+                        _elem54.read(iprot)
+                        self.answered_parts.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.blocked_parts = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = BlockedPart()
+                        _elem60.read(iprot)
+                        self.blocked_parts.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -826,56 +1029,70 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter42 in self.runs:
-                iter42.write(oprot)
+            for iter61 in self.runs:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiters is not None:
             oprot.writeFieldBegin('waiters', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.waiters))
-            for iter43 in self.waiters:
-                iter43.write(oprot)
+            for iter62 in self.waiters:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter44 in self.accounts:
-                iter44.write(oprot)
+            for iter63 in self.accounts:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter45 in self.jobs:
-                iter45.write(oprot)
+            for iter64 in self.jobs:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter46 in self.suspects:
-                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            for iter65 in self.suspects:
+                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter47 in self.crashes:
-                iter47.write(oprot)
+            for iter66 in self.crashes:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.outcomes is not None:
             oprot.writeFieldBegin('outcomes', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.outcomes))
-            for iter48 in self.outcomes:
-                iter48.write(oprot)
+            for iter67 in self.outcomes:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.standby is not None:
             oprot.writeFieldBegin('standby', TType.BOOL, 16)
             oprot.writeBool(self.standby)
             oprot.writeFieldEnd()
+        if self.answered_parts is not None:
+            oprot.writeFieldBegin('answered_parts', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.answered_parts))
+            for iter68 in self.answered_parts:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.blocked_parts is not None:
+            oprot.writeFieldBegin('blocked_parts', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.blocked_parts))
+            for iter69 in self.blocked_parts:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -933,21 +1150,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Report()
-                        _elem54.read(iprot)
-                        self.reports.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Report()
+                        _elem75.read(iprot)
+                        self.reports.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.late = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.late.append(_elem60)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.late.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -972,15 +1189,15 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter61 in self.reports:
-                iter61.write(oprot)
+            for iter82 in self.reports:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.late is not None:
             oprot.writeFieldBegin('late', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.late))
-            for iter62 in self.late:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter83 in self.late:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1250,10 +1467,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.addresses = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.addresses.append(_elem68)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1270,8 +1487,8 @@
         if self.addresses is not None:
             oprot.writeFieldBegin('addresses', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
-            for iter69 in self.addresses:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter90 in self.addresses:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1428,6 +1645,21 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'worker', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(AnsweredPart)
+AnsweredPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(BlockedPart)
+BlockedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.I32, 'trials', None, None, ),  # 3
 )
 all_structs.append(WorkerOutcomes)
 WorkerOutcomes.thrift_spec = (
@@ -1466,6 +1698,8 @@
     (14, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 14
     (15, TType.LIST, 'outcomes', (TType.STRUCT, [WorkerOutcomes, None], False), None, ),  # 15
     (16, TType.BOOL, 'standby', None, None, ),  # 16
+    (17, TType.LIST, 'answered_parts', (TType.STRUCT, [AnsweredPart, None], False), None, ),  # 17
+    (18, TType.LIST, 'blocked_parts', (TType.STRUCT, [BlockedPart, None], False), None, ),  # 18
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -10,6 +10,10 @@
 from enum import Enum
 from typing import NamedTuple
 
+# Callers choose the parts; daemons keep their ids and report them in datagrams.
+_MAX_SHARED_PARTS = 64
+_MAX_PART_ID_LENGTH = 32
+
 
 class RouteKind(Enum):
     """Kind of a route: whether its requests may be repeated, and the form of its answers."""
@@ -173,11 +177,17 @@
 
 
 def list_shared_parts(parts: Sequence[PromptPart]) -> tuple[str, ...]:
-    """Return the ids of the parts that other requests may share.
+    """Return the ids of the parts that other requests may share, long ones shortened to a hash.
 
     The very last part of a prompt is specific to its request.
     """
-    return tuple(part.id for part in parts[:-1])
+    return tuple(_limit_part_id(part.id) for part in parts[:-1][:_MAX_SHARED_PARTS])
+
+
+def _limit_part_id(part: str) -> str:
+    if len(part) <= _MAX_PART_ID_LENGTH:
+        return part
+    return hashlib.blake2b(part.encode(), digest_size=_MAX_PART_ID_LENGTH // 2).hexdigest()
 
 
 def rank_by_rendezvous_hash(key: str, names: Sequence[str]) -> list[str]:
--- a/tests/unit/test_serving_parts.py
+++ b/tests/unit/test_serving_parts.py
@@ -8,7 +8,6 @@
 from serving_fakes import FakeLink, make_tools
 from trefoilreach._internal.clock import ManualClock
 from trefoilreach._internal.coordination.exchange.reports import (
-    CrashedRun,
     DaemonState,
     Identity,
     ReportBuilder,
@@ -24,6 +23,11 @@
 )
 from trefoilreach._internal.coordination.serving.choice import choose_batch, choose_online
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry, compute_fingerprint
+from trefoilreach._internal.coordination.serving.crashing_parts import (
+    AnsweredPart,
+    BlockedPart,
+    CrashedRun,
+)
 from trefoilreach._internal.coordination.serving.freshness import Freshness
 from trefoilreach._internal.coordination.serving.orphans import OrphanPoller, count_leftovers
 from trefoilreach._internal.coordination.serving.outcomes import OutcomeCounts, OutcomeTracker
@@ -468,8 +472,10 @@
         account_uses={"shop": AccountUsage(5, 1.5)},
         job_result_counts={"j1": 4},
         suspects=("w2",),
-        crashes=(CrashedRun("f", "w3/1"),),
+        crashes=(CrashedRun("f", "w3/1", ("p1", "p2"), 0.25),),
         outcomes={"w1": OutcomeCounts(7, 2)},
+        answered_parts=(AnsweredPart("p1", 0.5),),
+        blocked_parts=(BlockedPart("p2", 1.5, 2),),
     )
     writer = ReportBuilder(identity)
     report = _encode_and_decode(writer.build(statement, 100.0, full=True))
