Keep blocked prompt parts in the store and grant one trial at a time

What callers would see: after all daemons are killed, or lose power, the deadly part crashes workers again until three have crashed once more; a part that was blocked by mistake stays refused for ever, or each daemon tries it.

Cause: blocks were in the memory of the daemons only.

Change: the daemon that blocks a part writes a row; a daemon that starts reads the rows (one call). After 60 s, doubled with each failed trial up to an hour, one request may try the part: a conditional write on the row grants it, so that one daemon gets it. An answer deletes the row. Nothing waits for the store: without it no trial is granted.

Tests: restart of all with the store down at first, one trial among three daemons, an answered trial deletes the row, a trial is sent to one worker only. They need the new module, so that they could not run before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -27,6 +27,7 @@
     count_wanted,
 )
 from trefoilreach._internal.coordination.serving.admission import Admission
+from trefoilreach._internal.coordination.serving.blocked_part_table import BlockedPartTable
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.orphans import OrphanPoller
@@ -56,6 +57,8 @@
 # When the desired state's confirmation is older than this, peers are asked to confirm it; when
 # the store has not answered for as long, a newer desired state is read from a peer.
 _STALE_AGE_SECONDS = 1.2
+# Two calls of the desired state's feed, which the store holds for up to a second.
+_STORE_ANSWERS_SECONDS = 2.5
 _SETTINGS_POLL_SECONDS = 2.0
 _PEER_FETCH_TIMEOUT_SECONDS = 0.5
 # Share of the time for a planned stop after which the daemon accepts no new connections.
@@ -136,6 +139,16 @@
             JobDependencies(clock, rows, PlatformBlobs(self._store), tools, self._service)
         )
         self._feeds = StoreFeeds(clock, rows, self._service, self._jobs.table.store_clock.update)
+        self._blocked_parts = BlockedPartTable(
+            clock,
+            rows,
+            self._crashes.parts,
+            self._jobs.table.store_clock.now_ms,
+            lambda: self._feeds.store_silent_seconds < _STORE_ANSWERS_SECONDS,
+        )
+        self._crashes.on_part_blocked = self._blocked_parts.add
+        self._crashes.on_part_unblocked = self._blocked_parts.remove
+        self._crashes.claim_trial = self._blocked_parts.claim_trial
         self._leftovers = OrphanPoller(clock, self._admission, worker_client, self._polls_load_of)
         self._silent_peers: set[str] = set()
         self._admission.send_report_soon = self._exchange.request_report
@@ -152,6 +165,7 @@
         self._start_exchange(stack)
         self._feeds.start(stack)
         self._start_maintenance(stack)
+        self._blocked_parts.start(stack)
         self._jobs.start(stack)
         self._leftovers.start(stack)
         if not deployment.first_start:
--- a/tests/unit/test_crashing_parts.py
+++ b/tests/unit/test_crashing_parts.py
@@ -1,13 +1,20 @@
 """Tests that requests with a prompt part that crashes workers are stopped, and only these."""
 
-from typing import NamedTuple
+from collections.abc import Iterator
+from contextlib import ExitStack
+from functools import partial
+from typing import Any, NamedTuple
 
+import harness
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Err, Result
 from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
 from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.serving.blocked_part_table import BlockedPartTable
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
+from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.crashing_parts import (
     AnsweredPart,
     BlockedPart,
@@ -18,12 +25,17 @@
 from trefoilreach._internal.coordination.serving.request import OnlineRequest
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch, WorkerFailure
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.rows import Committed, MemoryRows, Snapshot
+from trefoilreach._internal.state.table import StoreError, StoreUnavailable
 
 ROUTE = make_route(max_runs=3)
 CRASHED = WorkerFailure("reset", Verdict.MAY_HAVE_RUN)
 # The users' limit: requests with the part that may still reach workers after its fifth crash.
 CRASHES_BEFORE_LIMIT = 5
 ALLOWED_AFTER_LIMIT = 3
+LONGEST_BLOCK_SECONDS = 3600.0
+
+wait_until = partial(harness.wait_until, timeout=3.0)
 
 
 class Sent(NamedTuple):
@@ -43,8 +55,9 @@
         self.deadly = deadly
         self.sent: list[Sent] = []
         self.crashes = 0
+        self.clock = ManualClock()
         self.link = FakeLink(decide=self._decide)
-        self.tools = [make_tools(self.link, workers) for _ in range(daemons)]
+        self.tools = [make_tools(self.link, workers, self.clock) for _ in range(daemons)]
         self.runners = [OnlineRunner(tools) for tools in self.tools]
         self._requests = 0
         self._parts: tuple[str, ...] = ()
@@ -55,7 +68,7 @@
         self._parts = parts
         name = f"q{self._requests}"
         runner = self.runners[self._requests % len(self.runners)]
-        now = runner.tools.clock.now()
+        now = self.clock.now()
         request = OnlineRequest(make_call(name), ROUTE, ACCOUNT, now, 5.0, parts, None, name)
         try:
             answer = runner.run(request, CallerConnection())
@@ -63,10 +76,17 @@
             status = answer.status
         except Refusal as refusal:
             status = refusal.status
+        self.clock.advance(0.01)
         self._exchange_reports()
         self._restart_workers()
         return status
 
+    def end_block(self, part: str) -> None:
+        """Let the pause before the next trial of a blocked part pass, and grant that trial."""
+        self.clock.advance(LONGEST_BLOCK_SECONDS)
+        for tools in self.tools:
+            tools.crashes.claim_trial = lambda name: name == part
+
     def count_sent_after_limit(self) -> int:
         """Return how many requests with the part reached workers after the fifth crash."""
         return sum(sent.crashes >= CRASHES_BEFORE_LIMIT for sent in self.sent)
@@ -225,3 +245,109 @@
         block = parts.find_block(["p"])
         assert block is not None and block.retry_after == 0.0
     assert waits == [120.0, 240.0, 480.0, 960.0, 1920.0, 3600.0, 3600.0, 3600.0]
+
+
+class TimedRows(MemoryRows):
+    """A store with a clock; refuses every call while it is down."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self.clock = clock
+        self.down = False
+
+    def read(self, *args: Any) -> Result[Snapshot, StoreError]:
+        if self.down:
+            return Err(StoreUnavailable("down"))
+        found = super().read(*args)
+        return found.map(lambda s: s._replace(store_ms=self.clock.now() * 1000))
+
+    def commit(self, *args: Any) -> Result[Committed, StoreError]:
+        return Err(StoreUnavailable("down")) if self.down else super().commit(*args)
+
+
+class StoredFleet:
+    """Daemons that share a store, each with its own view of the parts."""
+
+    def __init__(self, stack: ExitStack) -> None:
+        self.clock = ManualClock()
+        self.rows = TimedRows(self.clock)
+        self._stack = stack
+
+    def start(self) -> CrashRegistry:
+        registry = CrashRegistry(self.clock)
+        table = BlockedPartTable(
+            self.clock, self.rows, registry.parts, lambda: self.clock.now() * 1000, lambda: True
+        )
+        registry.on_part_blocked, registry.on_part_unblocked = table.add, table.remove
+        registry.claim_trial = table.claim_trial
+        table.start(self._stack)
+        return registry
+
+    def block(self, registry: CrashRegistry, part: str) -> None:
+        for number in range(3):
+            registry.record(f"f{number}", f"w{number}/1", f"q{number}", (part,))
+        wait_until(self.list_stored)
+
+    def list_stored(self) -> list[str]:
+        return [row.name.key for row in self.rows.read("blocked-parts", "").unwrap().rows]
+
+
+@pytest.fixture
+def stored_fleet() -> Iterator[StoredFleet]:
+    with ExitStack() as stack:
+        yield StoredFleet(stack)
+
+
+def test_block_survives_the_restart_of_all_daemons(stored_fleet: StoredFleet) -> None:
+    """Guards against a deadly part that crashes workers again after all daemons were killed."""
+    stored_fleet.block(stored_fleet.start(), "p")
+    stored_fleet.clock.advance(20.0)
+    stored_fleet.rows.down = True
+    restarted = stored_fleet.start()
+    assert restarted.parts.find_block(["p"]) is None
+    stored_fleet.rows.down = False
+    stored_fleet.clock.advance(2.0)
+    wait_until(lambda: restarted.parts.find_block(["p"]) is not None)
+    block = restarted.parts.find_block(["p"])
+    assert block is not None and block.retry_after == pytest.approx(38.0, abs=0.1)
+
+
+def test_one_request_of_the_fleet_tries_a_blocked_part(stored_fleet: StoredFleet) -> None:
+    """Guards against a trial at each daemon, which would crash as many workers."""
+    daemons = [stored_fleet.start() for _ in range(3)]
+    stored_fleet.block(daemons[0], "p")
+    assert not daemons[0].claim_trial("p")
+    stored_fleet.clock.advance(61.0)
+    granted = [daemon.claim_trial("p") for daemon in daemons for _ in range(2)]
+    assert granted.count(True) == 1
+    stored_fleet.clock.advance(61.0)
+    assert not any(daemon.claim_trial("p") for daemon in daemons)
+    stored_fleet.clock.advance(60.0)
+    assert [daemon.claim_trial("p") for daemon in daemons].count(True) == 1
+
+
+def test_answered_trial_deletes_the_row(stored_fleet: StoredFleet) -> None:
+    """Guards against a sound part that is blocked again at each restart."""
+    daemon = stored_fleet.start()
+    stored_fleet.block(daemon, "p")
+    stored_fleet.clock.advance(61.0)
+    assert daemon.claim_trial("p")
+    stored_fleet.clock.advance(0.1)
+    daemon.record_answered(("p",))
+    wait_until(lambda: not stored_fleet.list_stored())
+    assert stored_fleet.start().parts.find_block(["p"]) is None
+
+
+def test_request_that_tries_a_blocked_part_is_sent_once() -> None:
+    """Guards against resends of a trial, and against the refusal of the trial itself."""
+    fleet = CrashingFleet("deadly", daemons=1)
+    while fleet.tools[0].crashes.parts.find_block(["deadly"]) is None:
+        fleet.send("deadly")
+    before = len(fleet.sent)
+    assert fleet.send("deadly") == 503 and len(fleet.sent) == before
+    fleet.end_block("deadly")
+    assert fleet.send("deadly") == 502 and len(fleet.sent) == before + 1
+    fleet.end_block("deadly")
+    fleet.deadly = "none"
+    assert fleet.send("deadly") == 200
+    assert fleet.tools[0].crashes.parts.find_block(["deadly"]) is None
