Run items of batch jobs again after any number of worker crashes

Callers saw (report of another operator, reproduced here): an accepted item under which several workers had died was never placed again, although the servers had room; its batch job never ended.

Cause: the guard against requests that crash workers was applied to items too. After three crashes JobRun._make_ticket returned no ticket and nothing submitted the item again, until another daemon without these counts took the job over.

Change: items are not held and do not count as requests that crash workers: they are owed. From the third crash in a row before an event on, the next run waits 0.5 to 2 s.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -35,7 +35,6 @@
 )
 from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.choice import choose_batch
-from trefoilreach._internal.coordination.serving.crashes import compute_fingerprint
 from trefoilreach._internal.coordination.serving.queue_order import BatchTimes, rank_batch
 from trefoilreach._internal.coordination.serving.relay import split_events
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
@@ -78,6 +77,11 @@
 _CHECKPOINT_INTERVAL_SECONDS = 1.5
 # The store limits a call to 1 MB and 100 entries.
 _MAX_PARTIALS_PER_CHECKPOINT = 15
+# Workers may crash in series while an item runs, and the item is owed all the same. Later runs
+# wait, in case it crashes them by itself.
+_CRASHES_WITHOUT_PAUSE = 2
+_FIRST_CRASH_PAUSE_SECONDS = 0.5
+_MAX_CRASH_PAUSE_SECONDS = 2.0
 _PERMANENT_FAILURE_STATUS = 422
 _RUN_FAILED_STATUS = 500
 _YIELD_REASON = "an online request needs the slot"
@@ -93,6 +97,17 @@
     return _READ_PAUSE_SECONDS if read_seconds > _BLOCKING_READ_SECONDS else 0.0
 
 
+def choose_crash_pause(crashes: int) -> float:
+    """Return the seconds to wait before the next run of an item under which workers crashed.
+
+    Load pattern: workers that crash in series, each with the same sound item in flight.
+    """
+    excess = crashes - _CRASHES_WITHOUT_PAUSE
+    if excess <= 0:
+        return 0.0
+    return float(min(_MAX_CRASH_PAUSE_SECONDS, _FIRST_CRASH_PAUSE_SECONDS * 2 ** (excess - 1)))
+
+
 class JobDeadlines(NamedTuple):
     """Deadlines of a job by the daemon's clock.
 
@@ -139,6 +154,8 @@
             self.events = [(stored.last_event, stored.output.encode())]
         self.failures = 0 if stored is None else stored.failures
         self.last_checkpoint = stored
+        # Workers that crashed one after the other before they had sent an event.
+        self.crashes = 0
         self.run_seconds = 0.0
         self.excluded_workers: set[str] = set()
         self.ticket: Ticket | None = None
@@ -314,15 +331,10 @@
         """Return the ticket for an item's next run, or None when the item must not run."""
         if self._stopped or not self._submits_items or run.item.id not in self._open_items:
             return None
-        item = run.item
-        account = self._row.record.account
-        if self._tools.crashes.is_blocked(compute_fingerprint(account, item.target, item.body)):
-            log_event("item:held", request_id=item.id, reason="it crashed the workers that ran it")
-            return None
         run.ticket = Ticket(
             SlotRequest(
-                service=self._route.pick_service(item.id),
-                request_id=item.id,
+                service=self._route.pick_service(run.item.id),
+                request_id=run.item.id,
                 rank=lambda now: self._rank(run, now),
                 choose=lambda loads: self._choose(run, loads),
                 on_granted=lambda worker: self._start_run(run, worker),
@@ -393,6 +405,7 @@
         call = Call(item.id, "POST", item.target, self._route.host, item.headers, item.body)
         remaining = max(1.0, self._deadlines.expires_at - self._tools.clock.now())
         dispatch = Dispatch(call, worker, record.account, remaining, run.last_event)
+        events_before = len(run.events)
         answer: WorkerAnswer | None = None
         try:
             answer = self._tools.worker_client.open(
@@ -408,7 +421,8 @@
                 return 0.0
             return self._handle_error_status(run, worker, answer)
         except WorkerFailure as failure:
-            return self._handle_failure(run, worker, failure, interrupt)
+            begun = len(run.events) > events_before
+            return self._handle_failure(run, worker, failure, interrupt, begun)
         finally:
             if answer is not None:
                 answer.close()
@@ -451,23 +465,31 @@
         return _RETRY_SECONDS
 
     def _handle_failure(
-        self, run: _ItemRun, worker: WorkerEntry, failure: WorkerFailure, interrupt: Interrupt
+        self,
+        run: _ItemRun,
+        worker: WorkerEntry,
+        failure: WorkerFailure,
+        interrupt: Interrupt,
+        begun: bool,
     ) -> float:
+        """Record a run that broke off; return the seconds before the next.
+
+        :param begun: whether the worker had sent an event.
+        """
         if interrupt.reason:
             log_event("item:left-slot", request_id=run.item.id, reason=interrupt.reason)
             return 0.0
-        _log_failed_attempt(run, worker, reason=str(failure))
         self._tools.admission.outcomes.note(worker.id, good=False)
         dead = not failure.timed_out and self._tools.worker_client.is_refused(worker)
-        if dead and not failure.unreachable:
-            fingerprint = compute_fingerprint(
-                self._row.record.account, run.item.target, run.item.body
-            )
-            self._tools.crashes.record(fingerprint, f"{worker.id}/{worker.started_ms}", run.item.id)
+        if begun:
+            run.crashes = 0
+        elif dead and not failure.unreachable:
+            run.crashes += 1
+        _log_failed_attempt(run, worker, reason=str(failure), begun=begun, crashes=run.crashes)
         if dead or failure.timed_out or failure.unreachable:
             self._tools.admission.workers.note_failure(worker.id, str(failure), failure.timed_out)
         run.excluded_workers = {worker.id}
-        return 0.0
+        return choose_crash_pause(run.crashes)
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -417,6 +417,24 @@
     assert len(fleet.link.sent) == ROUTE.max_runs
 
 
+def test_item_under_which_workers_crashed_is_still_run(stack: ExitStack) -> None:
+    """Guards against an accepted item that is never placed again after a burst of crashes."""
+    crashes = 5
+
+    def crash_at_first(dispatch: Dispatch) -> Script:
+        if len(fleet.link.sent) <= crashes:
+            fleet.link.dead.add(dispatch.worker.id)
+            return Script(failure=WorkerFailure("reset", Verdict.MAY_HAVE_RUN))
+        fleet.link.dead.clear()
+        return send_all_events(dispatch)
+
+    fleet = Fleet(stack, crash_at_first)
+    keeper = fleet.start("d0", workers=6)
+    keeper.submit("j1", CHECKED, make_document(1))
+    results = read_until(keeper, "j1", 1)
+    assert [result.output for result in results] == [OUTPUT]
+
+
 def test_refusals_of_full_workers_are_not_counted_as_failures(stack: ExitStack) -> None:
     """Guards against items that are given up because the workers were busy."""
     refusals = [Script(status=503, not_run=True, stream=False)] * 5
