Leave workers alone whose address another worker has

Cause: a worker that crashes and starts again at once has another id. The entry of its former process lapses only after seconds, and its slots all seem free, so that it was the first choice. The 421 of the new process even counted as an answer of the old one and ended any suspicion.

A 421 to a request that names the version of the weights does not: it may be about the version.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -453,7 +453,9 @@
         _log_failed_attempt(
             run, worker, status=answer.status, not_run=answer.not_run, failures=run.failures
         )
-        if answer.status == _PERMANENT_FAILURE_STATUS:
+        if answer.not_run and answer.is_wrong_worker:
+            self._tools.admission.workers.note_replaced(worker.id)
+        elif answer.status == _PERMANENT_FAILURE_STATUS:
             self._list_result(run, None, "the worker reported a permanent failure")
         elif answer.status == _RUN_FAILED_STATUS and not answer.not_run:
             run.failures += 1
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -212,7 +212,10 @@
                 self._tools.admission.release(ticket)
                 self._record_failure(worker, failure)
                 continue
-            self._tools.admission.workers.note_answer(worker.id)
+            if answer.not_run and answer.is_wrong_worker:
+                self._tools.admission.workers.note_replaced(worker.id)
+            else:
+                self._tools.admission.workers.note_answer(worker.id)
             if not answer.not_run:
                 return Attempt(ticket, worker, answer)
             answer.close()
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
@@ -73,6 +73,10 @@
     def not_run(self) -> bool:
         """Whether the worker states that it has not run the request."""
 
+    @property
+    def is_wrong_worker(self) -> bool:
+        """Whether another worker than the expected one has answered."""
+
     @property
     def has_receipt(self) -> bool:
         """Whether the answer carries the worker's receipt."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
@@ -159,11 +159,14 @@
             health = self._health.setdefault(worker, _Health())
         health.answered_at = self._clock.now()
 
-    def note_failure(self, worker: str, reason: str, silent: bool = False) -> None:
+    def note_failure(
+        self, worker: str, reason: str, silent: bool = False, ended: bool = False
+    ) -> None:
         """Record that a worker did not answer; it is suspected for longer each time.
 
         :param silent: whether a timeout expired, which also happens to a request that waits in
             the worker's queue.
+        :param ended: whether the worker's process is known to have ended.
         """
         now = self._clock.now()
         with self._lock:
@@ -174,6 +177,8 @@
                 return
             health.failures += 1
             suspicion_seconds = _FIRST_SUSPICION_SECONDS * 2 ** (health.failures - 1)
+            if ended:
+                suspicion_seconds = _MAX_SUSPICION_SECONDS
             health.suspected_until = now + min(_MAX_SUSPICION_SECONDS, suspicion_seconds)
         log_event(
             "worker:suspected",
@@ -184,6 +189,14 @@
         )
         self._on_change()
 
+    def note_replaced(self, worker: str) -> None:
+        """Record that another worker has the address of this one, whose process has ended.
+
+        Load pattern: workers that crash and start again at once under another id. The entry of the
+        former process lapses only after seconds, and its slots all seem free.
+        """
+        self.note_failure(worker, "another worker has its address", ended=True)
+
     def apply_peer_suspects(self, workers: Collection[str]) -> None:
         """Suspect the workers that do not answer a peer, unless they just answered this daemon."""
         if not workers:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -9,6 +9,8 @@
 # The worker that must run the request; any other answers 421.
 EXPECTED_WORKER = "X-Target-Instance"
 NOT_RUN = "X-Not-Executed"
+# The version of the weights that a caller asks for; a worker with another one answers 421 too.
+EXPECTED_VERSION = "X-Expected-Version"
 
 # Marks a submission that a daemon passes on to another, which must not pass it on again.
 FORWARDED = "X-Trefoilreach-Forwarded"
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -41,10 +41,14 @@
 
 
 class PlatformAnswer:
-    """A worker's answer whose head was received and whose body is read on demand."""
+    """A worker's answer whose head was received and whose body is read on demand.
 
-    def __init__(self, exchange: HttpExchange, clock: Clock) -> None:
+    :param expects_version: whether the request names the version of the weights that it needs.
+    """
+
+    def __init__(self, exchange: HttpExchange, clock: Clock, expects_version: bool = False) -> None:
         self._clock = clock
+        self._expects_version = expects_version
         self._exchange = exchange
         self._response = exchange.response
 
@@ -70,6 +74,11 @@
             or self._response.getheader(names.NOT_RUN) is not None
         )
 
+    @property
+    def is_wrong_worker(self) -> bool:
+        """Whether another worker than the expected one has answered."""
+        return self.status == _WRONG_WORKER_STATUS and not self._expects_version
+
     @property
     def has_receipt(self) -> bool:
         """Whether the answer carries the worker's receipt."""
@@ -156,7 +165,10 @@
             raise WorkerFailure(
                 str(failure), failure.verdict, unreachable=not_sent, timed_out=failure.timed_out
             ) from failure
-        answer = PlatformAnswer(exchange, self._clock)
+        expects_version = any(
+            name.lower() == names.EXPECTED_VERSION.lower() for name, _ in call.headers
+        )
+        answer = PlatformAnswer(exchange, self._clock, expects_version)
         echoed = exchange.response.getheader(names.REQUEST_ID)
         if echoed is not None and echoed != call.request_id:
             exchange.close()
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -73,6 +73,7 @@
     status: int = 200
     pieces: tuple[bytes, ...] = ()
     not_run: bool = False
+    wrong_worker: bool = False
     receipt: bool = True
     stream: bool = True
     failure: WorkerFailure | None = None
@@ -93,6 +94,7 @@
     status = property(lambda self: self.script.status)
     headers = property(lambda self: [("X-Response-Signature", "s")])
     not_run = property(lambda self: self.script.not_run)
+    is_wrong_worker = property(lambda self: self.script.wrong_worker)
     has_receipt = property(lambda self: self.script.receipt)
     is_event_stream = property(lambda self: self.script.stream)
 
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -87,6 +87,19 @@
     assert case.link.sent[0].worker != case.link.sent[1].worker
 
 
+def test_worker_whose_address_another_one_has_gets_no_more_requests() -> None:
+    """Guards against requests that are sent again and again to the entry of a process that ended.
+
+    Its slots are all free, which makes it the first choice.
+    """
+    replaced = Script(status=421, not_run=True, wrong_worker=True, stream=False)
+    case = Case(RUN_ONCE, *[replaced if n == 0 else COMPLETE for n in range(9)], workers=2)
+    for _ in range(8):
+        list(case.run().events or ())
+    first = case.link.sent[0].worker.id
+    assert [dispatch.worker.id for dispatch in case.link.sent].count(first) == 1
+
+
 def test_request_that_no_worker_took_is_refused_as_not_run() -> None:
     case = Case(RUN_ONCE, *[QUEUE_FULL] * 10)
     refusal = case.expect_refusal()
