--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -73,11 +73,13 @@
 class PartBlock(NamedTuple):
     """A block as one request finds it.
 
+    :param age_seconds: time since the last crash or the start of the last trial.
     :param retry_after: seconds until a request may try the part; 0 when it is time for that.
     """
 
     part: str
     trials: int
+    age_seconds: float
     retry_after: float
 
 
@@ -126,7 +128,8 @@
             for part in parts:
                 block = self._blocks.get(part)
                 if block is not None:
-                    return PartBlock(part, block.trials, max(0.0, block.ends_at - now))
+                    left = max(0.0, block.ends_at - now)
+                    return PartBlock(part, block.trials, now - block.since, left)
         return None
 
     def add_crash(self, run: CrashedRun) -> str | None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -95,7 +95,10 @@
             "workers crashed under requests with this part",
             request_id=request.call.request_id,
             account=request.account_name,
-            **block._asdict(),
+            part=block.part,
+            trials=block.trials,
+            age=round(block.age_seconds, 3),
+            retry_after=round(block.retry_after, 3),
         )
         if trial:
             return block.part
