Tell standby daemons of a late active one at once

Callers would see: a standby daemon sends them to a lost daemon for up to 3 s instead of 1 s.

The news came after 1 s or 2 s, and a standby daemon that missed one datagram learned of it a second later.

Change: a bundle is sent as soon as a daemon is newly late, also when it has no report.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -11,7 +11,7 @@
 """
 
 import threading
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Report
@@ -162,6 +162,7 @@
     def __init__(self) -> None:
         self._reports: dict[str, Report] = {}
         self._sent_at = float("-inf")
+        self._late_sent: frozenset[str] = frozenset()
 
     def add(self, reports: Iterable[Report]) -> None:
         """Queue the full reports among those given."""
@@ -169,11 +170,16 @@
             if report.identity is not None:
                 self._reports[report.vm] = report
 
-    def take_due(self, now: float) -> list[Report] | None:
-        """Remove and return all reports if it is time to send them, else None."""
-        if now - self._sent_at < STANDBY_BUNDLE_SECONDS:
+    def take_due(self, now: float, late: Collection[str]) -> list[Report] | None:
+        """Remove and return all reports if it is time to send them, else None.
+
+        :param late: active daemons that are silent. A new one is told at once, so that a datagram
+            that is lost delays the news by one interval only.
+        """
+        if self._late_sent.issuperset(late) and now - self._sent_at < STANDBY_BUNDLE_SECONDS:
             return None
         self._sent_at = now
+        self._late_sent = frozenset(late)
         reports, self._reports = list(self._reports.values()), {}
         return reports
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -489,12 +489,11 @@
         sent = self._send_in_bundles(reports, Spread.NOWHERE, active)
         sent += self._send_in_bundles(pending.local, Spread.DATA_CENTRE, remote_relays)
         self._standby_outbox.add(reports)
-        due = self._standby_outbox.take_due(now)
+        late = self._list_late_active_peers()
+        due = self._standby_outbox.take_due(now, late)
         if due is not None:
             standby = [peer for peer in local_peers if not peer.statement.active]
-            sent += self._send_in_bundles(
-                due, Spread.NOWHERE, standby, self._list_late_active_peers()
-            )
+            sent += self._send_in_bundles(due, Spread.NOWHERE, standby, late)
         return max(_MIN_BUNDLE_PAUSE_SECONDS, sent / _MAX_RELAY_DATAGRAMS_PER_SECOND)
 
     def _list_late_active_peers(self) -> list[str]:
@@ -511,7 +510,8 @@
         if not peers:
             return 0
         sent = 0
-        for part in split_into_bundles(reports):
+        # News of late daemons are sent also without reports.
+        for part in list(split_into_bundles(reports)) or ([[]] if late else []):
             data = encode_bundle(self.identity.vm, spread, part, late)
             for peer in peers:
                 self._send_to(data, _address(peer))
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -15,6 +15,7 @@
     RelayCandidate,
     RelaySelector,
     RemoteRelays,
+    StandbyOutbox,
     rank_relays,
     split_into_bundles,
 )
@@ -353,6 +354,19 @@
     assert list(split_into_bundles([])) == []
 
 
+def test_standby_daemons_are_told_of_a_late_active_one_at_once() -> None:
+    """Guards against news that wait for the next bundle, and come 2 s late if that is lost."""
+    outbox = StandbyOutbox()
+    assert outbox.take_due(10.0, []) == []
+    assert outbox.take_due(10.1, []) is None
+    assert outbox.take_due(10.2, ["b1"]) == []
+    assert outbox.take_due(10.3, ["b1"]) is None
+    assert outbox.take_due(11.2, ["b1"]) == []
+    assert outbox.take_due(11.3, []) is None
+    assert outbox.take_due(12.3, []) == []
+    assert outbox.take_due(12.4, ["b1"]) == []
+
+
 @pytest.fixture
 def standby_fleet(stack: ExitStack) -> RelayedFleet:
     return RelayedFleet(stack, standby=True)
