Resume begun streams whatever was blocked since; claim a trial only when it is sent

Callers would see: a sound stream cut in the middle, as a part of its prompt was blocked for crashes of other requests; a part that stays refused for two minutes more, as its trial was used up by a request that was over its rate or met a full worker.

Cause: the block was looked up again for resumes, though a worker had begun to answer the request, and the trial was claimed at the entrance, before quota and queue.

Change: a request that had an event is resumed in any case; the trial is claimed when a slot has been granted, and is kept over attempts that did not run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -69,9 +69,9 @@
         """
         if self.tools.crashes.is_blocked(request.fingerprint):
             raise Refusal(500, "crashing", "this request crashed the workers that ran it")
-        tried_part = self._refuse_if_blocked(request)
+        self._refuse_if_blocked(request)
         self._take_quota(request)
-        run = _OnlineAttempts(self, request, caller, tried_part)
+        run = _OnlineAttempts(self, request, caller)
         try:
             return run.start()
         except Refusal as refusal:
@@ -79,31 +79,16 @@
                 self.tools.buckets.refund(request.account)
             raise
 
-    def _refuse_if_blocked(self, request: OnlineRequest) -> str:
-        """Refuse a request with a prompt part that crashes workers.
+    def _refuse_if_blocked(self, request: OnlineRequest) -> None:
+        """Refuse a request with a prompt part that crashes workers, unless it is time to try it.
 
-        :returns: the blocked part that the request may try; empty if none is blocked.
         :raises Refusal: with the time after which a request may try the part.
         """
         block = self.tools.crashes.parts.find_block(request.shared_parts)
-        if block is None:
-            return ""
-        trial = block.retry_after == 0.0 and self.tools.crashes.claim_trial(block.part)
-        log_decision(
-            "blocked-part",
-            "try" if trial else "refuse",
-            "workers crashed under requests with this part",
-            request_id=request.call.request_id,
-            account=request.account_name,
-            part=block.part,
-            trials=block.trials,
-            age=round(block.age_seconds, 3),
-            retry_after=round(block.retry_after, 3),
-        )
-        if trial:
-            return block.part
-        retry_after = max(_MIN_RETRY_AFTER_SECONDS, block.retry_after)
-        raise Refusal(503, "blocked_part", _PART_BLOCKED, retry_after=retry_after)
+        if block is not None and block.retry_after > 0.0:
+            _log_block(request, block, "refuse")
+            retry_after = max(_MIN_RETRY_AFTER_SECONDS, block.retry_after)
+            raise Refusal(503, "blocked_part", _PART_BLOCKED, retry_after=retry_after)
 
     def _take_quota(self, request: OnlineRequest) -> None:
         if request.account is None:
@@ -115,23 +100,19 @@
 
 
 class _OnlineAttempts:
-    """The attempts of one request, up to its final answer.
-
-    :param tried_part: blocked prompt part that one run of the request may try; may be empty.
-    """
+    """The attempts of one request, up to its final answer."""
 
     def __init__(
-        self,
-        runner: OnlineRunner,
-        request: OnlineRequest,
-        caller: CallerConnection,
-        tried_part: str = "",
+        self, runner: OnlineRunner, request: OnlineRequest, caller: CallerConnection
     ) -> None:
         self._runner = runner
         self._tools = runner.tools
         self._request = request
         self._caller = caller
-        self._tried_part = tried_part
+        # Blocked prompt part that one run of this request may try; may be empty.
+        self._tried_part = ""
+        # Whether a worker has begun to answer.
+        self._begun = False
         self._service = request.route.pick_service(request.call.request_id)
         self._overload_policy = runner.overload_policy(self._service)
         self._times = self._compute_times()
@@ -205,7 +186,7 @@
         """
         while True:
             ticket, worker = self._wait_for_slot()
-            block = self._find_new_block()
+            block = self._find_block()
             if block is not None:
                 self._tools.admission.release(ticket)
                 raise self._give_up(_PART_BLOCKED, block.retry_after)
@@ -225,11 +206,22 @@
             self._tools.admission.release(ticket)
             self._record_not_run(worker, f"worker answered {answer.status}, not run")
 
-    def _find_new_block(self) -> PartBlock | None:
-        """Return the block of a prompt part since the request was admitted, or None."""
+    def _find_block(self) -> PartBlock | None:
+        """Return the block of a prompt part that forbids the next run, or None.
+
+        A request that a worker has begun to answer did not crash it, and is resumed in any case.
+        """
         block = self._tools.crashes.parts.find_block(self._request.shared_parts)
-        if block is not None and block.part == self._tried_part and not self._may_have_run:
+        if block is None or self._begun:
             return None
+        if not self._may_have_run:
+            if block.part == self._tried_part:
+                return None
+            if block.retry_after == 0.0 and self._tools.crashes.claim_trial(block.part):
+                self._tried_part = block.part
+                _log_block(self._request, block, "try")
+                return None
+        _log_block(self._request, block, "refuse")
         return block
 
     def _wait_for_slot(self) -> tuple[Ticket, WorkerEntry]:
@@ -453,6 +445,7 @@
             workers.note_failure(worker.id, str(failure))
             self._record_not_run(worker, str(failure))
             return
+        self._begun = self._begun or begun
         dead = not failure.timed_out and self._tools.worker_client.is_refused(worker)
         if dead:
             self._tools.crashes.record(
@@ -559,3 +552,17 @@
             status=status,
             seconds=round(self._now - self._request.received_at, 3),
         )
+
+
+def _log_block(request: OnlineRequest, block: PartBlock, choice: str) -> None:
+    log_decision(
+        "blocked-part",
+        choice,
+        "workers crashed under requests with this part",
+        request_id=request.call.request_id,
+        account=request.account_name,
+        part=block.part,
+        trials=block.trials,
+        age=round(block.age_seconds, 3),
+        retry_after=round(block.retry_after, 3),
+    )
--- a/tests/unit/test_crashing_parts.py
+++ b/tests/unit/test_crashing_parts.py
@@ -247,6 +247,45 @@
     assert waits == [120.0, 240.0, 480.0, 960.0, 1920.0, 3600.0, 3600.0, 3600.0]
 
 
+def test_stream_that_has_begun_is_resumed_though_a_part_was_blocked_since() -> None:
+    """Guards against a sound stream that is cut in the middle for crashes of others."""
+    broken = Script(pieces=(EVENTS[0],), failure_after_pieces=CRASHED)
+    link = FakeLink(broken, Script(pieces=tuple(EVENTS[1:])))
+    tools = make_tools(link)
+    request = OnlineRequest(make_call(), ROUTE, ACCOUNT, tools.clock.now(), 5.0, ("p",), None, "f")
+    answer = OnlineRunner(tools).run(request, CallerConnection())
+    assert answer.events is not None
+    received = next(answer.events)
+    assert crash_workers(tools.crashes.parts, 3, "p") == ["p"]
+    assert received + b"".join(answer.events) == b"".join(EVENTS)
+
+
+def test_trial_is_claimed_only_for_a_request_that_can_be_sent() -> None:
+    """Guards against trials that are used up by requests that are over their rate or queued."""
+    clock = ManualClock()
+    link = FakeLink(Script(status=503, not_run=True, stream=False), Script(pieces=tuple(EVENTS)))
+    tools = make_tools(link, clock=clock)
+    account = ACCOUNT._replace(rate=1.0, burst=1.0)
+    tools.buckets.set_accounts([account])
+    claimed: list[str] = []
+    tools.crashes.claim_trial = lambda part: not claimed.append(part)
+    crash_workers(tools.crashes.parts, 3, "p")
+    clock.advance(LONGEST_BLOCK_SECONDS)
+    runner = OnlineRunner(tools)
+
+    def run(*parts: str) -> int:
+        request = OnlineRequest(make_call(), ROUTE, account, clock.now(), 5.0, parts, None, "f")
+        return runner.run(request, CallerConnection()).status
+
+    tools.buckets.admit(account)
+    with pytest.raises(Refusal) as caught:
+        run("p")
+    assert caught.value.status == 429 and claimed == []
+    clock.advance(2.0)
+    # The first worker is full; the trial goes to another one.
+    assert run("p") == 200 and claimed == ["p"]
+
+
 class TimedRows(MemoryRows):
     """A store with a clock; refuses every call while it is down."""
 
