State blocked parts in one type; name the lookup that claims a trial

Found while reading the change: PartBlock and BlockedPart held the same in two forms, start_trial also restored blocks, and a lookup claimed the trial silently. No behaviour changes; unit tests of serving pass.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/blocked_part_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/blocked_part_table.py
@@ -15,6 +15,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.serving.crashing_parts import (
+    BlockedPart,
     CrashingParts,
     find_block_seconds,
 )
@@ -125,7 +126,7 @@
         if isinstance(written, Err):
             log_event("blocked-part:trial-failed", part=part, error=str(written.err_value))
             return False
-        self._parts.start_trial(part, trials)
+        self._parts.set_block(BlockedPart(part, 0.0, trials))
         return True
 
     def _set_pending(self, part: str, blocked: bool) -> None:
@@ -178,7 +179,7 @@
         """Block a part for as long as the store says."""
         total = find_block_seconds(record.trials)
         left = min(total, max(0.0, (record.next_trial_ms - store_ms) / _MS_PER_SECOND))
-        self._parts.start_trial(part, record.trials, total - left)
+        self._parts.set_block(BlockedPart(part, total - left, record.trials))
 
     def _write_pending(self) -> bool:
         """Write the pending changes; return False if one must be repeated."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -69,18 +69,10 @@
     age_seconds: float
     trials: int
 
-
-class PartBlock(NamedTuple):
-    """A block as one request finds it.
-
-    :param age_seconds: time since the last crash or the start of the last trial.
-    :param retry_after: seconds until a request may try the part; 0 when it is time for that.
-    """
-
-    part: str
-    trials: int
-    age_seconds: float
-    retry_after: float
+    @property
+    def retry_after(self) -> float:
+        """Seconds until a request may try the part; 0 when it is time for that."""
+        return max(0.0, find_block_seconds(self.trials) - self.age_seconds)
 
 
 class _Crash(NamedTuple):
@@ -94,11 +86,6 @@
     since: float
     trials: int
 
-    @property
-    def ends_at(self) -> float:
-        """Time from which a request may try the part."""
-        return self.since + find_block_seconds(self.trials)
-
 
 def find_block_seconds(trials: int) -> float:
     """Return for how long a part is blocked after a number of failed trials."""
@@ -119,7 +106,7 @@
         self._suspects: dict[str, float] = {}
         self._blocks: dict[str, _Block] = {}
 
-    def find_block(self, parts: Collection[str]) -> PartBlock | None:
+    def find_block(self, parts: Collection[str]) -> BlockedPart | None:
         """Return the block of the first blocked part, or None if no part is blocked."""
         if not self._blocks:
             return None
@@ -128,8 +115,7 @@
             for part in parts:
                 block = self._blocks.get(part)
                 if block is not None:
-                    left = max(0.0, block.ends_at - now)
-                    return PartBlock(part, block.trials, now - block.since, left)
+                    return BlockedPart(part, now - block.since, block.trials)
         return None
 
     def add_crash(self, run: CrashedRun) -> str | None:
@@ -169,14 +155,11 @@
             for part, age, trials in blocked:
                 self._add_block(part, _Block(now - age, trials), "a peer has blocked it")
 
-    def start_trial(self, part: str, trials: int, seconds_ago: float = 0.0) -> None:
-        """Record that a request tries a blocked part, or that the store says so.
-
-        :param trials: number of trials with this one.
-        """
+    def set_block(self, stored: BlockedPart) -> None:
+        """Block a part as the store states: after a start, or as a request tries the part."""
         with self._lock:
-            since = self._clock.now() - seconds_ago
-            self._add_block(part, _Block(since, trials), "the store lists it as blocked")
+            block = _Block(self._clock.now() - stored.age_seconds, stored.trials)
+            self._add_block(stored.part, block, "the store lists it as blocked")
 
     def list_answered(self) -> tuple[AnsweredPart, ...]:
         """Return the suspected parts of requests that were answered here, for a report."""
@@ -257,6 +240,7 @@
         return part
 
     def _add_block(self, part: str, block: _Block, reason: str) -> None:
+        """Block a part, or extend its block, unless it was answered since."""
         known = self._blocks.get(part)
         if self._find_answered_at(part) > block.since:
             return
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -6,7 +6,7 @@
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.choice import choose_online
-from trefoilreach._internal.coordination.serving.crashing_parts import PartBlock
+from trefoilreach._internal.coordination.serving.crashing_parts import BlockedPart
 from trefoilreach._internal.coordination.serving.overload import OverloadPolicy, Pressure
 from trefoilreach._internal.coordination.serving.queue_order import (
     OnlineTimes,
@@ -186,7 +186,7 @@
         """
         while True:
             ticket, worker = self._wait_for_slot()
-            block = self._find_block()
+            block = self._find_forbidding_block()
             if block is not None:
                 self._tools.admission.release(ticket)
                 raise self._give_up(_PART_BLOCKED, block.retry_after)
@@ -206,8 +206,8 @@
             self._tools.admission.release(ticket)
             self._record_not_run(worker, f"worker answered {answer.status}, not run")
 
-    def _find_block(self) -> PartBlock | None:
-        """Return the block of a prompt part that forbids the next run, or None.
+    def _find_forbidding_block(self) -> BlockedPart | None:
+        """Return the block that forbids the next run, or None; claims a trial that is due.
 
         A request that a worker has begun to answer did not crash it, and is resumed in any case.
         """
@@ -554,7 +554,7 @@
         )
 
 
-def _log_block(request: OnlineRequest, block: PartBlock, choice: str) -> None:
+def _log_block(request: OnlineRequest, block: BlockedPart, choice: str) -> None:
     log_decision(
         "blocked-part",
         choice,
--- a/tests/unit/test_crashing_parts.py
+++ b/tests/unit/test_crashing_parts.py
@@ -236,7 +236,7 @@
     crash_workers(parts, 3, "p")
     waits = []
     for trial in range(1, 9):
-        parts.start_trial("p", trial)
+        parts.set_block(BlockedPart("p", 0.0, trial))
         crash_workers(parts, 1, "p", first=10 + trial)
         block = parts.find_block(["p"])
         assert block is not None
