Log how the runs of batch items end and how answers are framed

A line item:run-ended states them for each run; request:answered and request:streamed state the framing.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -414,6 +414,7 @@
             if answer.status == 200 and answer.has_receipt:
                 self._tools.admission.workers.note_answer(worker.id)
                 self._read_events(run, worker, answer)
+                _log_run_end(run, worker, answer, events_before, interrupt)
                 answer.close()
                 self._release(run)
                 self._tools.admission.outcomes.note(worker.id, good=True)
@@ -422,6 +423,7 @@
             return self._handle_error_status(run, worker, answer)
         except WorkerFailure as failure:
             begun = len(run.events) > events_before
+            _log_run_end(run, worker, answer, events_before, interrupt)
             return self._handle_failure(run, worker, failure, interrupt, begun)
         finally:
             if answer is not None:
@@ -590,5 +592,25 @@
         self._tools.admission.send_report_soon()
 
 
+def _log_run_end(
+    run: _ItemRun,
+    worker: WorkerEntry,
+    answer: WorkerAnswer | None,
+    events_before: int,
+    interrupt: Interrupt,
+) -> None:
+    events = run.events[events_before:]
+    log_event(
+        "item:run-ended",
+        request_id=run.item.id,
+        worker=worker.id,
+        framing=None if answer is None else answer.framing.value,
+        first_event=events[0][0] if events else None,
+        last_event=run.last_event,
+        events=len(events),
+        ended_here=interrupt.reason,
+    )
+
+
 def _log_failed_attempt(run: _ItemRun, worker: WorkerEntry, **fields: Any) -> None:
     log_event("item:attempt-failed", request_id=run.item.id, worker=worker.id, **fields)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -28,6 +28,7 @@
     WorkerFailure,
 )
 from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.event_stream import StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
@@ -353,7 +354,7 @@
             self._tools.crashes.record_answered(self._request.shared_parts)
         self._record_outcome(attempt.worker, good=answer.status < 500)
         self._overload_policy.record_run(self._now - begun)
-        self._log_end("answered", attempt.worker, answer.status)
+        self._log_end("answered", attempt.worker, answer.status, answer.framing)
         return OnlineAnswer(answer.status, answer.headers, body)
 
     def _start_stream(self, attempt: Attempt) -> OnlineAnswer | None:
@@ -384,7 +385,7 @@
                 relay, events = self._next_events(relay)
             self._overload_policy.record_run(self._now - begun)
             self._record_outcome(relay.worker, good=True)
-            self._log_end("streamed", relay.worker, 200)
+            self._log_end("streamed", relay.worker, 200, relay.framing)
         finally:
             relay.close()
 
@@ -542,7 +543,7 @@
         if interrupt is not None:
             interrupt.trigger(_CALLER_DISCONNECTED)
 
-    def _log_end(self, outcome: str, worker: WorkerEntry, status: int) -> None:
+    def _log_end(self, outcome: str, worker: WorkerEntry, status: int, framing: Framing) -> None:
         log_event(
             f"request:{outcome}",
             request_id=self._request.call.request_id,
@@ -550,6 +551,7 @@
             route=self._request.route.name,
             worker=worker.id,
             status=status,
+            framing=framing.value,
             seconds=round(self._now - self._request.received_at, 3),
         )
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -8,6 +8,7 @@
     ServingDependencies,
 )
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.event_stream import (
     EventSplitter,
     EventTooLargeError,
@@ -81,6 +82,11 @@
         """The worker that sends the answer."""
         return self._attempt.worker
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the answer."""
+        return self._attempt.answer.framing
+
     def read_events(self) -> list[StreamEvent]:
         """Return the next events, or none once the stream is complete.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
 from trefoilreach._internal.transport.http_client import Interrupt
@@ -81,6 +82,10 @@
     def has_receipt(self) -> bool:
         """Whether the answer carries the worker's receipt."""
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body is a stream of events."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -8,6 +8,7 @@
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch, WorkerFailure
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.platform import names
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
 from trefoilreach._internal.transport.http_client import (
@@ -84,6 +85,11 @@
         """Whether the answer carries the worker's receipt."""
         return bool(self._response.getheader(names.RECEIPT))
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        return self._exchange.framing
+
     @property
     def is_event_stream(self) -> bool:
         """Whether the body is a stream of events."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.transport.readiness import is_readable
 
@@ -317,6 +318,13 @@
         """HTTP status code."""
         return self._response.status
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body."""
+        if self._response.chunked:
+            return Framing.CHUNKS
+        return Framing.CONNECTION if self._response.length is None else Framing.LENGTH
+
     @property
     def response(self) -> HTTPResponse:
         """The response, for its headers and for reading line by line."""
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -14,6 +14,7 @@
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.worker_client import Call, Dispatch, WorkerFailure
 from trefoilreach._internal.metrics_page import MetricsPage
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import (
     RouteKind,
@@ -68,6 +69,7 @@
     :param silence_seconds: time to wait before ``failure_after_pieces`` is raised.
     :param gate: holds back the last part of the body until it is set.
     :param piece_seconds: time before each part of the body after the first.
+    :param framing: what marks the end of the body.
     """
 
     status: int = 200
@@ -81,6 +83,7 @@
     silence_seconds: float = 0.0
     gate: threading.Event | None = None
     piece_seconds: float = 0.0
+    framing: Framing = Framing.CHUNKS
 
 
 class FakeAnswer:
@@ -96,6 +99,7 @@
     not_run = property(lambda self: self.script.not_run)
     is_wrong_worker = property(lambda self: self.script.wrong_worker)
     has_receipt = property(lambda self: self.script.receipt)
+    framing = property(lambda self: self.script.framing)
     is_event_stream = property(lambda self: self.script.stream)
 
     def read_chunk(self, timeout: float) -> bytes:
