Resume again after an empty answer that only its connection ends

The item's reader asked only whether it had events of any run, the relay whether an earlier worker had sent some.

protocol.completeness decides on the end of a run for both: an event shows that the run began, and so do a length or chunks of an answer without one. Otherwise the run proves nothing. A stream is then resumed at another worker; an item drops its last event and asks for it again, so that a whole answer has an event and the item cannot be run for ever. A stream whose end comes long after its last event is no longer taken for a stalled one.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -36,7 +36,6 @@
 from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.choice import choose_batch
 from trefoilreach._internal.coordination.serving.queue_order import BatchTimes, rank_batch
-from trefoilreach._internal.coordination.serving.relay import split_events
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
 from trefoilreach._internal.coordination.serving.worker_client import (
@@ -46,7 +45,8 @@
     WorkerFailure,
 )
 from trefoilreach._internal.logs import log_decision, log_event
-from trefoilreach._internal.protocol.event_stream import EventSplitter
+from trefoilreach._internal.protocol.completeness import IncompleteAnswerError, UnprovenEndError
+from trefoilreach._internal.protocol.event_stream import EventReader
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.rows import (
     BlobStore,
@@ -430,11 +430,24 @@
                 answer.close()
 
     def _read_events(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
-        clock, splitter = self._tools.clock, EventSplitter()
+        """Read a run to its end.
+
+        :raises WorkerFailure: when it is not whole.
+        """
+        try:
+            self._read_until_end(run, worker, answer)
+        except IncompleteAnswerError as error:
+            if isinstance(error, UnprovenEndError):
+                # The next run repeats the last event, which shows that it has begun.
+                run.events = run.events[:-1]
+            raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
+
+    def _read_until_end(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
+        clock, reader = self._tools.clock, EventReader(run.last_event)
         read_started_at = progressed_at = clock.now()
         while data := answer.read_chunk(_NEXT_EVENT_TIMEOUT_SECONDS):
             self._tools.admission.workers.record_partial_answer(worker.id)
-            for event in split_events(splitter, data):
+            for event in reader.feed(data):
                 if not event.is_empty:
                     run.events.append((event.id, event.data))
                     progressed_at = clock.now()
@@ -446,8 +459,7 @@
             if pause:
                 clock.sleep(pause)
             read_started_at = clock.now()
-        if splitter.incomplete or not run.events:
-            raise WorkerFailure("the stream ended early", Verdict.MAY_HAVE_RUN)
+        reader.finish(answer.framing)
 
     def _handle_error_status(
         self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -364,7 +364,7 @@
             self._tools.admission.release(attempt.ticket)
             self._record_failed_run(attempt.worker, "the answer has no receipt")
             return None
-        relay = Relay(self._tools, self._request, attempt, self._may_run_again())
+        relay = Relay(self._tools, self._request, attempt, self._may_run_again(), self._last_event)
         try:
             first = relay.read_events()
         except WorkerFailure as failure:
@@ -416,7 +416,9 @@
                         worker=attempt.worker.id,
                         after_event=self._last_event,
                     )
-                    return Relay(self._tools, request, attempt, self._may_run_again(), resumed=True)
+                    return Relay(
+                        self._tools, request, attempt, self._may_run_again(), self._last_event
+                    )
                 answer.close()
                 self._tools.admission.release(attempt.ticket)
                 self._record_failed_run(
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -8,12 +8,8 @@
     ServingDependencies,
 )
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
-from trefoilreach._internal.protocol.completeness import Framing
-from trefoilreach._internal.protocol.event_stream import (
-    EventSplitter,
-    EventTooLargeError,
-    StreamEvent,
-)
+from trefoilreach._internal.protocol.completeness import Framing, IncompleteAnswerError
+from trefoilreach._internal.protocol.event_stream import EventReader, StreamEvent
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
 
@@ -38,25 +34,12 @@
     return max(_MIN_FIRST_ANSWER_TIMEOUT_SECONDS, _PLAIN_TARGET_FACTOR * route.target_seconds)
 
 
-def split_events(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
-    """Return the events that the next bytes of a stream complete.
-
-    :raises WorkerFailure: when an event is too large.
-    """
-    try:
-        return splitter.feed(data)
-    except EventTooLargeError as error:
-        raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
-
-
 class Relay:
     """Reads the events of an answer; owns the attempt's slot and releases it on close.
 
-    ``begun`` tells whether the worker has sent an event.
-
     :param may_resume: whether the stream may be resumed at another worker, so that a long pause
         ends the attempt.
-    :param resumed: whether an earlier worker has sent the preceding events.
+    :param after: id of the last event that the caller has, or None for a stream from its start.
     """
 
     def __init__(
@@ -65,15 +48,14 @@
         request: OnlineRequest,
         attempt: Attempt,
         may_resume: bool,
-        resumed: bool = False,
+        after: int | None = None,
     ) -> None:
         self._tools = tools
         self._request = request
         self._attempt = attempt
         self._may_resume = may_resume
-        self._splitter = EventSplitter()
-        self._resumed = resumed
-        self.begun = False
+        self._after = after
+        self._reader = EventReader(after)
         self._progressed_at = tools.clock.now()
         self.ended = False
 
@@ -82,6 +64,11 @@
         """The worker that sends the answer."""
         return self._attempt.worker
 
+    @property
+    def begun(self) -> bool:
+        """Whether the worker has sent an event."""
+        return self._reader.begun
+
     @property
     def framing(self) -> Framing:
         """What marks the end of the answer."""
@@ -96,24 +83,33 @@
             data = self._attempt.answer.read_chunk(self._find_timeout())
             self._tools.admission.workers.record_partial_answer(self.worker.id)
             self.ended = not data
-            events = split_events(self._splitter, data)
+            begun = self.begun
+            events = self._read(data)
             now = self._tools.clock.now()
             if not all(event.is_empty for event in events):
                 self._progressed_at = now
-            elif self._may_resume and now - self._progressed_at > self._stall_timeout:
+            elif (
+                not self.ended
+                and self._may_resume
+                and now - self._progressed_at > self._stall_timeout
+            ):
                 # A stalled worker may still send a byte or a comment now and then.
                 message = f"no progress for {self._stall_timeout:.3g} s"
                 raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
+            if self.begun and not begun:
+                self._tools.crashes.record_answered(self._request.shared_parts)
             if events:
-                if not self.begun:
-                    self.begun = True
-                    self._tools.crashes.record_answered(self._request.shared_parts)
                 return events
-        if self._splitter.incomplete:
-            raise WorkerFailure("the stream ended inside an event", Verdict.MAY_HAVE_RUN)
-        # A resumed stream may have no events left, if the earlier worker failed after the last.
-        if not self.begun and not self._resumed:
-            raise WorkerFailure("the stream ended without an event", Verdict.MAY_HAVE_RUN)
+        return []
+
+    def _read(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that the next bytes complete, or check the end of the stream."""
+        try:
+            if data:
+                return self._reader.feed(data)
+            self._reader.finish(self.framing)
+        except IncompleteAnswerError as error:
+            raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
         return []
 
     def close(self) -> None:
@@ -125,7 +121,7 @@
     def _stall_timeout(self) -> float:
         """Seconds without an event after which another worker is tried."""
         route = self._request.route
-        if not self.begun and not self._resumed:
+        if not self.begun and self._after == self._request.resume_after:
             return find_first_answer_timeout(route)
         return max(_MIN_STALL_TIMEOUT_SECONDS, _STALL_FACTOR * route.event_gap_target_seconds)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -76,3 +76,39 @@
         raise IncompleteAnswerError(f"the answer ended {end.missing_bytes} bytes early")
     if end.connection_ended and end.framing is Framing.CHUNKS:
         raise IncompleteAnswerError("the connection ended between chunks")
+
+
+class UnprovenEndError(IncompleteAnswerError):
+    """A resumed stream ended without an event, and only with its connection.
+
+    It may have had no event left, or may have broken off before the first one.
+    """
+
+
+class StreamProgress(NamedTuple):
+    """What one run of a stream has sent.
+
+    :param resumed: whether the run was to go on after an earlier event.
+    :param events: number of its events.
+    :param inside_event: whether bytes of an incomplete event are left.
+    """
+
+    resumed: bool
+    events: int
+    inside_event: bool
+
+
+def check_stream(progress: StreamProgress, framing: Framing) -> None:
+    """Check a stream whose body has passed :func:`check_body`.
+
+    :raises UnprovenEndError: when neither an event nor the framing shows that it began.
+    :raises IncompleteAnswerError: when it is not whole.
+    """
+    if progress.inside_event:
+        raise IncompleteAnswerError("the stream ended inside an event")
+    if progress.events:
+        return
+    if not progress.resumed:
+        raise IncompleteAnswerError("the stream ended without an event")
+    if framing is Framing.CONNECTION:
+        raise UnprovenEndError("the resumed stream ended without an event or a stated length")
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -1,8 +1,15 @@
-"""Splits a relayed event stream into complete events without decoding their data."""
+"""Reads a relayed event stream as complete events, without decoding their data."""
 
 import re
 from typing import NamedTuple
 
+from trefoilreach._internal.protocol.completeness import (
+    Framing,
+    IncompleteAnswerError,
+    StreamProgress,
+    check_stream,
+)
+
 # Largest event of a stream. Events have a few tokens, some hundred bytes.
 _MAX_EVENT_BYTES = 2**20
 
@@ -32,7 +39,7 @@
         return self.id is None and not self.data
 
 
-class EventTooLargeError(ValueError):
+class EventTooLargeError(IncompleteAnswerError):
     """An event exceeds the limit on its size."""
 
 
@@ -66,3 +73,37 @@
             start = end.end()
         self._rest = self._rest[start:]
         return events
+
+
+class EventReader:
+    """Reads the events of one run of a stream.
+
+    :param after: id of the last event of the runs before, or None for a run from the start.
+    """
+
+    def __init__(self, after: int | None = None) -> None:
+        self._after = after
+        self._splitter = EventSplitter()
+        self._count = 0
+
+    @property
+    def begun(self) -> bool:
+        """Whether the run has sent an event."""
+        return self._count > 0
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Append bytes and return the events that they complete.
+
+        :raises IncompleteAnswerError: when an event is malformed.
+        """
+        events = self._splitter.feed(data)
+        self._count += sum(not event.is_empty for event in events)
+        return events
+
+    def finish(self, framing: Framing) -> None:
+        """Check that the run is whole, at the end of its answer.
+
+        :raises IncompleteAnswerError: when it is not, or when that is not certain.
+        """
+        progress = StreamProgress(bool(self._after), self._count, bool(self._splitter.incomplete))
+        check_stream(progress, framing)
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -90,6 +90,25 @@
 
 def test_resume_without_an_event_is_not_listed_with_a_part_of_the_text(stack: ExitStack) -> None:
     """Guards against an answer that broke off before its first event and states no length."""
-    workers = RawWorkers(stack, Reply(BEGUN, reset=True), Reply(HEAD), REST)
+    rest = Reply(HEAD + b"".join(EVENTS[1:]))
+    workers = RawWorkers(stack, Reply(BEGUN, reset=True), Reply(HEAD), rest)
+    keeper, _ = start_job(stack, workers)
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+    # The last event is asked for again, so that a whole answer has an event.
+    assert b"Last-Event-Id: 1\r\n" in workers.requests[2]
+
+
+def test_item_whose_last_run_broke_off_after_its_last_event_is_listed(stack: ExitStack) -> None:
+    """Guards against an item that is run for ever because nothing is left to send."""
+    whole = Reply(HEAD + b"".join(EVENTS), reset=True)
+    last = Reply(HEAD + EVENTS[-1])
+    keeper, _ = start_job(stack, RawWorkers(stack, whole, Reply(HEAD), last))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+
+
+def test_empty_resume_that_states_its_length_is_whole(stack: ExitStack) -> None:
+    """Guards against a further run of an item whose worker says that no event is left."""
+    empty = Reply(HEAD[:-2] + b"Content-Length: 0\r\n\r\n")
+    workers = RawWorkers(stack, Reply(HEAD + b"".join(EVENTS), reset=True), empty)
     keeper, _ = start_job(stack, workers)
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
