Check that the events of a stream count up from the one asked for

A second answer after a stream without a length became a part of the stream, head included, and an answer to an earlier run of an item, which has the same request id, was joined to the events of the item. Nothing looked at the numbers of events.

EventReader refuses any other event, and a stream is resumed after the last good one. Nine cases over sockets failed before (events twice, gaps, another answer's head in the stream) and pass.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -13,6 +13,8 @@
 # Largest event of a stream. Events have a few tokens, some hundred bytes.
 _MAX_EVENT_BYTES = 2**20
 
+# Begins the status line of an HTTP answer, and no field of an event.
+_ANSWER_START = b"HTTP/"
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data:(?: )?([^\r\n]*)\r?$", re.MULTILINE)
@@ -76,13 +78,16 @@
 
 
 class EventReader:
-    """Reads the events of one run of a stream.
+    """Reads the events of one run of a stream, whose ids must count up without a gap.
+
+    A second answer after a stream without a length would otherwise become a part of it.
 
     :param after: id of the last event of the runs before, or None for a run from the start.
     """
 
     def __init__(self, after: int | None = None) -> None:
         self._after = after
+        self._last_id = after or 0
         self._splitter = EventSplitter()
         self._count = 0
 
@@ -94,12 +99,23 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that they complete.
 
-        :raises IncompleteAnswerError: when an event is malformed.
+        :raises IncompleteAnswerError: when an event is malformed or out of order.
         """
         events = self._splitter.feed(data)
-        self._count += sum(not event.is_empty for event in events)
+        for event in events:
+            self._check(event)
         return events
 
+    def _check(self, event: StreamEvent) -> None:
+        if event.raw.startswith(_ANSWER_START):
+            raise IncompleteAnswerError("another answer follows the stream")
+        if event.is_empty:
+            return
+        if event.id != self._last_id + 1:
+            raise IncompleteAnswerError(f"event {event.id} follows event {self._last_id}")
+        self._last_id = event.id
+        self._count += 1
+
     def finish(self, framing: Framing) -> None:
         """Check that the run is whole, at the end of its answer.
 
--- a/tests/unit/raw_workers.py
+++ b/tests/unit/raw_workers.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import threading
+from collections.abc import Callable
 from contextlib import ExitStack, suppress
 from typing import NamedTuple
 
@@ -12,11 +13,12 @@
 class Reply(NamedTuple):
     """Bytes that a worker sends to one request.
 
+    :param data: the bytes, or a function that makes them from the bytes of the request.
     :param reset: whether it then resets the connection instead of closing it.
     :param kept: whether it keeps the connection open.
     """
 
-    data: bytes
+    data: bytes | Callable[[bytes], bytes]
     reset: bool = False
     kept: bool = False
 
@@ -46,7 +48,7 @@
                     continue
                 self.requests.append(request)
                 reply = self.replies.pop(0)
-                connection.sendall(reply.data)
+                connection.sendall(reply.data(request) if callable(reply.data) else reply.data)
                 if reply.reset:
                     linger = struct.pack("ii", 1, 0)
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Tests worker answers that break off, come twice or state no length, over real sockets."""
 
+import re
 from collections.abc import Iterator
 from contextlib import ExitStack
 
@@ -91,6 +92,36 @@
     assert b"Last-Event-Id: 2\r\n" in workers.requests[1]
 
 
+def send_rest(request: bytes) -> bytes:
+    """Answer with the events after the one that a request names."""
+    found = re.search(rb"Last-Event-Id: (\d+)\r\n", request)
+    return UNFRAMED + b"".join(EVENTS[int(found.group(1)) if found else 0 :])
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        EVENTS[0] + EVENTS[1] + UNFRAMED + ALL,
+        EVENTS[0] + EVENTS[1] + EVENTS[0],
+        EVENTS[0] + EVENTS[2],
+        EVENTS[1],
+        EVENTS[0] + b"data: text without an id\n\n",
+    ],
+)
+def test_stream_with_a_foreign_event_is_resumed(stack: ExitStack, broken: bytes) -> None:
+    """Guards against a second answer, an event that comes twice, and a gap in a stream."""
+    workers = RawWorkers(stack, Reply(UNFRAMED + broken), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+    assert len(workers.requests) == 2
+
+
+def test_second_answer_to_an_earlier_run_is_not_a_resumed_one(stack: ExitStack) -> None:
+    """Guards against events that come twice when a worker answers the request of an earlier run."""
+    begun = Reply(UNFRAMED + EVENTS[0] + EVENTS[1], reset=True)
+    workers = RawWorkers(stack, begun, Reply(UNFRAMED + ALL), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+
+
 ERRORS = [
     make_error(500),
     make_error(404),
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -112,3 +112,13 @@
     workers = RawWorkers(stack, Reply(HEAD + b"".join(EVENTS), reset=True), empty)
     keeper, _ = start_job(stack, workers)
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+
+
+@pytest.mark.parametrize("second", [EVENTS, EVENTS[3:], EVENTS[:1]])
+def test_second_answer_to_an_earlier_run_is_not_joined(
+    stack: ExitStack, second: list[bytes]
+) -> None:
+    """Guards against a text with an event twice, or without one, of a worker that answers again."""
+    stale = Reply(HEAD + b"".join(second))
+    keeper, _ = start_job(stack, RawWorkers(stack, Reply(BEGUN, reset=True), stale, REST))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
