Refuse successful answers that do not name their request

Workers echo the id; only errors may come from before it was read. The test got the other answer's body before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -23,6 +23,8 @@
 _READ_SIZE_BYTES = 65536
 _MIN_TIMEOUT_SECONDS = 0.001
 _WRONG_WORKER_STATUS = 421
+# Errors may come from before the worker has read the request's id; other answers name it.
+_FIRST_ERROR_STATUS = 400
 _MILLISECONDS_PER_SECOND = 1000.0
 # Headers of an answer that apply only to the connection to the worker.
 _CONNECTION_HEADERS = {
@@ -170,9 +172,10 @@
         )
         answer = PlatformAnswer(exchange, self._clock, expects_version)
         echoed = exchange.response.getheader(names.REQUEST_ID)
-        if echoed is not None and echoed != call.request_id:
+        is_refusal = echoed is None and exchange.status >= _FIRST_ERROR_STATUS
+        if echoed != call.request_id and not is_refusal:
             exchange.close()
-            message = f"worker {worker.id} answered another request"
+            message = f"worker {worker.id} answered request {echoed!r} instead"
             raise WorkerFailure(message, Verdict.MAY_HAVE_RUN)
         return answer
 
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -168,6 +168,13 @@
     assert caught.value.status == 502
 
 
+def test_success_that_names_no_request_is_not_the_answer(stack: ExitStack) -> None:
+    """Guards against the answer to another request, whose id is missing."""
+    unnamed = Reply(PLAIN.replace(b"X-Request-Id: q1\r\n", b"") + b"another answer")
+    workers = RawWorkers(stack, unnamed, Reply(PLAIN + b"whole"))
+    assert run(stack, workers, IDEMPOTENT).body == b"whole"
+
+
 def test_refusal_that_is_written_again_belongs_to_no_other_request(stack: ExitStack) -> None:
     """Guards against 'not run' for a request that ran, or a second run of it.
 
