--- a/tests/unit/raw_workers.py
+++ b/tests/unit/raw_workers.py
@@ -24,10 +24,20 @@
 
 
 class RawWorkers:
-    """One listener that answers one connection after the other with the bytes of a list."""
+    """One listener that answers one connection after the other.
 
-    def __init__(self, stack: ExitStack, *replies: Reply) -> None:
+    :param replies: answers to the requests, in order.
+    :param respond: returns the answer to the bytes of a request, in place of ``replies``.
+    """
+
+    def __init__(
+        self,
+        stack: ExitStack,
+        *replies: Reply,
+        respond: Callable[[bytes], Reply] | None = None,
+    ) -> None:
         self.replies = list(replies)
+        self._respond = respond or (lambda request: self.replies.pop(0))
         self.requests: list[bytes] = []
         self._stack = stack
         self._listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
@@ -47,7 +57,7 @@
                     connection.close()
                     continue
                 self.requests.append(request)
-                reply = self.replies.pop(0)
+                reply = self._respond(request)
                 connection.sendall(reply.data(request) if callable(reply.data) else reply.data)
                 if reply.reset:
                     linger = struct.pack("ii", 1, 0)
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -33,8 +33,8 @@
         yield opened
 
 
-def start_job(stack: ExitStack, workers: RawWorkers) -> tuple[JobManager, ServingDependencies]:
-    """Submit a job of one item to a daemon that has one worker."""
+def start_keeper(stack: ExitStack, workers: RawWorkers) -> tuple[JobManager, ServingDependencies]:
+    """Start a daemon's job manager that has one worker."""
     client = PlatformWorkers(SystemClock())
     stack.callback(client.close)
     tools = make_tools(client, workers=0)
@@ -44,6 +44,12 @@
     keeper = JobManager(parts)
     keeper.start(stack)
     keeper.follow(stack)
+    return keeper, tools
+
+
+def start_job(stack: ExitStack, workers: RawWorkers) -> tuple[JobManager, ServingDependencies]:
+    """Submit a job of one item to a daemon that has one worker."""
+    keeper, tools = start_keeper(stack, workers)
     keeper.submit("j1", CHECKED, make_document(1))
     return keeper, tools
 
