--- a/packages/trefoilctl/src/trefoilctl/_internal/client.py
+++ b/packages/trefoilctl/src/trefoilctl/_internal/client.py
@@ -94,6 +94,9 @@
     try:
         connection.request(method, path, data, headers)
         response = connection.getresponse()
+        if response.length is None and not response.chunked:
+            # Daemons frame every answer, so the connection has ended inside the head.
+            raise HTTPException("the answer states no length")
         response_headers = {name.lower(): value for name, value in response.getheaders()}
         return Reply(response.status, response_headers, response.read())
     except (OSError, HTTPException) as error:
--- a/tests/unit/test_ctl_client.py
+++ b/tests/unit/test_ctl_client.py
@@ -6,6 +6,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
+from raw_workers import RawWorkers, Reply
 from trefoilctl._internal.client import Client
 from trefoilctl._internal.errors import CtlError
 
@@ -88,3 +89,14 @@
     with pytest.raises(CtlError):
         Client(urls, None).call("POST", "/x")
     assert daemons.request_counts == [1, 0]
+
+
+def test_answer_cut_in_its_head_is_no_answer() -> None:
+    """Guards against an empty file in place of a result, from a daemon killed while it answers."""
+    whole = b"HTTP/1.1 200 OK\r\nServer: d\r\nContent-Length: 5\r\n\r\nwhole"
+    with ExitStack() as stack:
+        daemon = RawWorkers(stack, *[Reply(whole[:cut]) for cut in range(len(whole))])
+        client = Client([f"http://127.0.0.1:{daemon.port}"], None, 1.0)
+        for _ in range(len(whole)):
+            with pytest.raises(CtlError):
+                client.call("POST", "/")
