Read an object again when the store's answer states no length

An answer with an object that ends with its connection may be a part of the object: a part of an item's output or of a submitted document would be read as the whole. Rows are safe, as a part of a JSON document cannot be decoded.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/store.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -10,6 +10,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.platform import names
+from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.rows import (
     Committed,
@@ -36,10 +37,10 @@
 _NOT_APPLIED_STATUSES = {403, 413, 429, 503, 507}
 
 
-class _Reply:
-    def __init__(self, status: int, data: bytes) -> None:
-        self.status = status
-        self.data = data
+class _Reply(NamedTuple):
+    status: int
+    data: bytes
+    framing: Framing
 
 
 class StoreClient:
@@ -68,7 +69,7 @@
         try:
             exchange = self._pool.request(method, path, data, headers, timeout)
             try:
-                reply = _Reply(exchange.status, exchange.read())
+                reply = _Reply(exchange.status, exchange.read(), exchange.framing)
             finally:
                 exchange.close()
         except HttpFailure as failure:
@@ -181,6 +182,8 @@
         if reply.ok_value.status != _STATUS_OK:
             message = f"the store answered {reply.ok_value.status} to the read of an object"
             return Err(StoreUnavailable(message))
+        if reply.ok_value.framing is Framing.CONNECTION:
+            return Err(StoreUnavailable("the store's answer with an object states no length"))
         return Ok(reply.ok_value.data)
 
     def drop(self, name: str) -> Result[None, StoreError]:
--- a/tests/unit/test_cut_answers.py
+++ b/tests/unit/test_cut_answers.py
@@ -5,7 +5,9 @@
 
 import pytest
 from raw_workers import RawWorkers, Reply
+from result import Err, Ok
 from trefoilreach._internal.clock import SystemClock
+from trefoilreach._internal.platform.store import PlatformBlobs, StoreClient
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool, Interrupt
 
@@ -92,3 +94,15 @@
 def test_answer_without_a_valid_framing_is_no_answer(stack: ExitStack, fields: bytes) -> None:
     """Guards against a body whose end cannot be known, and that is taken for whole."""
     assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + BODY))) is None
+
+
+def test_object_without_a_stated_length_is_not_taken_for_whole(stack: ExitStack) -> None:
+    """Guards against a part of a stored output that is read as the whole."""
+    head, body = FRAMED["connection"]
+    framed = Reply(b"".join(FRAMED["length"]))
+    store = StoreClient(
+        "127.0.0.1", RawWorkers(stack, Reply(head + body), framed).port, SystemClock()
+    )
+    stack.callback(store.close)
+    assert isinstance(PlatformBlobs(store).get("o"), Err)
+    assert PlatformBlobs(store).get("o") == Ok(body)
