Check every field of a worker's entry, as another writer may have left it

It happens here. orjson takes up to 1,023 levels of nesting, and repr() in an error message of decode_worker fails beyond about 990: the RecursionError left the feed's hook, which read all rows again every 0.5 s, for as long as the entry stood, and applied none. A daemon that started then knew no worker and answered 503 to all requests. An entry with a host that cannot be written (a NUL, a space, a line end, 300 letters) took requests: the first answered 500 to its caller and its slot was never released. slots and born of more than 64 bits broke log lines; slots of 1e308 was the emptiest worker for most requests.

Each field is now checked against named limits in protocol/checked_values.py: integers are integers (no booleans, fractions, texts), hosts are IPv4 addresses of one host, ports ASCII digits in range, names printable and of at most 200 bytes, ids visible ASCII. A field that workers write and this system does not use (version, sequence, coldLeftMs) must be there and of its type; only born may be missing. Messages of errors do not quote values.

The former property test of malformed entries is replaced by three that cover all fields, any bytes, any id, and that sound entries are decoded. The emulated workers write all fields.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
@@ -50,15 +50,23 @@
         self._lock = threading.Lock()
         self._running = 0
 
-    def register(self, platform: RowPlatform, port: int, state: str = "ready") -> None:
-        """Write the worker's entry."""
+    def register(
+        self, platform: RowPlatform, port: int, state: str = "ready", born: int = 1
+    ) -> None:
+        """Write the worker's entry.
+
+        :param born: start time of its process; another value means a restart.
+        """
         entry = {
             "service": "pool",
             "address": f"127.0.0.1:{port}",
             "zone": "a",
+            "version": "v1",
             "slots": self.slots,
             "state": state,
-            "born": 1,
+            "coldLeftMs": 0,
+            "sequence": 1,
+            "born": born,
         }
         platform.put(names.WORKER_TABLE, self.name, entry)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -1,11 +1,20 @@
 """Decodes the operator's desired state and the workers' registrations from the store."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import orjson
 from result import Err, Ok, Result
 
+from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT64,
+    check_address,
+    check_integer,
+    check_name,
+    check_number,
+    check_token,
+)
+from trefoilreach._internal.state.config_check import MAX_SLOTS
 from trefoilreach._internal.state.serving import (
     DesiredState,
     RequestLimits,
@@ -22,8 +31,11 @@
     "stream": RouteKind.STREAM,
     "batch": RouteKind.BATCH,
 }
-_WORKER_STATES = {"ready", "draining"}
+# Whether a worker in a state takes no new requests.
+_DRAINING_BY_STATE = {"ready": False, "draining": True}
 _MILLISECONDS_PER_SECOND = 1000.0
+# Longest text of an error in a log line; an error may quote a field of any size.
+_MAX_ERROR_LENGTH = 200
 
 
 class EntryDecodeError(ValueError):
@@ -89,28 +101,49 @@
 
 
 def decode_worker(worker_id: str, data: bytes) -> Result[WorkerEntry, EntryDecodeError]:
-    """Decode a worker's entry and check its values, as any client of the store may write there."""
+    """Decode a worker's entry and check its values, as any client of the store may write there.
+
+    An entry without a field that every worker writes is not a worker's, also if the field is not
+    used here. ``born`` may be missing, but not be malformed.
+    """
     try:
         body = orjson.loads(data)
-        host, port = body["address"].rsplit(":", 1)
+        host, port = _check_field(body, "address", check_address)
         entry = WorkerEntry(
-            id=worker_id,
-            service=_require_string(body["service"]),
-            host=_require_string(host),
-            port=int(port),
-            data_centre=_require_string(body.get("zone") or ""),
-            slots=int(body["slots"]),
-            draining=body["state"] == "draining",
-            started_ms=int(body.get("born") or 0),
+            id=check_token(worker_id),
+            service=_check_field(body, "service", check_name),
+            host=host,
+            port=port,
+            data_centre=_check_field(body, "zone", check_name),
+            slots=_check_field(body, "slots", lambda value: check_integer(value, 1, MAX_SLOTS)),
+            draining=_check_field(body, "state", _check_state),
+            started_ms=_check_field({"born": 0, **body}, "born", _check_count),
         )
-        if body["state"] not in _WORKER_STATES or entry.slots < 1 or not 0 < entry.port < 65536:
-            return Err(EntryDecodeError(f"entry of worker {worker_id!r} has a value out of range"))
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(EntryDecodeError(f"entry of worker {worker_id!r} cannot be read: {error!r}"))
+        _check_field(body, "version", check_name)
+        _check_field(body, "sequence", _check_count)
+        _check_field(body, "coldLeftMs", lambda value: check_number(value, 0.0, MAX_INT64))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        reason = repr(error)[:_MAX_ERROR_LENGTH]
+        return Err(EntryDecodeError(f"entry of worker {worker_id!r} cannot be read: {reason}"))
     return Ok(entry)
 
 
-def _require_string(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
-    return value
+def _check_field(body: Mapping[str, Any], field: str, check: Callable[[Any], Any]) -> Any:
+    """Return a field as a check returns it.
+
+    :raises ValueError: names the field that is not allowed; ``KeyError`` for a missing one.
+    """
+    try:
+        return check(body[field])
+    except ValueError as error:
+        raise ValueError(f"{field}: {error}") from None
+
+
+def _check_count(value: Any) -> int:
+    return check_integer(value, 0, MAX_INT64)
+
+
+def _check_state(value: Any) -> bool:
+    if not isinstance(value, str) or value not in _DRAINING_BY_STATE:
+        raise ValueError("not a state of workers")
+    return _DRAINING_BY_STATE[value]
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/config_check.py
@@ -21,7 +21,9 @@
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MAX_SECONDS = 30 * 86400.0
 _MAX_RATE = 1_000_000.0
-_MAX_SLOTS = 10_000
+# Far more than one server runs at once; sums over all servers stay within the 32-bit integers of
+# the datagrams.
+MAX_SLOTS = 10_000
 _MAX_MODELS_PER_ENGINE = 1_000
 
 
@@ -148,7 +150,7 @@
         "port": _integer_rule(1, 65535),
         "routes": _NAMES,
         "data_centre": _OPTIONAL_NAME,
-        "slots": _integer_rule(1, _MAX_SLOTS),
+        "slots": _integer_rule(1, MAX_SLOTS),
         "state": _choice_rule("live", "leaving"),
         "model_limit": _integer_rule(0, _MAX_MODELS_PER_ENGINE),
         "role": _OPTIONAL_NAME,
--- a/tests/functional/test_deadly_part.py
+++ b/tests/functional/test_deadly_part.py
@@ -41,15 +41,7 @@
     def _start(self) -> None:
         self._port = self._server.enter_context(run_server("127.0.0.1", self._port, self._handle))
         self._starts += 1
-        entry = {
-            "service": "pool",
-            "address": f"127.0.0.1:{self._port}",
-            "zone": "a",
-            "slots": self._worker.slots,
-            "state": "ready",
-            "born": self._starts,
-        }
-        self._deployment.platform.put(names.WORKER_TABLE, self._worker.name, entry)
+        self._worker.register(self._deployment.platform, self._port, born=self._starts)
 
     def _handle(self, exchange: Exchange) -> None:
         if DEADLY not in exchange.headers.get("X-Prompt-Prefix", ""):
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -1,5 +1,7 @@
 """Tests the decoding of the platform's formats, including malformed entries in the store."""
 
+import ipaddress
+import re
 from pathlib import Path
 
 import orjson
@@ -17,7 +19,12 @@
 )
 from trefoilreach._internal.protocol.event_stream import EventSplitter
 from trefoilreach._internal.settings import SettingsError
-from trefoilreach._internal.state.serving import RouteIndex, RouteKind, list_shared_parts
+from trefoilreach._internal.state.serving import (
+    RouteIndex,
+    RouteKind,
+    WorkerEntry,
+    list_shared_parts,
+)
 
 SETTINGS = """node=edge-a-1
 ip=10.1.0.21
@@ -47,7 +54,16 @@
     "timeoutMs": 5000,
     "gapAimMs": 250,
 }
-WORKER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 8, "state": "ready"}
+WORKER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "sequence": 4,
+}
 
 
 def make_state(**changes: object) -> bytes:
@@ -105,16 +121,150 @@
     assert isinstance(decode_desired_state(data), Err)
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=300),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=8,
+)
+# Texts that begin like an address or a number.
+NEAR_VALUES = st.builds(
+    lambda start, rest: start + rest,
+    st.sampled_from(["10.0.0.1:80", "10.0.0.1:", "10.0.0.", "8", ":80", "s", "ready"]),
+    st.text(st.characters(codec="utf-8", max_codepoint=0x2100), max_size=4),
+)
+
+
+def check_worker(entry: WorkerEntry) -> None:
+    """Check that headers, datagrams, log lines and connections can carry an entry's values."""
+    assert re.fullmatch(r"[!-~]{1,200}", entry.id)
+    for name in (entry.service, entry.data_centre):
+        assert name.isprintable() and 0 < len(name.encode()) <= 200
+    assert re.fullmatch(r"[0-9]{1,3}(\.[0-9]{1,3}){3}", entry.host) and 0 < entry.port < 65536
+    assert ipaddress.IPv4Address(entry.host) != ipaddress.IPv4Address("0.0.0.0")
+    assert type(entry.slots) is int and 1 <= entry.slots <= 10_000
+    assert type(entry.started_ms) is int and 0 <= entry.started_ms < 2**63
+    assert type(entry.draining) is bool
+
+
+@given(
+    st.text(max_size=300),
+    st.dictionaries(
+        st.sampled_from([*WORKER, "born", "stage"]), JSON_VALUES | NEAR_VALUES, max_size=3
+    ),
+)
+def test_only_entries_that_can_be_used_are_decoded_fuzz(name: str, fields: object) -> None:
+    """Guards against an odd entry that stops the daemon or receives requests."""
+    assert isinstance(fields, dict)
+    for key in ("w", name):
+        decoded = decode_worker(key, orjson.dumps({**WORKER, **fields}))
+        if isinstance(decoded, Ok):
+            check_worker(decoded.ok_value)
+        else:
+            assert len(str(decoded.err_value)) < 3000
+
+
+@given(st.binary(max_size=200) | JSON_VALUES.map(orjson.dumps))
+def test_entries_of_any_bytes_are_no_workers_fuzz(data: bytes) -> None:
+    """Guards against bytes that raise an exception instead of naming no worker."""
+    assert isinstance(decode_worker("w", data), Err)
+
+
 @given(
-    st.sampled_from(["service", "address", "slots", "state", "born"]),
-    st.none() | st.booleans() | st.text(max_size=5) | st.lists(st.integers(-9, 9), max_size=2),
+    st.integers(1, 10_000),
+    st.integers(1, 65535),
+    st.ip_addresses(v=4),
+    st.text("aZ-.9", min_size=1),
 )
-def test_malformed_worker_entries_are_rejected_fuzz(field: str, value: object) -> None:
-    """Guards against a malformed entry that stops the daemon or receives requests."""
-    decoded = decode_worker("w", orjson.dumps({**WORKER, field: value}))
-    if isinstance(decoded, Ok):
-        entry = decoded.ok_value
-        assert isinstance(entry.service, str) and entry.slots >= 1 and entry.port > 0
+def test_every_sound_entry_is_decoded_fuzz(
+    slots: int, port: int, host: ipaddress.IPv4Address, name: str
+) -> None:
+    """Guards against a check that refuses a worker which may be used."""
+    fields = {"slots": slots, "address": f"{host}:{port}", "service": name, "born": slots}
+    decoded = decode_worker(name, orjson.dumps({**WORKER, **fields}))
+    usable = not (host.is_unspecified or host.is_multicast or host.is_reserved)
+    assert isinstance(decoded, Ok) is usable
+
+
+def nest(depth: int) -> bytes:
+    return b"[" * depth + b"]" * depth
+
+
+ODD_FIELDS: list[tuple[str, bytes]] = [
+    *((name, b"null") for name in WORKER),
+    *((name, nest(depth)) for name in WORKER for depth in (1, 990, 1000, 1023, 1024, 20_000)),
+    *(
+        ("slots", text)
+        for text in (b"true", b'"8"', b'"8_0"', b'" 8"', b"8.0", b"8.5", b"0", b"-1")
+    ),
+    *(("slots", text) for text in (b"10001", b"1e18", b"1e308", b"1e400", b"9" * 23, b"9" * 5000)),
+    *(("born", text) for text in (b"null", b"true", b"-1", b"1.5", b'"1"', b"1e308", b"9" * 23)),
+    *(("sequence", text) for text in (b"true", b"-1", b"1.5", b'"4"', b"1e308")),
+    *(("coldLeftMs", text) for text in (b"true", b"-1", b'"4"', b"1e308")),
+    *(("service", text) for text in (b'""', b'"\\u0000"', b'"a\\nb"', b'"' + b"s" * 201 + b'"')),
+    *(("zone", text) for text in (b'""', b'"\\u0000"', b"7", b'"' + b"z" * 45_000 + b'"')),
+    *(("state", text) for text in (b'"odd"', b'"READY"', b"{}", b"true")),
+]
+ODD_ADDRESSES = [
+    *(
+        f"10.0.0.1:{port}"
+        for port in ("0", "65536", "99999999999", "-1", "+80", " 80", "8_0", "", "8e1")
+    ),
+    *(f"10.0.0.1:{port}" for port in ("\u0664\u0660", "80\n", "80\0", "80/x", "80.0")),
+    *(
+        f"{host}:80"
+        for host in ("", "a\0", "10.0.0.1\0", "10.0.0.1 ", "10.0.0.1\r\nX-A: b", "x" * 300)
+    ),
+    *(
+        f"{host}:80"
+        for host in ("localhost", "worker.example", "10.1", "010.0.0.1", "1.2.3.4.5", "0x7f.1")
+    ),
+    *(
+        f"{host}:80"
+        for host in ("::1", "[::1]", "0.0.0.0", "224.0.0.1", "255.255.255.255", "1.2.3.256")
+    ),
+    "10.0.0.1",
+    "80",
+    "",
+]
+
+
+@pytest.mark.parametrize(("field", "value"), ODD_FIELDS)
+def test_entry_with_an_odd_field_names_no_worker(field: str, value: bytes) -> None:
+    """Guards against values of another type or size that are taken for those of a worker."""
+    data = orjson.dumps({**WORKER, field: "VALUE"}).replace(b'"VALUE"', value)
+    decoded = decode_worker("w", data)
+    assert isinstance(decoded, Err) and len(str(decoded.err_value)) < 400
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_entry_with_an_odd_address_names_no_worker(address: str) -> None:
+    """Guards against connections to hosts that need a look-up or are none."""
+    assert isinstance(decode_worker("w", orjson.dumps({**WORKER, "address": address})), Err)
+
+
+@pytest.mark.parametrize("field", WORKER)
+def test_entry_without_a_field_names_no_worker(field: str) -> None:
+    """Guards against the use of an entry that no worker has written."""
+    fields = {name: value for name, value in WORKER.items() if name != field}
+    assert isinstance(decode_worker("w", orjson.dumps(fields)), Err)
+
+
+@pytest.mark.parametrize(
+    "name", ["", " ", "a b", "a\r\nX-A: b", "w\0", "\u00f6", "\u2028", "x" * 201]
+)
+def test_worker_whose_id_no_header_can_carry_is_not_used(name: str) -> None:
+    """Guards against requests that cannot be written because of the worker's id."""
+    assert isinstance(decode_worker(name, orjson.dumps(WORKER)), Err)
+
+
+def test_large_entry_with_more_fields_is_decoded() -> None:
+    """Guards against a newer worker whose further fields make its entry unusable."""
+    further = {"stage": "hybrid", "models": [{"name": "m" * 1000, "version": n} for n in range(40)]}
+    assert isinstance(decode_worker("w", orjson.dumps({**WORKER, **further})), Ok)
 
 
 def test_worker_entry_is_decoded() -> None:
