Fail before the run where a host or a header cannot be written

Callers got 500 for requests that were sent to a worker whose entry had a host with a NUL, a space, a line end or a label of 300 letters, and the slot of each stayed taken until the daemon ended.

HttpPool raised InvalidURL, UnicodeError or ValueError for such a host or header, which no caller of it is made for. Its connection was not closed for a header. The system's resolver keeps the lowest 16 bits of a port, so that 65,616 was a connection to port 80. _open_attempt released the slot for a WorkerFailure only; a Refusal because the caller had left just before the request was sent leaked it too (read, not run).

Now all of them are an HttpFailure with Verdict.NOT_RUN. A request that cannot be written is marked as such and does not make its worker suspected; its caller hears 503 as not run instead of 502. _open_attempt releases the slot after any error. Messages quote at most 200 characters.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -196,6 +196,10 @@
                 self._tools.admission.release(ticket)
                 self._record_failure(worker, failure)
                 continue
+            except BaseException:
+                # A slot that is not released counts as used until the daemon ends.
+                self._tools.admission.release(ticket)
+                raise
             if answer.not_run and answer.is_wrong_worker:
                 self._tools.admission.workers.note_replaced(worker.id)
             else:
@@ -443,6 +447,7 @@
             raise self._give_up(_CALLER_DISCONNECTED)
         if failure.unreachable:
             workers.note_failure(worker.id, str(failure))
+        if failure.verdict is Verdict.NOT_RUN:
             self._record_not_run(worker, str(failure))
             return
         self._begun = self._begun or begun
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -161,9 +161,10 @@
                 interrupt=interrupt,
             )
         except HttpFailure as failure:
-            not_sent = failure.verdict is Verdict.NOT_RUN
+            # A request that cannot be written says nothing about the worker.
+            unreachable = failure.verdict is Verdict.NOT_RUN and not failure.unwritable
             raise WorkerFailure(
-                str(failure), failure.verdict, unreachable=not_sent, timed_out=failure.timed_out
+                str(failure), failure.verdict, unreachable, failure.timed_out
             ) from failure
         expects_version = any(
             name.lower() == names.EXPECTED_VERSION.lower() for name, _ in call.headers
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.protocol.checked_values import MAX_PORT
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.transport.readiness import is_readable
 
@@ -21,21 +22,32 @@
 MAX_BODY_BYTES = 16 * 2**20
 
 
+# Longest text of an error, which may quote a host or a header of any size.
+_MAX_ERROR_LENGTH = 200
+
+
 class HttpFailure(Exception):
     """A request got no complete answer.
 
     :param verdict: whether the other side may have run the request.
     :param refused: whether the connection was refused, so that no process listens there.
     :param timed_out: whether the wait for the other side timed out.
+    :param unwritable: whether the request has a target or headers that HTTP cannot carry.
     """
 
     def __init__(
-        self, message: str, verdict: Verdict, refused: bool = False, timed_out: bool = False
+        self,
+        message: str,
+        verdict: Verdict,
+        refused: bool = False,
+        timed_out: bool = False,
+        unwritable: bool = False,
     ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.refused = refused
         self.timed_out = timed_out
+        self.unwritable = unwritable
 
 
 class Interrupt:
@@ -76,6 +88,10 @@
         open_socket.shutdown(socket.SHUT_RDWR)
 
 
+def _describe(error: Exception) -> str:
+    return repr(error)[:_MAX_ERROR_LENGTH]
+
+
 class _LimitedReader(io.RawIOBase):
     """Reads from a socket for a limited time and up to a limited size.
 
@@ -172,11 +188,17 @@
         return _Response(open_socket, self._clock, **arguments)
 
     def exchange(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> _Response:
-        """Send a request and return the response once its head has arrived."""
+        """Send a request and return the response once its head has arrived.
+
+        :raises HttpFailure: when the request cannot be written; nothing was sent.
+        """
         buffered: list[bytes] = []
         self._buffered = buffered
         try:
             self.request(method, path, body=body, headers=headers)
+        except (HTTPException, ValueError) as error:
+            message = f"the request cannot be written: {_describe(error)}"
+            raise HttpFailure(message, Verdict.NOT_RUN, unwritable=True) from error
         finally:
             self._buffered = None
         self.send(b"".join(buffered))
@@ -236,6 +258,11 @@
         try:
             open_socket.settimeout(timeout)
             response = connection.exchange(method, path, body, headers or {})
+        except HttpFailure:
+            if interrupt is not None:
+                interrupt.detach()
+            connection.close()
+            raise
         except (OSError, HTTPException) as error:
             if interrupt is not None:
                 interrupt.detach()
@@ -266,13 +293,22 @@
         self.drop_idle()
 
     def _connect(self) -> _Connection:
-        connection = _Connection(self._host, self._port, self._connect_timeout, self._clock)
+        if not 0 < self._port <= MAX_PORT:
+            # The system's resolver keeps only the lowest 16 bits of a port.
+            raise HttpFailure("cannot connect: the port is out of range", Verdict.NOT_RUN)
+        try:
+            connection = _Connection(self._host, self._port, self._connect_timeout, self._clock)
+        except HTTPException as error:
+            message = f"cannot connect: {_describe(error)}"
+            raise HttpFailure(message, Verdict.NOT_RUN) from error
         try:
             connection.connect()
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # A host with a NUL or a long label raises ValueError.
             connection.close()
             refused = isinstance(error, ConnectionRefusedError)
-            message = f"cannot connect to {self._host}:{self._port}: {error!r}"
+            address = f"{self._host[:_MAX_ERROR_LENGTH]}:{self._port}"
+            message = f"cannot connect to {address}: {_describe(error)}"
             silent = isinstance(error, TimeoutError)
             raise HttpFailure(message, Verdict.NOT_RUN, refused, silent) from error
         return connection
