Apply the other rows of a table when a hook fails for one

A row whose value is not base64 made the whole answer of the store unusable in the same way.

FeedWatch now applies the rows one by one after an error of a hook, logs those that raise it, goes on with the others and reads all rows once more after 5 s, in case the error was a passing one. A value that cannot be decoded is an empty one, which no decoder accepts. A desired state whose adoption raises an error confirms nothing, as one that cannot be decoded. describe_error limits errors in log lines to 200 characters, and names only the type of an error whose repr fails.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/table_feed.py
@@ -9,7 +9,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.serving.freshness import StoreAnswer
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.state.rows import HistoryTruncated, RowStore, StoredRow
 from trefoilreach._internal.state.table import StoreError
 
@@ -17,6 +17,9 @@
 # delay then doubles up to the limit.
 _FIRST_RETRY_SECONDS = 0.1
 _MAX_RETRY_SECONDS = 0.5
+# After a row that a hook could not apply, all rows are read again in case the error was a passing
+# one. The row may be there for days, so that this must cost few reads.
+_REREAD_SECONDS = 5.0
 
 
 class WatchedTable(NamedTuple):
@@ -42,6 +45,9 @@
 class FeedHooks(NamedTuple):
     """Callbacks of a :class:`FeedWatch`.
 
+    After an error of one of the first two, the rows are applied again one by one, and those that
+    raise it are left out. A row may therefore be applied twice.
+
     :param on_replaced: gets all rows after a full read, and whether the read follows a failure.
     :param on_changed: gets the changed rows.
     :param on_answered: called after each answer of the store.
@@ -69,6 +75,7 @@
         self._store_ms = 0.0
         self._held_seconds = 0.0
         self._unheld_call_at = float("-inf")
+        self._reread_at = float("inf")
 
     @property
     def failing(self) -> bool:
@@ -93,9 +100,10 @@
             try:
                 error = self._call_store()
             except Exception as unexpected:
-                # A row that cannot be applied must not end the feed; all rows are read again.
-                log_event("feed:error", table=self._watched.table, error=repr(unexpected))
-                error = StoreError(f"a change could not be applied: {unexpected!r}")
+                # No error may end the feed; all rows are read again.
+                reason = describe_error(unexpected)
+                log_event("feed:error", table=self._watched.table, error=reason)
+                error = StoreError(f"a change could not be applied: {reason}")
             if error is None:
                 retry_delay = _FIRST_RETRY_SECONDS
                 continue
@@ -106,7 +114,10 @@
     def _call_store(self) -> StoreError | None:
         """Make one call to the store; return its error, if any."""
         called_at = self._clock.now()
-        error = self._read_all() if self._version is None else self._read_changes(self._version)
+        if self._version is None or called_at >= self._reread_at:
+            error = self._read_all()
+        else:
+            error = self._read_changes(self._version)
         if isinstance(error, HistoryTruncated):
             log_event("store:history-gone", table=self._watched.table, version=self._version)
             self._version = None
@@ -130,7 +141,8 @@
             if version is None:
                 version = found.ok_value.version
                 self._store_ms = found.ok_value.store_ms
-        self._hooks.on_replaced(rows, self.failing)
+        self._reread_at = float("inf")
+        self._replace_rows(rows)
         self._version = version
         self._held_seconds = 0.0
         self._unheld_call_at = self._clock.now()
@@ -143,12 +155,47 @@
             return found.err_value
         self._held_seconds = 0.0 if found.ok_value.rows else hold_seconds
         if found.ok_value.rows:
-            self._hooks.on_changed(found.ok_value.rows)
+            self._change_rows(found.ok_value.rows)
             self._clock.wait(self._stop, self._watched.pause_after_changes())
         self._version = max(version, found.ok_value.version)
         self._store_ms = found.ok_value.store_ms
         return None
 
+    def _replace_rows(self, rows: list[StoredRow]) -> None:
+        """Apply the rows of a full read, without those that cannot be applied."""
+        try:
+            self._hooks.on_replaced(rows, self.failing)
+        except Exception as error:
+            self._note_row_error(error, "")
+            sound = [row for row in rows if self._change_row(row)]
+            self._hooks.on_replaced(sound, self.failing)
+
+    def _change_rows(self, rows: list[StoredRow]) -> None:
+        """Apply changed rows, without those that cannot be applied."""
+        try:
+            self._hooks.on_changed(rows)
+        except Exception as error:
+            self._note_row_error(error, "")
+            for row in rows:
+                self._change_row(row)
+
+    def _change_row(self, row: StoredRow) -> bool:
+        """Apply one changed row; return whether that was possible."""
+        try:
+            self._hooks.on_changed([row])
+        except Exception as error:
+            self._note_row_error(error, row.name.key)
+            return False
+        return True
+
+    def _note_row_error(self, error: Exception, key: str) -> None:
+        """Log the error of a hook and plan a full read.
+
+        :param key: the row at fault; empty if it is not known yet.
+        """
+        log_event("feed:error", table=self._watched.table, key=key, error=describe_error(error))
+        self._reread_at = min(self._reread_at, self._clock.now() + _REREAD_SECONDS)
+
     def _choose_hold(self) -> float:
         """Return for how many seconds the store may hold the next call."""
         now, interval = self._clock.now(), self._watched.unheld_call_interval
--- a/packages/trefoilreach/src/trefoilreach/_internal/logs.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/logs.py
@@ -21,6 +21,8 @@
 _KIND_LINES_PER_SECOND = 20.0
 # Most lines that wait to be written; further lines are left out and counted.
 _QUEUE_LIMIT_LINES = 2000
+# Longest text of an error in a line; an error may quote a value of any size.
+_MAX_ERROR_LENGTH = 200
 
 
 def open_log(settings: LogSettings, vm: str, stack: ExitStack) -> None:
@@ -63,6 +65,15 @@
     eliot.log_message(name, **fields)
 
 
+def describe_error(error: BaseException) -> str:
+    """Return the type and the beginning of the message of an error."""
+    try:
+        return repr(error)[:_MAX_ERROR_LENGTH]
+    except (RecursionError, MemoryError):
+        # The error quotes a value that is nested too deeply or too large.
+        return type(error).__name__
+
+
 class _KindLimit:
     """Token bucket of one kind of line; ``left_out`` counts lines since the last written one."""
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -6,6 +6,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from trefoilreach._internal.logs import describe_error
 from trefoilreach._internal.protocol.checked_values import (
     MAX_INT64,
     check_address,
@@ -34,8 +35,6 @@
 # Whether a worker in a state takes no new requests.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 _MILLISECONDS_PER_SECOND = 1000.0
-# Longest text of an error in a log line; an error may quote a field of any size.
-_MAX_ERROR_LENGTH = 200
 
 
 class EntryDecodeError(ValueError):
@@ -123,7 +122,7 @@
         _check_field(body, "sequence", _check_count)
         _check_field(body, "coldLeftMs", lambda value: check_number(value, 0.0, MAX_INT64))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        reason = repr(error)[:_MAX_ERROR_LENGTH]
+        reason = describe_error(error)
         return Err(EntryDecodeError(f"entry of worker {worker_id!r} cannot be read: {reason}"))
     return Ok(entry)
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/store.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/store.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.rows import (
@@ -204,5 +205,10 @@
 
 def _decode_row(row: dict[str, Any]) -> StoredRow:
     name = RowKey(row["table"], row.get("part", ""), row["key"])
-    value = base64.b64decode(row.get("value") or "")
+    try:
+        value = base64.b64decode(row.get("value") or "")
+    except (TypeError, ValueError) as error:
+        # One such value must not hide the other rows. No value that can be read is empty.
+        log_event("row:undecodable", table=name.table, key=name.key, error=describe_error(error))
+        value = b""
     return StoredRow(name, value, row.get("ver", 0), bool(row.get("tombstone")))
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -135,6 +135,8 @@
     def _change_state(self, rows: list[StoredRow]) -> None:
         for row in rows:
             if row.name.key == names.DESIRED_STATE_KEY and not row.deleted:
+                # Stays so if an error leaves the next line.
+                self._state_undecodable = True
                 self._state_undecodable = not self._service.adopt(row.value, "store")
 
     def _note_answer(self, answer: StoreAnswer) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import describe_error
 from trefoilreach._internal.protocol.checked_values import MAX_PORT
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.transport.readiness import is_readable
@@ -22,8 +23,8 @@
 MAX_BODY_BYTES = 16 * 2**20
 
 
-# Longest text of an error, which may quote a host or a header of any size.
-_MAX_ERROR_LENGTH = 200
+# Longest part of a host in a message.
+_MAX_SHOWN_HOST_LENGTH = 100
 
 
 class HttpFailure(Exception):
@@ -88,10 +89,6 @@
         open_socket.shutdown(socket.SHUT_RDWR)
 
 
-def _describe(error: Exception) -> str:
-    return repr(error)[:_MAX_ERROR_LENGTH]
-
-
 class _LimitedReader(io.RawIOBase):
     """Reads from a socket for a limited time and up to a limited size.
 
@@ -197,7 +194,7 @@
         try:
             self.request(method, path, body=body, headers=headers)
         except (HTTPException, ValueError) as error:
-            message = f"the request cannot be written: {_describe(error)}"
+            message = f"the request cannot be written: {describe_error(error)}"
             raise HttpFailure(message, Verdict.NOT_RUN, unwritable=True) from error
         finally:
             self._buffered = None
@@ -299,7 +296,7 @@
         try:
             connection = _Connection(self._host, self._port, self._connect_timeout, self._clock)
         except HTTPException as error:
-            message = f"cannot connect: {_describe(error)}"
+            message = f"cannot connect: {describe_error(error)}"
             raise HttpFailure(message, Verdict.NOT_RUN) from error
         try:
             connection.connect()
@@ -307,8 +304,8 @@
             # A host with a NUL or a long label raises ValueError.
             connection.close()
             refused = isinstance(error, ConnectionRefusedError)
-            address = f"{self._host[:_MAX_ERROR_LENGTH]}:{self._port}"
-            message = f"cannot connect to {address}: {_describe(error)}"
+            address = f"{self._host[:_MAX_SHOWN_HOST_LENGTH]}:{self._port}"
+            message = f"cannot connect to {address}: {describe_error(error)}"
             silent = isinstance(error, TimeoutError)
             raise HttpFailure(message, Verdict.NOT_RUN, refused, silent) from error
         return connection
