Check addresses and reports of daemons before they are used

A port of 70,000 or a host with a NUL makes sendto raise OverflowError or TypeError, which _send_to did not expect: the report was not sent to the addresses after it, every 2 s anew, so that daemons that knew each other only by the store never met. A host name would be looked up in the sender's thread. A good row that became odd stayed in use. A report without a count raised an error that kept the reports beside it in the datagram from being applied; one whose level of an account was NaN was applied. Datagrams were decoded outside of the receiver's error handling. A reply with a negative age confirmed the desired state for a time to come (a query's number must be guessed for that).

Rows, hellos, queries and lists of addresses now need an IPv4 address and a port in range. check_report is applied to each report before it is used or relayed; the others of the datagram hold. _send_to logs any unusable address.

The fixtures of test_exchange.py stated fronts such as "a:80", which are no addresses and are refused now; they state IP:PORT.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -31,6 +31,7 @@
     DaemonState,
     Identity,
     ReportBuilder,
+    check_report,
     decode,
     encode,
     encode_bundle,
@@ -39,7 +40,14 @@
 )
 from trefoilreach._internal.coordination.exchange.running_time import RunningTime
 from trefoilreach._internal.coordination.serving.slot_table import PEER_TIMEOUT_SECONDS
-from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.logs import describe_error, log_decision, log_event
+from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT32,
+    check_address,
+    check_host,
+    check_integer,
+    check_port,
+)
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
     Bundle,
     Datagram,
@@ -557,8 +565,9 @@
     def _send_to(self, data: bytes, address: Address) -> None:
         try:
             self._socket.sendto(data, address)
-        except OSError as error:
-            # Datagrams may be lost at any time; the next report repeats the content.
+        except (OSError, OverflowError, TypeError, ValueError) as error:
+            # Datagrams may be lost at any time; the next report repeats the content. An address
+            # that cannot be used must not stop the reports to the others.
             if not self._stopped:
                 log_event("exchange:send-failed", to=f"{address[0]}:{address[1]}", error=str(error))
 
@@ -574,15 +583,16 @@
                     log_event("exchange:receive-failed", error=str(error))
                     self._clock.sleep(_REPORT_INTERVAL_SECONDS)
                 continue
-            datagram = decode(data)
-            if datagram is None:
-                log_event("exchange:undecodable", sender=address[0])
-                continue
             try:
-                self._handle(datagram)
+                datagram = decode(data)
+                if datagram is None:
+                    log_event("exchange:undecodable", sender=address[0])
+                else:
+                    self._handle(datagram)
             except Exception as error:
                 # A malformed datagram of one peer must not stop the exchange with the others.
-                log_event("exchange:handler-failed", sender=address[0], error=repr(error))
+                reason = describe_error(error)
+                log_event("exchange:handler-failed", sender=address[0], error=reason)
 
     def _handle(self, datagram: Datagram) -> None:
         if datagram.bundle is not None:
@@ -594,22 +604,24 @@
         elif datagram.hello is not None:
             addresses = [f"{p.identity.host}:{p.identity.port}" for p in self.live_peers]
             data = encode(Datagram(peers=Peers(addresses)))
-            self._send_to(data, (datagram.hello.host, datagram.hello.port))
+            hello = datagram.hello
+            self._send_to(data, (check_host(hello.host), check_port(hello.port)))
         elif datagram.peers is not None:
             self._handle_addresses(datagram.peers)
 
     def _handle_bundle(self, bundle: Bundle) -> None:
         """Apply the reports of a bundle, and queue them for relay if the sender asks for it."""
+        reports = [report for report in bundle.reports if _is_sound(report)]
         if bundle.spread == Spread.FLEET:
-            self._outbox.add_local(bundle.reports)
+            self._outbox.add_local(reports)
         elif bundle.spread == Spread.DATA_CENTRE:
-            self._outbox.add_remote(bundle.reports)
+            self._outbox.add_remote(reports)
             self._record_remote_relay(bundle.vm)
         if bundle.late is not None:
             self._late_notice = frozenset(bundle.late)
             self._late_notice_at = self._clock.now()
             self._snapshot = None
-        for report in bundle.reports:
+        for report in reports:
             if report.vm != self.identity.vm:
                 self._handle_report(report, direct=report.vm == bundle.vm)
             elif self._relay_selector.record_echo(bundle.vm):
@@ -682,9 +694,13 @@
             # again.
             return
         reply = FreshnessReply(query.nonce, version, int(age * _MS_PER_SECOND) + 1)
-        self._send_to(encode(Datagram(reply=reply)), (query.host, query.port))
+        self._send_to(
+            encode(Datagram(reply=reply)), (check_host(query.host), check_port(query.port))
+        )
 
     def _handle_freshness_reply(self, reply: FreshnessReply) -> None:
+        # A negative age would confirm the state for a time to come.
+        check_integer(reply.age_ms, 0, MAX_INT32)
         with self._lock:
             asked_at = self._pending_queries.pop(reply.nonce, None)
         if asked_at is not None:
@@ -697,12 +713,25 @@
         own = (self.identity.host, self.identity.port)
         with self._lock:
             for text in peers.addresses or ():
-                host, _, port = text.rpartition(":")
-                if host and port.isdigit() and (host, int(port)) != own:
-                    address = (host, int(port))
+                try:
+                    address = check_address(text)
+                except ValueError as error:
+                    log_event("exchange:odd-address", error=str(error))
+                    continue
+                if address != own:
                     self._known.setdefault(address, KnownDaemon(address))
 
 
+def _is_sound(report: Report) -> bool:
+    """Return whether a report can be applied; one that cannot must not hide the others."""
+    try:
+        check_report(report)
+    except ValueError as error:
+        log_event("exchange:odd-report", vm_heard=str(report.vm), error=str(error))
+        return False
+    return True
+
+
 def _address(peer: Peer) -> Address:
     return peer.identity.host, peer.identity.port
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/reports.py
@@ -15,6 +15,17 @@
 )
 from trefoilreach._internal.coordination.serving.outcomes import OutcomeCounts
 from trefoilreach._internal.coordination.serving.slot_table import PeerLoad, QueueRank, RunCounts
+from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT32,
+    MAX_INT64,
+    MAX_PORT,
+    check_address,
+    check_host,
+    check_integer,
+    check_name,
+    check_number,
+    check_port,
+)
 from trefoilreach._internal.protocol.gen.fleet.ttypes import (
     AccountUse,
     Bundle,
@@ -31,7 +42,7 @@
 from trefoilreach._internal.protocol.gen.fleet.ttypes import Identity as IdentityEntry
 
 _MS_PER_SECOND = 1000.0
-_MAX_MILLISECONDS = 2**31 - 1
+_MAX_MILLISECONDS = MAX_INT32
 # A report must fit in a datagram that no link fragments, so lists that can be long are limited.
 _MAX_WAITERS = 16
 _MAX_CRASHES = 32
@@ -39,6 +50,8 @@
 _MAX_ANSWERED_PARTS = 32
 _MAX_JOBS = 32
 _MILLICORES_PER_CORE = 1000.0
+# Processor cores of a VM that a report can state.
+MAX_CORES = MAX_INT32 / _MILLICORES_PER_CORE
 _FACTORY = TCompactProtocolAcceleratedFactory()
 
 
@@ -110,10 +123,65 @@
     """Return a datagram, or None when the bytes are malformed."""
     try:
         return deserialize(Datagram(), data, _FACTORY)
-    except (TException, EOFError, ValueError, TypeError, OverflowError):
+    except (TException, EOFError, ValueError, TypeError, OverflowError, RecursionError):
         return None
 
 
+def check_report(report: Report) -> None:
+    """Check that a report has all fields that its reader needs, with values that it can use.
+
+    :raises ValueError: when one is missing or cannot be used.
+    """
+    check_name(report.vm)
+    _check_integers(report.incarnation, report.sequence)
+    identity = report.identity
+    if identity is not None:
+        check_host(identity.host)
+        check_port(identity.port)
+        check_integer(identity.control_port, 0, MAX_PORT)
+        check_address(identity.front)
+        check_name(identity.data_centre)
+        check_integer(identity.uptime_ms, 0, MAX_INT32)
+        check_integer(identity.millicores, 0, MAX_INT32)
+    for runs in report.runs or ():
+        _check_texts(runs.worker)
+        check_integer(runs.online, 0, MAX_INT32)
+        check_integer(runs.batch, 0, MAX_INT32)
+    for waiter in report.waiters or ():
+        _check_texts(waiter.pool)
+        _check_integers(waiter.urgency, waiter.order_ms)
+    for use in report.accounts or ():
+        _check_texts(use.account)
+        _check_integers(use.admitted)
+        check_number(use.level, -MAX_INT64, MAX_INT64)
+    for job in report.jobs or ():
+        _check_texts(job.job)
+        _check_integers(job.results)
+    _check_texts(*(report.suspects or ()))
+    for crash in report.crashes or ():
+        _check_texts(crash.fingerprint, crash.worker, *(crash.parts or ()))
+    for outcome in report.outcomes or ():
+        _check_texts(outcome.worker)
+        _check_integers(outcome.good, outcome.bad)
+    for answered in report.answered_parts or ():
+        _check_texts(answered.part)
+        _check_integers(answered.age_ms)
+    for blocked in report.blocked_parts or ():
+        _check_texts(blocked.part)
+        _check_integers(blocked.age_ms)
+        check_integer(blocked.trials, 0, MAX_INT32)
+
+
+def _check_texts(*values: Any) -> None:
+    if not all(isinstance(value, str) for value in values):
+        raise ValueError("not a text")
+
+
+def _check_integers(*values: Any) -> None:
+    if not all(isinstance(value, int) for value in values):
+        raise ValueError("not a whole number")
+
+
 def encode_bundle(
     vm: str, spread: int, reports: list[Report], late: list[str] | None = None
 ) -> bytes:
--- a/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/store_feeds.py
@@ -9,6 +9,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.exchange.report_exchange import KnownDaemon
+from trefoilreach._internal.coordination.exchange.reports import MAX_CORES
 from trefoilreach._internal.coordination.serving.freshness import AnswerTimes, StoreAnswer
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.coordination.serving.table_feed import (
@@ -17,9 +18,15 @@
     WatchedTable,
 )
 from trefoilreach._internal.coordination.serving.workers import STORE_RECOVERY_GRACE_SECONDS
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.platform.desired_state import decode_worker
+from trefoilreach._internal.protocol.checked_values import (
+    check_host,
+    check_name,
+    check_number,
+    check_port,
+)
 from trefoilreach._internal.state.rows import RowKey, RowStore, RowWrite, StoredRow
 
 # Long polls: how long the store may hold a call while nothing changes. The desired state is
@@ -174,7 +181,9 @@
     def _replace_members(self, rows: list[StoredRow], regained: bool) -> None:
         self._members = {}
         self._change_members(rows)
-        if self._members.get(self._deployment.vm) != _parse_member(self._own_row):
+        own = self._deployment
+        known = KnownDaemon((own.host, own.peer_port), own.data_centre, own.cores)
+        if self._members.get(own.vm) != known:
             self._register_address()
 
     def _change_members(self, rows: list[StoredRow]) -> None:
@@ -185,7 +194,9 @@
             try:
                 self._members[row.name.key] = _parse_member(orjson.loads(row.value))
             except (ValueError, KeyError, TypeError, AttributeError) as error:
-                log_event("member:undecodable", daemon=row.name.key, error=repr(error))
+                self._members.pop(row.name.key, None)
+                reason = describe_error(error)
+                log_event("member:undecodable", daemon=row.name.key, error=reason)
         self._service.exchange.set_known_daemons(self._members.values())
 
     def _register_address(self) -> None:
@@ -200,17 +211,12 @@
 def _parse_member(row: Mapping[str, Any]) -> KnownDaemon:
     """Return the daemon of a row; older versions stored its address only.
 
-    :raises ValueError: when a field has another type; ``KeyError`` without an address.
+    :raises ValueError: when a field has another type or no possible value; ``KeyError`` without an
+        address.
     """
-    daemon = KnownDaemon(
-        (row["host"], row["port"]), row.get("data_centre", ""), row.get("cores", 0.0)
+    data_centre = row.get("data_centre", "")
+    return KnownDaemon(
+        (check_host(row["host"]), check_port(row["port"])),
+        check_name(data_centre) if data_centre != "" else "",
+        check_number(row.get("cores", 0.0), 0.0, MAX_CORES),
     )
-    host, port = daemon.address
-    if not (
-        isinstance(host, str)
-        and isinstance(port, int)
-        and isinstance(daemon.data_centre, str)
-        and isinstance(daemon.cores, int | float)
-    ):
-        raise ValueError(f"malformed daemon {daemon}")
-    return daemon
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -36,6 +36,7 @@
     "eliot:destination_failure",
     "exchange:handler-failed",
     "exchange:report-failed",
+    "exchange:send-failed",
     "feed:error",
     "ingress:error",
     "leftovers:failed",
@@ -82,6 +83,15 @@
 }
 
 
+ODD_MEMBERS: dict[str, Any] = {
+    "port out of range": {"host": "127.0.0.1", "port": 70000, "data_centre": "a", "cores": 9.0},
+    "host with a NUL": {"host": "a\0", "port": 7, "data_centre": "a", "cores": 9.0},
+    "host to look up": {"host": "vm.example", "port": 7, "data_centre": "a", "cores": 9.0},
+    "many cores": {"host": "127.0.0.1", "port": 7, "data_centre": "a", "cores": 1e308},
+    "no object": 7,
+}
+
+
 class Site:
     """A deployment with one good worker."""
 
@@ -139,6 +149,8 @@
     first = site.deployment.add_daemon()
     for number, (name, data) in enumerate(ODD_ENTRIES.values()):
         site.put(names.WORKER_TABLE, f"{name}{number}", data)
+    for name, member in ODD_MEMBERS.items():
+        site.put("members", name, orjson.dumps(member))
     second = site.deployment.add_daemon()
     site.deployment.wait_settled()
     assert [site.send(daemon) for daemon in (first, second) for _ in range(10)] == [200] * 20
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -87,7 +87,7 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = probe.getsockname()
-        identity = Identity(name, 1, *self.address, 0, f"{name}:80", data_centre, cores)
+        identity = Identity(name, 1, *self.address, 0, "10.0.0.1:80", data_centre, cores)
         self.exchange = CountingExchange(clock or SystemClock(), identity, seeds)
         self.exchange.set_active(active)
         self.received: list[Peer] = []
@@ -143,7 +143,7 @@
     stack.callback(sender.close)
 
     def send_report(incarnation: int) -> None:
-        identity = Identity("b", incarnation, *sender.getsockname(), 0, "b:80", "a")
+        identity = Identity("b", incarnation, *sender.getsockname(), 0, "10.0.0.1:80", "a")
         report = ReportBuilder(identity).build(STATEMENT, 0.0, full=True)
         sender.sendto(encode_bundle("b", Spread.NOWHERE, [report]), node.address)
 
