Bound the number of trials that a row of a blocked part may state

find_block_seconds computed 2**trials as an integer. With the 2,147,483,647 trials that a row or a report may state it took 21 s, during which no other thread ran, and 852 MB, where the machines of the users have 170 to 320; 10**18 trials ended in MemoryError after 34 s under a limit of 2 GB. The row stands, so that each start reads it again. 1,100 trials raised OverflowError, also in the request that asked for a trial, where nothing was decoded under error handling.

The power is limited to 12 doublings (6 reach the longest block), and a row needs a whole number of at most 1,000,000 trials and a time that is a number. A trial replaces a row that cannot be read.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/blocked_part_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/blocked_part_table.py
@@ -19,7 +19,12 @@
     CrashingParts,
     find_block_seconds,
 )
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
+from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT64,
+    check_integer,
+    check_number,
+)
 from trefoilreach._internal.state.rows import (
     ConditionFailed,
     RowKey,
@@ -35,6 +40,9 @@
 _CLAIM_RETRY_SECONDS = 5.0
 # A row whose trial has been due for so long belongs to a part that is not used any more.
 _ROW_EXPIRY_SECONDS = 24 * 3600.0
+# Most trials that a row states. A part that is tried once an hour reaches a hundredth of them in a
+# year; reports carry 32-bit integers.
+_MAX_TRIALS = 1_000_000
 _MS_PER_SECOND = 1000.0
 
 
@@ -112,12 +120,16 @@
         snapshot = found.ok_value
         version, trials = 0, 0
         for row in snapshot.rows:
+            version = row.version
             record = _parse(row)
-            version, trials = row.version, record.trials
+            if record is None:
+                # The claim replaces it.
+                continue
+            trials = record.trials
             if record.next_trial_ms > snapshot.store_ms:
                 self._restore(part, record, snapshot.store_ms)
                 return False
-        trials += 1
+        trials = min(trials + 1, _MAX_TRIALS)
         wait_ms = find_block_seconds(trials) * _MS_PER_SECOND
         written = self._rows.commit(
             [RowPrecondition(_make_key(part), version)],
@@ -163,10 +175,8 @@
             return False
         snapshot = found.ok_value
         for row in snapshot.rows:
-            try:
-                record = _parse(row)
-            except (ValueError, TypeError, KeyError) as error:
-                log_event("blocked-part:undecodable", part=row.name.key, error=repr(error))
+            record = _parse(row)
+            if record is None:
                 continue
             if record.next_trial_ms + _ROW_EXPIRY_SECONDS * _MS_PER_SECOND < snapshot.store_ms:
                 self._rows.commit([], [RowWrite(row.name, None)])
@@ -224,10 +234,15 @@
     return RowWrite(_make_key(part), orjson.dumps(record._asdict()))
 
 
-def _parse(row: StoredRow) -> _Record:
-    """Return the record of a row.
-
-    :raises ValueError: when it is malformed.
-    """
-    fields = orjson.loads(row.value)
-    return _Record(int(fields["trials"]), float(fields["next_trial_ms"]))
+def _parse(row: StoredRow) -> _Record | None:
+    """Return the record of a row, or None if it is malformed."""
+    try:
+        fields = orjson.loads(row.value)
+        return _Record(
+            check_integer(fields["trials"], 0, _MAX_TRIALS),
+            check_number(fields["next_trial_ms"], 0.0, MAX_INT64),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        reason = describe_error(error)
+        log_event("blocked-part:undecodable", part=row.name.key, error=reason)
+        return None
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -32,6 +32,9 @@
 _REPORT_SECONDS = 10.0
 _FIRST_BLOCK_SECONDS = 60.0
 _MAX_BLOCK_SECONDS = 3600.0
+# Twice as often as needed for the longest block. The power of a larger number, which a row or a
+# report may state, would take minutes and more memory than a VM has.
+_MAX_BLOCK_DOUBLINGS = 12
 
 
 class CrashedRun(NamedTuple):
@@ -89,7 +92,8 @@
 
 def find_block_seconds(trials: int) -> float:
     """Return for how long a part is blocked after a number of failed trials."""
-    return float(min(_MAX_BLOCK_SECONDS, _FIRST_BLOCK_SECONDS * 2**trials))
+    doublings = min(trials, _MAX_BLOCK_DOUBLINGS)
+    return min(_MAX_BLOCK_SECONDS, _FIRST_BLOCK_SECONDS * 2.0**doublings)
 
 
 class CrashingParts:
--- a/tests/unit/test_crashing_parts.py
+++ b/tests/unit/test_crashing_parts.py
@@ -1,11 +1,14 @@
 """Tests that requests with a prompt part that crashes workers are stopped, and only these."""
 
+import time
+import tracemalloc
 from collections.abc import Iterator
 from contextlib import ExitStack
 from functools import partial
 from typing import Any, NamedTuple
 
 import harness
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,12 +23,13 @@
     BlockedPart,
     CrashedRun,
     CrashingParts,
+    find_block_seconds,
 )
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.request import OnlineRequest
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch, WorkerFailure
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.rows import Committed, MemoryRows, Snapshot
+from trefoilreach._internal.state.rows import Committed, MemoryRows, RowKey, RowWrite, Snapshot
 from trefoilreach._internal.state.table import StoreError, StoreUnavailable
 
 ROUTE = make_route(max_runs=3)
@@ -377,6 +381,49 @@
     assert stored_fleet.start().parts.find_block(["p"]) is None
 
 
+ODD_TRIALS = [b"2147483647", b"1e18", b"1e308", b"1000001", b"-1", b"true", b"1.5", b'"1"', b"null"]
+ODD_TIMES = [b"-1", b"1e308", b"true", b'"1"', b"null", b"[]"]
+ODD_RECORDS = [
+    *(b'{"trials":%s,"next_trial_ms":1}' % value for value in ODD_TRIALS),
+    *(b'{"trials":1,"next_trial_ms":%s}' % value for value in ODD_TIMES),
+    b"[" * 1000 + b"]" * 1000,
+    b"7",
+    b"",
+]
+
+
+@pytest.mark.parametrize("record", ODD_RECORDS)
+def test_odd_row_blocks_no_part_and_is_replaced_by_a_trial(
+    stored_fleet: StoredFleet, record: bytes
+) -> None:
+    """Guards against a row that takes the memory of each daemon that reads it."""
+    tracemalloc.start()
+    try:
+        good = orjson.dumps({"trials": 3, "next_trial_ms": stored_fleet.clock.now() * 1000 + 9})
+        writes = [
+            RowWrite(RowKey("blocked-parts", "", name), data)
+            for name, data in (("a", record), ("b", good))
+        ]
+        stored_fleet.rows.commit([], writes)
+        daemon = stored_fleet.start()
+        wait_until(lambda: daemon.parts.find_block(["b"]) is not None)
+        assert daemon.parts.find_block(["a"]) is None
+        assert daemon.claim_trial("a")
+        assert not daemon.claim_trial("a")
+        assert tracemalloc.get_traced_memory()[1] < 2_000_000
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("trials", [0, 6, 7, 1100, 2**31 - 1, 10**18])
+def test_length_of_a_block_is_found_for_any_number_of_trials(trials: int) -> None:
+    """Guards against a report or a row whose number of trials takes all memory or raises."""
+    begun = time.monotonic()
+    assert find_block_seconds(trials) == (60.0 if trials == 0 else 3600.0)
+    assert BlockedPart("p", 30.0, trials).retry_after > 0.0
+    assert time.monotonic() - begun < 1.0
+
+
 def test_request_that_tries_a_blocked_part_is_sent_once() -> None:
     """Guards against resends of a trial, and against the refusal of the trial itself."""
     fleet = CrashingFleet("deadly", daemons=1)
