Repeat a full report at once when its relay is lost

Callers would see: for a moment, standby daemons send no callers to an active daemon that is well.

Cause: with few active daemons, only full reports go by the relay, one a second. A relay echoes them to the active daemons at once, and sends them to the standby ones up to 0.5 s later. When it is lost in between, the echoed report never arrives there. The next one, 1 s later, goes to the lost relay alone, as the last one was echoed; only the third goes to another relay. Standby daemons thus hear nothing for 3 s, after which they take the daemon for late. The code assumed that the second report after the loss follows after 0.25 s, which holds only while the short reports go by the relay too.

Change: when the relay in use has not echoed in time, the next report, 0.25 s later, is a full one and also goes to the next relay; once for each loss.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/relays.py
@@ -76,11 +76,10 @@
 
         :param active: whether this daemon is active, and gets its reports back soon.
         """
-        timeout = _ECHO_TIMEOUT_SECONDS if active else _STANDBY_ECHO_TIMEOUT_SECONDS
         chosen: list[str] = []
         with self._lock:
             for vm in ranked:
-                if now - self._awaiting_echo_since.get(vm, now) <= timeout:
+                if not self._is_overdue(vm, now, active):
                     return [*chosen, vm]
                 if now - self._retried_at.get(vm, float("-inf")) >= _RELAY_RETRY_SECONDS:
                     self._retried_at[vm] = now
@@ -89,6 +88,18 @@
         # used as well as those that are tried again.
         return list(dict.fromkeys([*chosen, *ranked[:1]]))
 
+    def is_newly_silent(self, vm: str, now: float, active: bool = True) -> bool:
+        """Return whether a relay has stopped echoing and no report was sent by another one since.
+
+        :param active: as for :meth:`choose`.
+        """
+        with self._lock:
+            return vm not in self._retried_at and self._is_overdue(vm, now, active)
+
+    def _is_overdue(self, vm: str, now: float, active: bool) -> bool:
+        timeout = _ECHO_TIMEOUT_SECONDS if active else _STANDBY_ECHO_TIMEOUT_SECONDS
+        return now - self._awaiting_echo_since.get(vm, now) > timeout
+
     def record_sent(self, vm: str, now: float) -> None:
         """Record that a report was sent to a relay."""
         with self._lock:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/exchange/report_exchange.py
@@ -371,6 +371,10 @@
             contacts = self._choose_contacts(live, now)
         # A daemon from which no report comes may not know this one, so it needs a full report.
         full = full or bool(contacts)
+        # A lost relay had queued the last full reports for standby daemons. If the next one were
+        # sent a whole interval later, three of them could be missing.
+        if relayed and self._relay_selector.is_newly_silent(self._relay_in_use, now, self._active):
+            full = True
         if full:
             self._full_report_at = now
         report = self._writer.build(statement, now, full)
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -8,6 +8,7 @@
 
 import harness
 import pytest
+from exchange_simulation import SimulatedExchanges
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.exchange import report_exchange as exchange_module
 from trefoilreach._internal.coordination.exchange.relays import (
@@ -111,6 +112,10 @@
         yield opened
 
 
+# One full report may be missing, and another one wait for the relay's next bundle. A standby daemon
+# takes a peer for late after 3 s.
+MAX_SILENCE_SECONDS = 2.6
+
 wait_until = partial(harness.wait_until, timeout=5.0)
 
 
@@ -421,6 +426,39 @@
         wait_until(lambda n=node, own=name: _find_live(n) == set(standby_fleet.nodes) - {own})
 
 
+@pytest.mark.parametrize(("seed", "lost_at"), [(0, 8.53), (26, 8.24), (34, 7.59)])
+def test_loss_of_a_relay_loses_few_full_reports(
+    stack: ExitStack, seed: int, lost_at: float
+) -> None:
+    """Guards against standby daemons that take an active one for late after the loss of its relay.
+
+    The relay had echoed the last full report of an active daemon, but had not yet sent it to the
+    standby ones. The next one was sent to the lost relay only, and the one after it came 3 s after
+    the last report that had arrived. The simulated clock shows the silence whatever the load of the
+    machine.
+    """
+    fleet = SimulatedExchanges(stack, STATEMENT, seed)
+    for number in range(MIN_RELAYED_FLEET_SIZE + 4):
+        data_centre, rank = "ab"[number % 2], number // 2
+        strong = rank < 2
+        fleet.add(f"{data_centre}{rank}", data_centre, 2.0 if strong else 1.0, strong)
+    fleet.run(lost_at)
+    fleet.close("a0")
+    silences: list[float] = []
+
+    def note_silences() -> None:
+        now = fleet.clock.now()
+        for node in fleet.nodes.values():
+            silences.extend(
+                now - peer.last_report_at
+                for peer in node.peers
+                if not node.active and peer.identity.vm in ("a1", "b0", "b1")
+            )
+
+    fleet.run(5.0, note_silences)
+    assert max(silences) < MAX_SILENCE_SECONDS
+
+
 def test_daemon_that_becomes_active_reads_every_change(standby_fleet: RelayedFleet) -> None:
     node = standby_fleet.nodes["a5"]
     node.exchange.set_active(True)
