Let the broken build "refuse" take the new argument of _give_up

Seen: _OnlineAttempts._give_up has a parameter retry_after, and its replacement in the build "refuse" does not. A refusal because of a blocked prompt part would raise TypeError there, so that the build would fail for another reason than the guarantee it breaks.

Change: the replacement takes the parameter.

--- a/tests/functional/broken/sitecustomize.py
+++ b/tests/functional/broken/sitecustomize.py
@@ -23,7 +23,7 @@
     from trefoilreach._internal.coordination.serving.online import _OnlineAttempts
     from trefoilreach._internal.protocol.verdict import Refusal
 
-    def give_up(self: Any, reason: str) -> Refusal:
+    def give_up(self: Any, reason: str, retry_after: float | None = None) -> Refusal:
         return Refusal(503, "unavailable", reason, retry_after=0.1)
 
     _OnlineAttempts._give_up = give_up  # type: ignore[method-assign]
