Pause before an item's next run only after a crash

Callers would see: an item that is due waits up to 2 s for nothing.

Cause: the pause after a failed run was chosen by the crashes in a row, which a failure that is no crash (a reset by a worker that goes on, a timeout, an unreachable worker) leaves as they are. After three crashes, each such failure was followed by a pause.

Evidence: a test lets three runs crash their workers and two more end with a reset.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -485,13 +485,14 @@
         dead = not failure.timed_out and self._tools.worker_client.is_refused(worker)
         if begun:
             run.crashes = 0
-        elif dead and not failure.unreachable:
+        crashed = dead and not failure.unreachable and not begun
+        if crashed:
             run.crashes += 1
         _log_failed_attempt(run, worker, reason=str(failure), begun=begun, crashes=run.crashes)
         if dead or failure.timed_out or failure.unreachable:
             self._tools.admission.workers.note_failure(worker.id, str(failure), failure.timed_out)
         run.excluded_workers = {worker.id}
-        return choose_crash_pause(run.crashes)
+        return choose_crash_pause(run.crashes) if crashed else 0.0
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -17,6 +17,7 @@
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.jobs import job_run as job_run_module
 from trefoilreach._internal.coordination.jobs import manager as manager_module
+from trefoilreach._internal.coordination.jobs.job_run import JobRun
 from trefoilreach._internal.coordination.jobs.job_table import JobTable
 from trefoilreach._internal.coordination.jobs.manager import JobDependencies, JobManager
 from trefoilreach._internal.coordination.jobs.records import (
@@ -435,6 +436,29 @@
     assert [result.output for result in results] == [OUTPUT]
 
 
+def test_item_waits_only_after_a_crash(stack: ExitStack, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against items that wait after each failure once workers have crashed under them."""
+    pauses: list[float] = []
+    handle_failure = JobRun._handle_failure
+
+    def note_pause(self: JobRun, *arguments: Any) -> float:
+        pauses.append(handle_failure(self, *arguments))
+        return pauses[-1]
+
+    def crash_then_reset(dispatch: Dispatch) -> Script:
+        if len(fleet.link.sent) > 5:
+            return send_all_events(dispatch)
+        fleet.link.dead = {dispatch.worker.id} if len(fleet.link.sent) <= 3 else set()
+        return Script(failure=WorkerFailure("reset", Verdict.MAY_HAVE_RUN))
+
+    monkeypatch.setattr(JobRun, "_handle_failure", note_pause)
+    fleet = Fleet(stack, crash_then_reset)
+    keeper = fleet.start("d0", workers=6)
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert [result.output for result in read_until(keeper, "j1", 1)] == [OUTPUT]
+    assert [pause > 0.0 for pause in pauses] == [False, False, True, False, False]
+
+
 def test_refusals_of_full_workers_are_not_counted_as_failures(stack: ExitStack) -> None:
     """Guards against items that are given up because the workers were busy."""
     refusals = [Script(status=503, not_run=True, stream=False)] * 5
