Give simulated daemons addresses that reports may carry

Reports with the front address a0:80 are refused since addresses are checked, so that the simulated exchanges heard nothing and three cases of test_loss_of_a_relay_loses_few_full_reports failed when the two changes met.

--- a/tests/unit/exchange_simulation.py
+++ b/tests/unit/exchange_simulation.py
@@ -98,7 +98,7 @@
     def add(self, vm: str, data_centre: str, cores: float, active: bool) -> None:
         """Start a daemon that knows the first two."""
         host = f"10.0.0.{len(self.nodes) + 1}"
-        identity = Identity(vm, 1, host, 1, 0, f"{vm}:80", data_centre, cores)
+        identity = Identity(vm, 1, host, 1, 0, f"{host}:80", data_centre, cores)
         seeds = [(node.identity.host, node.identity.port) for node in self.nodes.values()][:2]
         node = self.nodes[vm] = SimulatedExchange(self, identity, seeds, active)
         self._stack.callback(node._socket.close)
