Remember which hosts were checked

The check of a full report took 21 us, of which 12 us for two addresses that never change; 9 us now (20,000 checks, processor time). A daemon of a large fleet checks some hundred reports a second.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/checked_values.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/checked_values.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from functools import lru_cache
 from ipaddress import IPv4Address
 from typing import Any
 
@@ -14,6 +15,8 @@
 # Names go into request headers, log lines and datagrams, which carry many of them. The keys of the
 # store's rows are limited to the same length.
 MAX_NAME_BYTES = 200
+# More than the daemons and workers of a large fleet.
+_CACHED_HOSTS = 4096
 
 
 def check_integer(value: Any, low: int, high: int) -> int:
@@ -70,13 +73,19 @@
     # ``IPv4Address`` also takes integers.
     if not isinstance(value, str):
         raise ValueError("not an IPv4 address")
+    return _check_host_text(value)
+
+
+# Each full report of each daemon repeats the same addresses.
+@lru_cache(maxsize=_CACHED_HOSTS)
+def _check_host_text(text: str) -> str:
     try:
-        address = IPv4Address(value)
+        address = IPv4Address(text)
     except ValueError:
         raise ValueError("not an IPv4 address") from None
     if address.is_unspecified or address.is_multicast or address.is_reserved:
         raise ValueError("not the address of one host")
-    return value
+    return text
 
 
 def check_port(value: Any) -> int:
