Refuse answers with a malformed line in their head

http.client's parser stops at a line without a colon or with a space in its name and drops the lines after it. Both cases failed before: a part of 10 bytes of a stated length of 20 was whole.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -6,6 +6,12 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from email.errors import (
+    FirstHeaderLineIsContinuationDefect,
+    InvalidHeaderDefect,
+    MisplacedEnvelopeHeaderDefect,
+    MissingHeaderBodySeparatorDefect,
+)
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from typing import Any, NamedTuple
 
@@ -25,6 +31,13 @@
 IDLE_LIMIT_SECONDS = 5.0
 # Largest head of an answer, with interim answers: twice the largest that usual servers send.
 _MAX_HEAD_BYTES = 65536
+# Defects of the lines of a head; the parser also reports those of multipart bodies.
+_HEAD_DEFECTS = (
+    FirstHeaderLineIsContinuationDefect,
+    InvalidHeaderDefect,
+    MisplacedEnvelopeHeaderDefect,
+    MissingHeaderBodySeparatorDefect,
+)
 # Largest body that is kept in memory as a whole; the largest object of the platform's store has
 # 8 MiB.
 MAX_BODY_BYTES = 16 * 2**20
@@ -179,6 +192,10 @@
         :raises IncompleteAnswerError: when it is cut off or malformed.
         """
         super().begin()
+        for defect in self.headers.defects:
+            # The parser drops a malformed line and all lines after it, such as those of the framing.
+            if isinstance(defect, _HEAD_DEFECTS):
+                raise IncompleteAnswerError(f"malformed head: {defect!r}")
         fields = HeadFields(
             tuple(self.headers.get_all("Content-Length", ())),
             tuple(self.headers.get_all("Transfer-Encoding", ())),
--- a/tests/unit/test_cut_answers.py
+++ b/tests/unit/test_cut_answers.py
@@ -96,6 +96,16 @@
     assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + BODY))) is None
 
 
+@pytest.mark.parametrize(
+    "fields", [b"a line without a colon\r\nContent-Length: 20\r\n", b"Content-Length : 20\r\n"]
+)
+def test_answer_with_a_malformed_line_in_its_head_is_no_answer(
+    stack: ExitStack, fields: bytes
+) -> None:
+    """Guards against a length that is lost after a malformed line, and a cut body taken whole."""
+    assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + BODY))) is None
+
+
 def test_object_without_a_stated_length_is_not_taken_for_whole(stack: ExitStack) -> None:
     """Guards against a part of a stored output that is read as the whole."""
     head, body = FRAMED["connection"]
