Read the framing of an answer without the space around its values

A field's value may be followed by a space, which http.client keeps. 'Content-Length: 10 ' and 'Transfer-Encoding: chunked ' were refused although the answers are sound; with both fields the body was cut at the length, with the sizes of the chunks in it, and taken for whole. All three cases failed before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -59,7 +59,7 @@
         return Framing.CHUNKS
     if not fields.lengths:
         return Framing.CONNECTION
-    length = fields.lengths[0]
+    length = fields.lengths[0].strip()
     if len(set(fields.lengths)) > 1 or not (length.isascii() and length.isdigit()):
         raise IncompleteAnswerError(f"invalid length {fields.lengths!r}")
     return Framing.LENGTH
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -193,7 +193,7 @@
         """
         super().begin()
         for defect in self.headers.defects:
-            # The parser drops a malformed line and all lines after it, such as those of the framing.
+            # The parser drops a malformed line and all lines after it, perhaps the body's length.
             if isinstance(defect, _HEAD_DEFECTS):
                 raise IncompleteAnswerError(f"malformed head: {defect!r}")
         fields = HeadFields(
@@ -201,6 +201,9 @@
             tuple(self.headers.get_all("Transfer-Encoding", ())),
         )
         self.framing = check_head(fields, self.limited.ended)
+        if self.framing is Framing.CHUNKS and not self.chunked:
+            # http.client compares the value with its trailing space.
+            self.chunked, self.chunk_left, self.length = True, None, None
 
 
 class _Connection(HTTPConnection):
--- a/tests/unit/test_cut_answers.py
+++ b/tests/unit/test_cut_answers.py
@@ -106,6 +106,21 @@
     assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + BODY))) is None
 
 
+@pytest.mark.parametrize(
+    ("fields", "body"),
+    [
+        (b"Content-Length: 10 \r\n", BODY),
+        (b"Transfer-Encoding: chunked \r\n", FRAMED["chunks"][1]),
+        (b"Content-Length: 10\r\nTransfer-Encoding: chunked \r\n", FRAMED["chunks"][1]),
+    ],
+)
+def test_space_after_a_field_does_not_change_the_framing(
+    stack: ExitStack, fields: bytes, body: bytes
+) -> None:
+    """Guards against a sound answer that is refused, and sizes of chunks in a body."""
+    assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + body))) == BODY
+
+
 def test_object_without_a_stated_length_is_not_taken_for_whole(stack: ExitStack) -> None:
     """Guards against a part of a stored output that is read as the whole."""
     head, body = FRAMED["connection"]
