Refuse an empty answer of a service that states no length

A service's answer with a body but without a length is refused, as it may have been cut off. Answers that have no body (204, 304, HEAD) need no length.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/service.py
@@ -17,6 +17,7 @@
 )
 
 _REQUEST_ID_HEADER = "X-Request-Id"
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class ServiceError(Exception):
@@ -119,7 +120,9 @@
     answered_id = response.headers.get(_REQUEST_ID_HEADER)
     if answered_id is not None and answered_id != request.request_id:
         return Err(ServiceError("answer belongs to another request", Verdict.MAY_HAVE_RUN))
-    if body and exchange.framing is Framing.CONNECTION:
-        # Without a length, a complete body cannot be told from one cut off by a lost connection.
+    has_body = request.method != "HEAD" and response.status not in _STATUSES_WITHOUT_BODY
+    if has_body and exchange.framing is Framing.CONNECTION:
+        # Without a length, a complete body cannot be told from one cut off by a lost connection,
+        # nor an empty one from one cut off before its first byte.
         return Err(ServiceError("the answer does not state its length", Verdict.MAY_HAVE_RUN))
     return Ok(ServiceReply(response.status, response.getheaders(), body))
