--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -135,7 +135,7 @@
         while True:
             attempt = self._open_attempt()
             stream = self._request.route.kind is RouteKind.STREAM
-            if stream and attempt.answer.status == 200 and attempt.answer.is_event_stream:
+            if stream and attempt.answer.status == 200:
                 answer = self._start_stream(attempt)
             else:
                 answer = self._read_answer(attempt)
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -115,6 +115,18 @@
     assert len(workers.requests) == 2
 
 
+@pytest.mark.parametrize(
+    "kind", [b"", b"Content-Type: Text/Event-Stream\r\n", b"Content-Type: text/plain\r\n"]
+)
+def test_part_of_a_stream_of_another_type_is_not_whole(stack: ExitStack, kind: bytes) -> None:
+    """Guards against a stream that ends inside an event and is passed on without a check."""
+    head = PLAIN[:-2] + kind + b"\r\n"
+    workers = RawWorkers(stack, Reply(head + EVENTS[0] + EVENTS[1][:9]), Reply(send_rest))
+    answer = run(stack, workers, RESUMABLE)
+    assert answer.events is not None
+    assert read_stream(answer) == ALL
+
+
 def test_second_answer_to_an_earlier_run_is_not_a_resumed_one(stack: ExitStack) -> None:
     """Guards against events that come twice when a worker answers the request of an earlier run."""
     begun = Reply(UNFRAMED + EVENTS[0] + EVENTS[1], reset=True)
