Take an id of more than 18 digits for no id

An id of more than 4,300 digits raised ValueError, for which neither the relay nor its callers are made: the caller got an internal error in place of another attempt, and the worker's slot stayed taken for ever. The test failed before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -16,7 +16,8 @@
 # Begins the status line of an HTTP answer, and no field of an event.
 _ANSWER_START = b"HTTP/"
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+# Python refuses to convert numbers of more than 4,300 digits.
+_ID_LINE = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data:(?: )?([^\r\n]*)\r?$", re.MULTILINE)
 
 
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -127,6 +127,13 @@
     assert read_stream(answer) == ALL
 
 
+def test_number_too_long_to_read_is_not_an_id(stack: ExitStack) -> None:
+    """Guards against a slot that stays taken after an id that cannot be converted."""
+    broken = UNFRAMED + b"id: " + b"1" * 5000 + b"\ndata: text\n\n"
+    workers = RawWorkers(stack, Reply(broken), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+
+
 def test_second_answer_to_an_earlier_run_is_not_a_resumed_one(stack: ExitStack) -> None:
     """Guards against events that come twice when a worker answers the request of an earlier run."""
     begun = Reply(UNFRAMED + EVENTS[0] + EVENTS[1], reset=True)
