--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -15,6 +15,8 @@
 
 # Begins the status line of an HTTP answer, and no field of an event.
 _ANSWER_START = b"HTTP/"
+# Workers echo the id of the request in the head of each answer.
+_HEAD_LINE = re.compile(rb"^x-request-id:", re.MULTILINE | re.IGNORECASE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 # Python refuses to convert numbers of more than 4,300 digits.
 _ID_LINE = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
@@ -108,7 +110,8 @@
         return events
 
     def _check(self, event: StreamEvent) -> None:
-        if event.raw.startswith(_ANSWER_START):
+        # After a stream that broke off inside an event, the head ends that event.
+        if event.raw.startswith(_ANSWER_START) or _HEAD_LINE.search(event.raw):
             raise IncompleteAnswerError("another answer follows the stream")
         if event.is_empty:
             return
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -134,6 +134,13 @@
     assert read_stream(run(stack, workers, RESUMABLE)) == ALL
 
 
+@pytest.mark.parametrize("begun", [b"id: 2\nda", b"id: 2\ndata: te", b"id: 2\ndata: text 2\n"])
+def test_second_answer_inside_an_event_is_not_a_part_of_it(stack: ExitStack, begun: bytes) -> None:
+    """Guards against the head of another answer that completes an event that broke off."""
+    workers = RawWorkers(stack, Reply(UNFRAMED + EVENTS[0] + begun + UNFRAMED), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+
+
 def test_second_answer_to_an_earlier_run_is_not_a_resumed_one(stack: ExitStack) -> None:
     """Guards against events that come twice when a worker answers the request of an earlier run."""
     begun = Reply(UNFRAMED + EVENTS[0] + EVENTS[1], reset=True)
