--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -125,5 +125,5 @@
 
         :raises IncompleteAnswerError: when it is not, or when that is not certain.
         """
-        progress = StreamProgress(bool(self._after), self._count, bool(self._splitter.incomplete))
-        check_stream(progress, framing)
+        inside_event = bool(self._splitter.incomplete.strip(b"\r\n"))
+        check_stream(StreamProgress(bool(self._after), self._count, inside_event), framing)
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -1,5 +1,6 @@
 """Tests that an item whose run broke off is never listed with a part of its text."""
 
+import re
 from collections.abc import Iterator
 from contextlib import ExitStack
 
@@ -128,3 +129,17 @@
     stale = Reply(HEAD + b"".join(second))
     keeper, _ = start_job(stack, RawWorkers(stack, Reply(BEGUN, reset=True), stale, REST))
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+
+
+def answer_with(request: bytes, extra: bytes) -> Reply:
+    """Return the events after the one that a request names, with more bytes after them."""
+    found = re.search(rb"Last-Event-Id: (\d+)\r\n", request)
+    return Reply(HEAD + b"".join(EVENTS[int(found.group(1)) if found else 0 :]) + extra)
+
+
+def test_empty_line_after_the_last_event_is_no_event(stack: ExitStack) -> None:
+    """Guards against an item that is run for ever because its answers end with an empty line."""
+    workers = RawWorkers(stack, respond=lambda request: answer_with(request, b"\n"))
+    keeper, _ = start_job(stack, workers)
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+    assert len(workers.requests) == 1
