Space the runs of an item that fail before their first event

A worker that answers at once with no event, or with one that is out of order, got the same item 863 and 814 times in a second in the two cases of the test. Refused statuses are spaced by 0.3 s already; such runs are now too, unless the worker has crashed.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -505,6 +505,9 @@
         if dead or failure.timed_out or failure.unreachable:
             self._tools.admission.workers.note_failure(worker.id, str(failure), failure.timed_out)
         run.excluded_workers = {worker.id}
+        if not begun and not dead:
+            # The worker answers, and would answer each further run at once.
+            return _RETRY_SECONDS
         return choose_crash_pause(run.crashes)
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -143,3 +143,12 @@
     keeper, _ = start_job(stack, workers)
     assert read_until(keeper, "j1", 1)[0].output == OUTPUT
     assert len(workers.requests) == 1
+
+
+@pytest.mark.parametrize("answer", [HEAD, HEAD + EVENTS[1]], ids=["no event", "foreign event"])
+def test_runs_that_fail_at_once_are_spaced(stack: ExitStack, answer: bytes) -> None:
+    """Guards against an item that is sent to its worker hundreds of times a second."""
+    workers = RawWorkers(stack, respond=lambda request: Reply(answer))
+    _, tools = start_job(stack, workers)
+    tools.clock.sleep(1.0)
+    assert 1 <= len(workers.requests) <= 10
