--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -506,7 +506,10 @@
         if dead or failure.timed_out or failure.unreachable:
             self._tools.admission.workers.note_failure(worker.id, str(failure), failure.timed_out)
         run.excluded_workers = {worker.id}
-        return choose_crash_pause(run.crashes) if crashed else 0.0
+        if crashed:
+            return choose_crash_pause(run.crashes)
+        # A worker that answers without an event would answer each further run at once.
+        return 0.0 if begun or dead else _RETRY_SECONDS
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -15,8 +15,11 @@
 
 # Begins the status line of an HTTP answer, and no field of an event.
 _ANSWER_START = b"HTTP/"
+# Workers echo the id of the request in the head of each answer.
+_HEAD_LINE = re.compile(rb"^x-request-id:", re.MULTILINE | re.IGNORECASE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+# Python refuses to convert numbers of more than 4,300 digits.
+_ID_LINE = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data:(?: )?([^\r\n]*)\r?$", re.MULTILINE)
 
 
@@ -107,7 +110,8 @@
         return events
 
     def _check(self, event: StreamEvent) -> None:
-        if event.raw.startswith(_ANSWER_START):
+        # After a stream that broke off inside an event, the head ends that event.
+        if event.raw.startswith(_ANSWER_START) or _HEAD_LINE.search(event.raw):
             raise IncompleteAnswerError("another answer follows the stream")
         if event.is_empty:
             return
@@ -121,5 +125,5 @@
 
         :raises IncompleteAnswerError: when it is not, or when that is not certain.
         """
-        progress = StreamProgress(bool(self._after), self._count, bool(self._splitter.incomplete))
-        check_stream(progress, framing)
+        inside_event = bool(self._splitter.incomplete.strip(b"\r\n"))
+        check_stream(StreamProgress(bool(self._after), self._count, inside_event), framing)
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -115,6 +115,32 @@
     assert len(workers.requests) == 2
 
 
+@pytest.mark.parametrize(
+    "kind", [b"", b"Content-Type: Text/Event-Stream\r\n", b"Content-Type: text/plain\r\n"]
+)
+def test_part_of_a_stream_of_another_type_is_not_whole(stack: ExitStack, kind: bytes) -> None:
+    """Guards against a stream that ends inside an event and is passed on without a check."""
+    head = PLAIN[:-2] + kind + b"\r\n"
+    workers = RawWorkers(stack, Reply(head + EVENTS[0] + EVENTS[1][:9]), Reply(send_rest))
+    answer = run(stack, workers, RESUMABLE)
+    assert answer.events is not None
+    assert read_stream(answer) == ALL
+
+
+def test_number_too_long_to_read_is_not_an_id(stack: ExitStack) -> None:
+    """Guards against a slot that stays taken after an id that cannot be converted."""
+    broken = UNFRAMED + b"id: " + b"1" * 5000 + b"\ndata: text\n\n"
+    workers = RawWorkers(stack, Reply(broken), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+
+
+@pytest.mark.parametrize("begun", [b"id: 2\nda", b"id: 2\ndata: te", b"id: 2\ndata: text 2\n"])
+def test_second_answer_inside_an_event_is_not_a_part_of_it(stack: ExitStack, begun: bytes) -> None:
+    """Guards against the head of another answer that completes an event that broke off."""
+    workers = RawWorkers(stack, Reply(UNFRAMED + EVENTS[0] + begun + UNFRAMED), Reply(send_rest))
+    assert read_stream(run(stack, workers, RESUMABLE)) == ALL
+
+
 def test_second_answer_to_an_earlier_run_is_not_a_resumed_one(stack: ExitStack) -> None:
     """Guards against events that come twice when a worker answers the request of an earlier run."""
     begun = Reply(UNFRAMED + EVENTS[0] + EVENTS[1], reset=True)
