Ignore load reports of workers with impossible figures

Each report failed until the end of the poll (6 s), so that the peers considered the daemon lost after 1 to 1.5 s; the slots of the worker counted as taken. A negative figure was added to the other one, texts, fractions and booleans were accepted.

Each figure now must be a whole number of at most 65,535, one for each connection of an address.

That a whole fleet loses the daemon was not played.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -1,13 +1,15 @@
 """HTTP client of the workers, in the platform's wire format."""
 
 from http.client import HTTPException
+from typing import Any
 
 import orjson
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch, WorkerFailure
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
+from trefoilreach._internal.protocol.checked_values import check_integer
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
 from trefoilreach._internal.transport.http_client import (
@@ -23,7 +25,11 @@
 _LOAD_TIMEOUT_SECONDS = 0.3
 _READ_SIZE_BYTES = 65536
 _MIN_TIMEOUT_SECONDS = 0.001
+_STATUS_OK = 200
 _WRONG_WORKER_STATUS = 421
+# Each request has a connection, of which a worker's address has at most 65,535 to one caller. The
+# figures go into reports, which carry 32-bit integers.
+_MAX_REPORTED_REQUESTS = 65_535
 _MILLISECONDS_PER_SECOND = 1000.0
 # Headers of an answer that apply only to the connection to the worker.
 _CONNECTION_HEADERS = {
@@ -193,12 +199,18 @@
                 body = orjson.loads(exchange.read())
             finally:
                 exchange.close()
-            return int(body["running"]) + int(body["waiting"]) if exchange.status == 200 else None
-        except (HttpFailure, orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-            log_event("worker:load-unknown", worker=worker.id, error=str(error))
+            if exchange.status != _STATUS_OK:
+                return None
+            return _check_count(body["running"]) + _check_count(body["waiting"])
+        except (HttpFailure, KeyError, TypeError, ValueError) as error:
+            log_event("worker:load-unknown", worker=worker.id, error=describe_error(error))
             return None
 
 
+def _check_count(value: Any) -> int:
+    return check_integer(value, 0, _MAX_REPORTED_REQUESTS)
+
+
 def _build_headers(dispatch: Dispatch) -> dict[str, str]:
     call = dispatch.call
     headers = dict(call.headers)
