Check the values of a desired state before it is adopted

A name or a host of another type raised an error while the state was adopted, after which the feed read all rows again and again; a version or a priority above the integers of the datagrams made each report fail; a version of null or 0 could not be adopted, but counted as read, so that it confirmed the state in force; apiKeys with a text made each of its letters a key; a negative time or rate was taken.

Texts, whole numbers and numbers are checked, with the limits of the datagrams. Whole numbers may be written as fractions, as JSON allows. A state that does not pass is an Err as before, which confirms nothing.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -8,6 +8,7 @@
 
 from trefoilreach._internal.logs import describe_error
 from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT32,
     MAX_INT64,
     check_address,
     check_integer,
@@ -47,58 +48,89 @@
         body = orjson.loads(data)
         limits = body.get("limits") or {}
         state = DesiredState(
-            version=int(body["version"]),
+            # 0 is the version before the first state.
+            version=check_integer(_read_integer(body["version"], 0, MAX_INT64), 1, MAX_INT64),
             routes=tuple(_decode_route(route) for route in body.get("routes") or ()),
             accounts=tuple(_decode_account(entry) for entry in body.get("tenants") or ()),
-            limits=RequestLimits(int(limits.get("maxBodyBytes") or RequestLimits().body_bytes)),
+            limits=RequestLimits(
+                _read_integer(limits.get("maxBodyBytes"), 0, MAX_INT64)
+                or RequestLimits().body_bytes
+            ),
             document=data,
         )
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
-        return Err(EntryDecodeError(f"desired state cannot be read: {error!r}"))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Err(EntryDecodeError(f"desired state cannot be read: {describe_error(error)}"))
     return Ok(state)
 
 
 def _decode_route(route: Mapping[str, Any]) -> ServingRoute:
     split = route.get("trafficSplit")
     services = (
-        tuple(WeightedService(part["service"], float(part["weight"])) for part in split)
+        tuple(
+            WeightedService(_require_string(part["service"]), _read_number(part["weight"]))
+            for part in split
+        )
         if split
-        else (WeightedService(route["service"], 1.0),)
+        else (WeightedService(_require_string(route["service"]), 1.0),)
     )
     return ServingRoute(
-        name=route["name"],
-        host=route["host"],
-        path_prefix=route["pathPrefix"],
+        name=_require_string(route["name"]),
+        host=_require_string(route["host"]),
+        path_prefix=_require_string(route["pathPrefix"]),
         kind=_ROUTE_KINDS[route["kind"]],
         services=services,
-        max_runs=max(1, int(route.get("attempts") or 1)),
+        max_runs=max(1, _read_integer(route.get("attempts"), 0, MAX_INT32)),
         resumable=bool(route.get("resumable")),
         open_to_all=bool(route.get("public")),
-        priority=int(route.get("priority") or 0),
+        priority=_read_integer(route.get("priority"), -MAX_INT32, MAX_INT32),
         target_seconds=_read_seconds(route, "targetLatencyMs"),
         timeout_seconds=_read_seconds(route, "timeoutMs"),
         event_gap_target_seconds=_read_seconds(route, "gapAimMs"),
         results_target_seconds=_read_seconds(route, "runAimMs"),
-        abandon_after_seconds=float(route.get("keepS") or 0.0),
-        waiting_token_limit=int(route.get("cap") or 0),
+        abandon_after_seconds=_read_number(route.get("keepS")),
+        waiting_token_limit=_read_integer(route.get("cap"), 0, MAX_INT64),
     )
 
 
 def _read_seconds(route: Mapping[str, Any], field: str) -> float:
-    return float(route.get(field) or 0.0) / _MILLISECONDS_PER_SECOND
+    return _read_number(route.get(field)) / _MILLISECONDS_PER_SECOND
 
 
 def _decode_account(entry: Mapping[str, Any]) -> ServingAccount:
     priority = entry.get("priority")
+    keys = entry.get("apiKeys") or []
+    if not isinstance(keys, list):
+        raise TypeError("the keys are not a list")
     return ServingAccount(
-        name=entry["name"],
-        keys=frozenset(entry.get("apiKeys") or ()),
-        priority=None if priority is None else int(priority),
-        rate=float(entry.get("ratePerS") or 0.0),
-        burst=float(entry.get("burst") or 0.0),
+        name=_require_string(entry["name"]),
+        keys=frozenset(_require_string(key) for key in keys),
+        priority=None if priority is None else _read_integer(priority, -MAX_INT32, MAX_INT32),
+        rate=_read_number(entry.get("ratePerS")),
+        burst=_read_number(entry.get("burst")),
     )
 
 
+def _require_string(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _read_integer(value: Any, low: int, high: int) -> int:
+    """Return a whole number, which JSON may also write as a fraction, or 0 for none.
+
+    :raises ValueError: for any other value.
+    """
+    if value is None:
+        return 0
+    whole = isinstance(value, float) and value.is_integer()
+    return check_integer(int(value) if whole else value, low, high)
+
+
+def _read_number(value: Any) -> float:
+    return 0.0 if value is None else check_number(value, 0.0, MAX_INT64)
+
+
 def decode_worker(worker_id: str, data: bytes) -> Result[WorkerEntry, EntryDecodeError]:
     """Decode a worker's entry and check its values, as any client of the store may write there.
 
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -71,6 +71,10 @@
     return orjson.dumps({**body, **changes})
 
 
+def nest(depth: int) -> bytes:
+    return b"[" * depth + b"]" * depth
+
+
 def test_settings_are_parsed_and_unknown_fields_ignored() -> None:
     """Guards against settings that are misread, and a newer settings file that stops the start."""
     deployment = parse_deployment(SETTINGS)
@@ -121,6 +125,63 @@
     assert isinstance(decode_desired_state(data), Err)
 
 
+ACCOUNT = {"name": "t", "apiKeys": ["k1"], "ratePerS": 5, "burst": 7, "priority": 1}
+ODD_ROUTE_FIELDS: list[dict[str, object]] = [
+    *(
+        {name: value}
+        for name in ("name", "host", "pathPrefix", "service")
+        for value in (None, 7, [])
+    ),
+    *({"kind": value} for value in ("odd", None, [], {})),
+    *({"priority": value} for value in (2**31, -(2**31), 1e308, "0", True, [])),
+    *({"attempts": value} for value in (2**31, -1, 1e308, 1.5, "2", True)),
+    *({"timeoutMs": value} for value in (-1, 1e308, "5", True, [])),
+    {"cap": 1e308},
+    {"trafficSplit": [{"service": 7, "weight": 1}]},
+    {"trafficSplit": [{"service": "s", "weight": "1"}]},
+    {"trafficSplit": [{"service": "s", "weight": -1}]},
+    {"trafficSplit": 7},
+]
+ODD_ACCOUNT_FIELDS: list[dict[str, object]] = [
+    *({"name": value} for value in (None, 7, [])),
+    *({"apiKeys": value} for value in ("abc", {"k1": 1}, [7], [None], [["k1"]])),
+    *({"priority": value} for value in (2**31, 1e308, "1", True)),
+    *({"ratePerS": value} for value in (-1, 1e308, "5", True)),
+]
+
+
+@pytest.mark.parametrize("version", [None, True, "3", 3.5, -1, 0, 2**63, 1e308, [], {}])
+def test_state_with_an_odd_version_is_not_adopted(version: object) -> None:
+    """Guards against a version that no report can carry, so that none is sent any more."""
+    assert isinstance(decode_desired_state(make_state(version=version)), Err)
+
+
+@pytest.mark.parametrize("fields", ODD_ROUTE_FIELDS)
+def test_state_with_an_odd_route_is_not_adopted(fields: dict[str, object]) -> None:
+    """Guards against a state whose adoption or use raises an error."""
+    assert isinstance(decode_desired_state(make_state(routes=[{**ROUTE, **fields}])), Err)
+
+
+@pytest.mark.parametrize("fields", ODD_ACCOUNT_FIELDS)
+def test_state_with_an_odd_account_is_not_adopted(fields: dict[str, object]) -> None:
+    """Guards against keys that are the letters of a text, and accounts that raise errors."""
+    assert isinstance(decode_desired_state(make_state(tenants=[{**ACCOUNT, **fields}])), Err)
+
+
+@pytest.mark.parametrize("data", [nest(1000), nest(20_000), b'{"version":%s}' % nest(1000)])
+def test_deeply_nested_state_is_not_adopted(data: bytes) -> None:
+    assert isinstance(decode_desired_state(data), Err)
+
+
+def test_numbers_of_a_state_may_be_written_as_fractions() -> None:
+    """Guards against a sound state that is refused for the form of its numbers."""
+    route = {**ROUTE, "attempts": 2.0, "priority": 1.0, "cap": 5.0, "gapAimMs": None}
+    decoded = decode_desired_state(make_state(version=4.0, routes=[route], tenants=[ACCOUNT]))
+    assert isinstance(decoded, Ok)
+    state = decoded.ok_value
+    assert (state.version, state.routes[0].max_runs, state.routes[0].priority) == (4, 2, 1)
+
+
 JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
@@ -138,6 +199,35 @@
 )
 
 
+@given(
+    st.sampled_from([*ROUTE, "cap", "keepS", "priority", "trafficSplit"]),
+    st.sampled_from(list(ACCOUNT)),
+    JSON_VALUES,
+    JSON_VALUES,
+    JSON_VALUES,
+)
+def test_adopted_state_can_be_used_fuzz(
+    route_field: str, account_field: str, first: object, second: object, version: object
+) -> None:
+    """Guards against a state that is decoded, and raises an error when it is adopted or used."""
+    for changes in (
+        {"routes": [{**ROUTE, route_field: first}]},
+        {"tenants": [{**ACCOUNT, account_field: second}]},
+        {"version": version},
+    ):
+        decoded = decode_desired_state(make_state(**changes))
+        if isinstance(decoded, Err):
+            continue
+        index = RouteIndex(decoded.ok_value)
+        assert 0 < index.state.version < 2**63
+        for route in index.state.routes:
+            assert index.find_route(route.host, route.path_prefix) is not None
+            assert isinstance(route.pick_service("q"), str) and abs(route.priority) < 2**31
+        for account in index.state.accounts:
+            assert all(isinstance(key, str) for key in account.keys)
+            assert account.rate >= 0.0 and account.burst >= 0.0
+
+
 def check_worker(entry: WorkerEntry) -> None:
     """Check that headers, datagrams, log lines and connections can carry an entry's values."""
     assert re.fullmatch(r"[!-~]{1,200}", entry.id)
@@ -189,10 +279,6 @@
     assert isinstance(decoded, Ok) is usable
 
 
-def nest(depth: int) -> bytes:
-    return b"[" * depth + b"]" * depth
-
-
 ODD_FIELDS: list[tuple[str, bytes]] = [
     *((name, b"null") for name in WORKER),
     *((name, nest(depth)) for name in WORKER for depth in (1, 990, 1000, 1023, 1024, 20_000)),
