Check the rows of batch jobs and the items of a submitted document

A total that is a text raised an error in each later submission of its account. A row under another key than its job's replaced the job in the cache. A result, a progress or a document that cannot be read raised ValueError or RecursionError: the reader got 500, and a job with one odd progress could not be loaded. An item with a tokenCount of 1e308 or a negative one was accepted or answered 500.

parse_job, parse_result, parse_partial and parse_items check each field and raise ValueError only. A job that cannot be read is answered 503 (504 for a submission, as an earlier one may have been accepted), a result or a document makes the read an Err, an odd progress is left out, so that its item runs from its start. Documents with odd items get 400; ids, paths and headers may still be numbers.

Not covered: an odd row that replaces the row of a job while its owner runs it (job_run.py).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/acceptance.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/acceptance.py
@@ -146,10 +146,14 @@
     def _resolve_existing(self, record: JobRecord, error: ConditionFailed) -> JobRow | None:
         """Return the existing row if this call wrote it in an earlier attempt, else None.
 
-        :raises Refusal: when the job belongs to another account.
+        :raises Refusal: when the job belongs to another account, or when the row is malformed.
         """
         for stored in error.rows:
-            row = parse_job(stored)
+            try:
+                row = parse_job(stored)
+            except ValueError as malformed:
+                message = "the stored job cannot be read"
+                raise Refusal(504, "unsure", message, Verdict.MAY_HAVE_RUN) from malformed
             if row.record.account != record.account:
                 raise Refusal(400, "invalid_job", "the id belongs to another job")
             self._table.apply_row(row)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -1,7 +1,7 @@
 """Reads and writes batch jobs in the platform's store, and caches their rows."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import ExitStack
 from typing import NamedTuple, TypeVar
 
@@ -34,7 +34,7 @@
     FeedWatch,
     WatchedTable,
 )
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.protocol.verdict import Refusal
 from trefoilreach._internal.state.rows import BlobStore, RowPrecondition, RowStore, StoredRow
 from trefoilreach._internal.state.table import StoreError, StoreUnavailable
@@ -130,7 +130,7 @@
             _FEED_WAIT_SECONDS,
             lambda: compute_feed_pause(self.count_live_daemons()),
         )
-        hooks = FeedHooks(self._replace_rows, self._apply_rows)
+        hooks = FeedHooks(self._replace_rows, self.apply_stored_rows)
         self._feed = FeedWatch(self._clock, self.rows, watched, hooks)
         stack.callback(self._forget_rows)
         self._feed.start(stack)
@@ -188,7 +188,7 @@
         """
         name = job_key(job)
         snapshot = unwrap_or_refuse(self.rows.read(name.table, name.part, job, job + "\0"))
-        rows = [parse_job(stored) for stored in snapshot.rows]
+        rows = unwrap_or_refuse(_parse_rows(snapshot.rows, parse_job))
         if not rows or rows[0].record.account != account:
             raise Refusal(404, "not_found", f"there is no job {job!r}")
         self.apply_row(rows[0])
@@ -208,8 +208,8 @@
         self.store_clock.update(snapshot.store_ms)
         size = 0
         results: list[ItemResult] = []
-        for stored in snapshot.rows:
-            result = self._fill_output(parse_result(stored))
+        for found in unwrap_or_refuse(_parse_rows(snapshot.rows, parse_result)):
+            result = self._fill_output(found)
             size += len(result.output or "")
             if results and size > _MAX_PAGE_BYTES:
                 break
@@ -233,13 +233,13 @@
         """Return the items of a job, and the bytes of its document that are stored in rows."""
         if record.input_blob:
             found = self.blobs.get(record.input_blob)
-            return found.map(lambda data: (parse_items(data) if data else [], 0))
+            return found.and_then(lambda data: _load_items(data or b"", 0))
         key = key_range(record.job, width=3)
         read = self.rows.read(INPUT_TABLE, find_part(record.job), *key)
         if isinstance(read, Err):
             return read
         data = b"".join(stored.value for stored in read.ok_value.rows)
-        return Ok((parse_items(data) if data else [], len(data)))
+        return _load_items(data, len(data))
 
     def load_progress(self, job: str) -> Result[StoredProgress, StoreError]:
         """Return the progress that earlier owners of a job have stored."""
@@ -250,9 +250,17 @@
             return listed
         if isinstance(started, Err):
             return started
-        results = [parse_result(stored) for stored in listed.ok_value.rows]
-        partials = [parse_partial(stored) for stored in started.ok_value.rows]
-        return Ok(StoredProgress(results, {partial.id: partial for partial in partials}))
+        partials: dict[str, Partial] = {}
+        for stored in started.ok_value.rows:
+            try:
+                partial = parse_partial(stored)
+            except ValueError as error:
+                # Without its events so far, the item runs from its start.
+                _log_undecodable(stored, error)
+            else:
+                partials[partial.id] = partial
+        results = _parse_rows(listed.ok_value.rows, parse_result)
+        return results.map(lambda entries: StoredProgress(entries, partials))
 
     def write_row(self, row: JobRow, record: JobRecord) -> Result[JobRow, StoreError]:
         """Write a job's row, on condition that the stored one has not changed since ``row``."""
@@ -261,22 +269,53 @@
         return outcome.map(lambda done: JobRow(record, done.version))
 
     def _replace_rows(self, rows: list[StoredRow], regained: bool) -> None:
-        self._apply_rows(rows)
+        self.apply_stored_rows(rows)
         self._complete.set()
 
-    def _apply_rows(self, rows: list[StoredRow]) -> None:
+    def apply_stored_rows(self, rows: Iterable[StoredRow]) -> None:
+        """Cache the jobs of rows; a malformed one changes nothing."""
         for stored in rows:
             if stored.deleted:
                 self.drop_row(stored.name.key)
                 continue
             try:
                 row = parse_job(stored)
-            except (ValueError, TypeError) as error:
-                log_event("job:undecodable", job=stored.name.key, error=repr(error))
+            except ValueError as error:
+                _log_undecodable(stored, error)
             else:
                 self.apply_row(row)
 
 
+def _parse_rows(
+    rows: Iterable[StoredRow], parse: Callable[[StoredRow], T]
+) -> Result[list[T], StoreError]:
+    """Parse rows that are all needed; a malformed one leaves unknown what was stored."""
+    parsed: list[T] = []
+    for stored in rows:
+        try:
+            parsed.append(parse(stored))
+        except ValueError as error:
+            _log_undecodable(stored, error)
+            return Err(StoreUnavailable(f"row {stored.name.key!r} cannot be read"))
+    return Ok(parsed)
+
+
+def _load_items(data: bytes, size: int) -> Result[tuple[list[Item], int], StoreError]:
+    try:
+        return Ok((parse_items(data) if data else [], size))
+    except ValueError as error:
+        return Err(StoreUnavailable(str(error)))
+
+
+def _log_undecodable(stored: StoredRow, error: ValueError) -> None:
+    log_event(
+        "job:undecodable",
+        table=stored.name.table,
+        key=stored.name.key,
+        error=describe_error(error),
+    )
+
+
 def store_refusal(error: StoreError) -> Refusal:
     """Return the refusal for a call that failed because of the store."""
     return Refusal(503, "store", str(error), retry_after=STORE_RETRY_SECONDS)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -29,7 +29,7 @@
     StoredProgress,
     unwrap_or_refuse,
 )
-from trefoilreach._internal.coordination.jobs.records import ENDED, OPEN, Item, JobRow, parse_job
+from trefoilreach._internal.coordination.jobs.records import ENDED, OPEN, Item, JobRow
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.service import CheckedRequest, ServingState
 from trefoilreach._internal.coordination.serving.slot_table import PEER_TIMEOUT_SECONDS
@@ -371,8 +371,7 @@
         if isinstance(taken, Err):
             log_event("job:take-failed", job=record.job, error=str(taken.err_value))
             if isinstance(taken.err_value, ConditionFailed):
-                for stored in taken.err_value.rows:
-                    self.table.apply_row(parse_job(stored))
+                self.table.apply_stored_rows(taken.err_value.rows)
             return
         log_event("job:taken", job=record.job, former_owner=row.record.owner)
         self.table.apply_row(taken.ok_value)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
@@ -16,6 +16,13 @@
 import xxhash
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.logs import describe_error
+from trefoilreach._internal.protocol.checked_values import (
+    MAX_INT32,
+    MAX_INT64,
+    check_integer,
+    check_number,
+)
 from trefoilreach._internal.state.rows import RowKey, RowWrite, StoredRow
 
 JOB_TABLE = "jobs"
@@ -97,6 +104,13 @@
     output_blob: str = ""
 
 
+_RECORD_BY_TABLE: dict[str, Any] = {
+    JOB_TABLE: JobRecord,
+    RESULT_TABLE: ItemResult,
+    PARTIAL_TABLE: Partial,
+}
+
+
 class StoreClock:
     """Estimate of the store's clock, from the times in its answers."""
 
@@ -149,8 +163,21 @@
 
 
 def parse_job(row: StoredRow) -> JobRow:
-    """Return the job that a row holds."""
-    return JobRow(JobRecord(**orjson.loads(row.value)), row.version)
+    """Return the job that a row holds.
+
+    :raises ValueError: when the row is malformed, or its key is not that of the job.
+    """
+    record = JobRecord(**_load_fields(row))
+    _check_texts(record.job, record.account, record.route, record.owner, record.input_blob)
+    check_integer(record.total, 0, MAX_INT32)
+    check_integer(record.tokens, 0, MAX_INT64)
+    check_number(record.accepted_ms, -MAX_INT64, MAX_INT64)
+    if record.state not in (OPEN, ENDED, DONE):
+        raise ValueError("not a state of jobs")
+    # The cached rows are found by the job, so a row under another key would replace the job's own.
+    if row.name != job_key(record.job):
+        raise ValueError("the key is not that of the job")
+    return JobRow(record, row.version)
 
 
 def result_write(job: str, position: int, result: ItemResult) -> RowWrite:
@@ -159,8 +186,13 @@
 
 
 def parse_result(row: StoredRow) -> ItemResult:
-    """Return the result that a row holds."""
-    return ItemResult(**orjson.loads(row.value))
+    """Return the result that a row holds.
+
+    :raises ValueError: when the row is malformed.
+    """
+    result = ItemResult(**_load_fields(row))
+    _check_texts(result.id, result.output_blob, "" if result.output is None else result.output)
+    return result
 
 
 def partial_key(job: str, item: str) -> RowKey:
@@ -174,8 +206,33 @@
 
 
 def parse_partial(row: StoredRow) -> Partial:
-    """Return the events so far that a row holds."""
-    return Partial(**orjson.loads(row.value))
+    """Return the events so far that a row holds.
+
+    :raises ValueError: when the row is malformed.
+    """
+    partial = Partial(**_load_fields(row))
+    _check_texts(partial.id, partial.output)
+    check_integer(0 if partial.last_event is None else partial.last_event, 0, MAX_INT64)
+    check_integer(partial.failures, 0, MAX_INT32)
+    return partial
+
+
+def _load_fields(row: StoredRow) -> dict[str, Any]:
+    """Return the fields of a row.
+
+    :raises ValueError: when the row holds no object, or one without fields that records need.
+    """
+    fields = orjson.loads(row.value)
+    kind = _RECORD_BY_TABLE[row.name.table]
+    required = set(kind._fields) - set(kind._field_defaults)
+    if not isinstance(fields, dict) or not required <= fields.keys() <= set(kind._fields):
+        raise ValueError(f"not the fields of {kind.__name__}")
+    return fields
+
+
+def _check_texts(*values: Any) -> None:
+    if not all(isinstance(value, str) for value in values):
+        raise ValueError("not a text")
 
 
 def input_writes(job: str, data: bytes) -> list[RowWrite]:
@@ -198,15 +255,21 @@
     try:
         body = orjson.loads(data)
         return [_parse_item(entry) for entry in body["items"]]
-    except (KeyError, TypeError, AttributeError, orjson.JSONDecodeError) as error:
-        raise ValueError(f"the items cannot be read: {error!r}") from error
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise ValueError(f"the items cannot be read: {describe_error(error)}") from error
 
 
 def _parse_item(entry: dict[str, Any]) -> Item:
     return Item(
-        id=str(entry["id"]),
-        target=str(entry["path"]),
-        headers=tuple((str(k), str(v)) for k, v in (entry.get("headers") or {}).items()),
+        id=_parse_text(entry["id"]),
+        target=_parse_text(entry["path"]),
+        headers=tuple((k, _parse_text(v)) for k, v in (entry.get("headers") or {}).items()),
         body=base64.b64decode(entry.get("body") or ""),
-        tokens=int(entry.get("tokenCount") or 0),
+        tokens=check_integer(entry.get("tokenCount") or 0, 0, MAX_INT32),
     )
+
+
+def _parse_text(value: Any) -> str:
+    if not isinstance(value, str | int | float):
+        raise ValueError("not a text or a number")
+    return str(value)
