Leave workers of services that no route names out of polls and roles

An entry of another writer may name a service that is not in the desired state.

Both now look at the workers of services that a route of the desired state names.

Evidence: both tests of test_odd_entries.py fail before with an entry of such a service (its load was asked for; roles were decided by 10,008 slots), and pass now.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -177,11 +177,17 @@
         return self._start_servers(stack)
 
     def _polls_load_of(self, worker: str) -> bool:
-        if not self._exchange.active:
+        entry = self._admission.workers.find(worker)
+        if not self._exchange.active or entry is None or not self._is_routed(entry.service):
             return False
         vms = [peer.identity.vm for peer in self._exchange.active_peers] + [self._deployment.vm]
         return rank_by_rendezvous_hash(worker, vms)[0] == self._deployment.vm
 
+    def _is_routed(self, service: str) -> bool:
+        """Return whether a route names a service; other writers may register workers of any."""
+        index = self._service.route_index
+        return index is not None and index.uses_service(service)
+
     def _identify(self) -> Identity:
         deployment = self._deployment
         return Identity(
@@ -316,7 +322,8 @@
         if self._service.leaving:
             return
         peers = [peer for peer in self._exchange.live_peers if not peer.statement.leaving]
-        slots = sum(worker.slots for worker in self._admission.workers.entries())
+        workers = self._admission.workers.entries()
+        slots = sum(worker.slots for worker in workers if self._is_routed(worker.service))
         fleet = (len(peers), sum(peer.statement.active for peer in peers), slots)
         if fleet == self._fleet and not self._roles.deciding:
             return
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -130,6 +130,7 @@
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._by_key = {key: account for account in state.accounts for key in account.keys}
         self._by_name = {route.name: route for route in state.routes}
+        self._services = {entry.service for route in state.routes for entry in route.services}
 
     @property
     def state(self) -> DesiredState:
@@ -146,6 +147,10 @@
         """Return the route with a name, or None."""
         return self._by_name.get(name)
 
+    def uses_service(self, service: str) -> bool:
+        """Return whether a route sends requests to a service."""
+        return service in self._services
+
     def find_account_by_key(self, key: str) -> ServingAccount | None:
         """Return the account that a key belongs to, or None."""
         return self._by_key.get(key)
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -61,6 +61,7 @@
 
 
 ODD_ENTRIES: dict[str, tuple[str, bytes]] = {
+    "service that no route names": ("odd", encode(service="other", slots=10_000)),
     # The parser takes up to 1,023 levels, Python's stack fewer.
     "service nested 1000 deep": ("odd", encode_raw("service", nest(1000))),
     "zone nested 1020 deep": ("odd", encode_raw("zone", nest(1020))),
@@ -115,6 +116,11 @@
         known, self._failures_known = self._failures_known, len(failures)
         return failures[known:]
 
+    def list_slots(self) -> set[int]:
+        """Return the numbers of slots by which the daemons have decided on their roles."""
+        lines = [line for daemon in self.deployment.daemons for line in daemon.read_log()]
+        return {line["slots"] for line in lines if line["message_type"] == "decision:role"}
+
     def assert_running(self) -> None:
         for daemon in self.deployment.daemons:
             assert daemon.process is not None and daemon.process.poll() is None
@@ -154,6 +160,7 @@
     second = site.deployment.add_daemon()
     site.deployment.wait_settled()
     assert [site.send(daemon) for daemon in (first, second) for _ in range(10)] == [200] * 20
+    assert site.list_slots() <= {0, site.good.slots}
     later = site.deployment.add_worker()
     wait_until(lambda: site.send(first) == site.send(second) == 200 and len(later.seen) > 2)
     # A good entry that becomes odd names no worker; its worker has taken requests until then.
