--- a/tests/unit/test_crashing_parts.py
+++ b/tests/unit/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Tests that requests with a prompt part that crashes workers are stopped, and only these."""
 
+import threading
 import time
 import tracemalloc
 from collections.abc import Iterator
@@ -290,6 +291,19 @@
     assert run("p") == 200 and claimed == ["p"]
 
 
+class WaitClock(ManualClock):
+    """Clock that counts the waits that have begun; each of them ends by the time of its begin."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waits = 0
+
+    def wait(self, event: threading.Event, timeout: float) -> bool:
+        end = self.now() + timeout
+        self.waits += 1
+        return super().wait(event, end - self.now())
+
+
 class TimedRows(MemoryRows):
     """A store with a clock; refuses every call while it is down."""
 
@@ -312,7 +326,7 @@
     """Daemons that share a store, each with its own view of the parts."""
 
     def __init__(self, stack: ExitStack) -> None:
-        self.clock = ManualClock()
+        self.clock = WaitClock()
         self.rows = TimedRows(self.clock)
         self._stack = stack
 
@@ -346,7 +360,10 @@
     stored_fleet.block(stored_fleet.start(), "p")
     stored_fleet.clock.advance(20.0)
     stored_fleet.rows.down = True
+    waits = stored_fleet.clock.waits
     restarted = stored_fleet.start()
+    # The first read has failed, and the time until the next one has begun.
+    wait_until(lambda: stored_fleet.clock.waits > waits)
     assert restarted.parts.find_block(["p"]) is None
     stored_fleet.rows.down = False
     stored_fleet.clock.advance(2.0)
