Start a daemon beside odd rows of the daemons' own tables in a test

test_daemons_follow_good_entries_beside_odd_ones now has odd rows of blocked parts, jobs, results and of another key of the operator's table too, and bounds the peak memory of the daemons by the 170 MB of the users' smallest VMs. With the code before for blocked parts, the second daemon is not ready within 20 s.

--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -93,6 +93,19 @@
 }
 
 
+# Rows of the daemons' own tables.
+ODD_ROWS: list[tuple[RowKey, bytes]] = [
+    (RowKey("blocked-parts", "", "p1"), b'{"trials":2147483647,"next_trial_ms":1e15}'),
+    (RowKey("blocked-parts", "", "p2"), nest(1000)),
+    (RowKey("jobs", "p0", "j1"), b'{"job":"j1","state":"open","total":"2"}'),
+    (RowKey("jobs", "p1", "j2"), nest(1000)),
+    (RowKey("results", "p0", "j1/000000"), b"7"),
+    (RowKey(names.OPERATOR_TABLE, "", "other"), nest(1000)),
+]
+# The smallest VMs of the users have 170 MB.
+MAX_MEMORY_KB = 170_000
+
+
 class Site:
     """A deployment with one good worker."""
 
@@ -124,6 +137,9 @@
     def assert_running(self) -> None:
         for daemon in self.deployment.daemons:
             assert daemon.process is not None and daemon.process.poll() is None
+            status = Path(f"/proc/{daemon.process.pid}/status").read_text()
+            peak = int(status.partition("VmHWM:")[2].split()[0])
+            assert peak < MAX_MEMORY_KB
         assert self.take_failures() == []
 
 
@@ -157,6 +173,8 @@
         site.put(names.WORKER_TABLE, f"{name}{number}", data)
     for name, member in ODD_MEMBERS.items():
         site.put("members", name, orjson.dumps(member))
+    for row, data in ODD_ROWS:
+        site.deployment.platform.rows.commit([], [RowWrite(row, data)])
     second = site.deployment.add_daemon()
     site.deployment.wait_settled()
     assert [site.send(daemon) for daemon in (first, second) for _ in range(10)] == [200] * 20
