Handle signals outside the main thread, so that signals that meet do not hang a daemon

Many signals at once ended a daemon immediately.

Cause: Python runs a signal handler in the main thread between any two instructions. The handlers set events, whose lock the main thread may hold while it waits for or clears the same event; the lock is not reentrant. Further signals nested their handlers on the blocked one until the recursion limit ended the process.

Change: handlers only put the number of the signal in a SimpleQueue, whose put may interrupt itself; a thread takes it from there and calls the functions. Both daemons use it. The emulated deployment takes the time to stop as a parameter.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/deployment.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -102,7 +103,7 @@
             f"seeds={self._deployment.host(1)}:{ports[2]}",
             "bounds.strictRevoke=true",
             f"bounds.revokeMs={REVOKE_SECONDS * 1000}",
-            f"bounds.graceS={STOP_SECONDS}",
+            f"bounds.graceS={self._deployment.stop_seconds}",
             f"provider.address={self._store}",
         ]
         self.settings.write_text("\n".join(lines) + "\n")
@@ -208,11 +209,22 @@
     """A store, workers and daemons; closed by its exit stack.
 
     :param subnet: the daemons listen on 127.0.``subnet``.N.
+    :param routes: routes of the desired state.
+    :param stop_seconds: time between the signal to stop and the kill.
     """
 
-    def __init__(self, folder: Path, stack: ExitStack, subnet: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        stack: ExitStack,
+        subnet: int,
+        routes: Sequence[dict[str, Any]] = ROUTES,
+        stop_seconds: int = STOP_SECONDS,
+    ) -> None:
         self.folder = folder
+        self.stop_seconds = stop_seconds
         self._subnet = subnet
+        self._routes = routes
         self.platform = RowPlatform()
         self.store_port = stack.enter_context(run_server("127.0.0.1", 0, self.platform.handle))
         # Free on all addresses, since each daemon has an address of its own.
@@ -233,16 +245,18 @@
         tenants = [{"name": "shop", "apiKeys": keys, "ratePerS": rate, "burst": burst}]
         state = {
             "version": self.version,
-            "routes": ROUTES,
+            "routes": self._routes,
             "services": [{"name": "pool"}],
             "tenants": tenants,
             "limits": {"maxBodyBytes": 2_000_000},
         }
         self.platform.put(names.OPERATOR_TABLE, names.DESIRED_STATE_KEY, state)
 
-    def add_worker(self, **options: Any) -> StreamWorker:
+    def add_worker(
+        self, worker_type: type[StreamWorker] = StreamWorker, **options: Any
+    ) -> StreamWorker:
         """Start and register a worker."""
-        worker = StreamWorker(f"w{len(self.workers)}", **options)
+        worker = worker_type(f"w{len(self.workers)}", **options)
         port = self._stack.enter_context(run_server("127.0.0.1", 0, worker.handle))
         worker.register(self.platform, port)
         self.workers.append(worker)
--- a/packages/trefoilreach/src/trefoilreach/_internal/main.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/main.py
@@ -6,7 +6,6 @@
 
 import signal
 import sys
-from types import FrameType
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -70,15 +69,11 @@
 def serve(settings: Settings) -> None:
     """Run a daemon; SIGTERM and SIGINT begin a planned stop."""
     from trefoilreach._internal.daemon import Daemon
+    from trefoilreach._internal.signals import handle_signals
 
     sys.setswitchinterval(_SWITCH_INTERVAL_SECONDS)
     daemon = Daemon(settings)
-
-    def handle_signal(number: int, frame: FrameType | None) -> None:
-        daemon.stop()
-
-    signal.signal(signal.SIGTERM, handle_signal)
-    signal.signal(signal.SIGINT, handle_signal)
+    handle_signals({signal.SIGTERM: daemon.stop, signal.SIGINT: daemon.stop})
     daemon.run()
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -8,7 +8,6 @@
 from contextlib import ExitStack
 from http.client import HTTPException
 from pathlib import Path
-from types import FrameType
 
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.exchange.report_exchange import (
@@ -43,6 +42,7 @@
 from trefoilreach._internal.platform.store import PlatformBlobs, PlatformRows, StoreClient
 from trefoilreach._internal.platform.workers import PlatformWorkers
 from trefoilreach._internal.settings import SettingsError
+from trefoilreach._internal.signals import handle_signals
 from trefoilreach._internal.state.serving import rank_by_rendezvous_hash
 from trefoilreach._internal.store_feeds import StoreFeeds
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
@@ -456,17 +456,18 @@
     """Run a daemon with the platform's settings; SIGTERM begins a planned stop."""
     stop, reload = threading.Event(), threading.Event()
 
-    def handle_stop(number: int, frame: FrameType | None) -> None:
+    def request_stop() -> None:
         stop.set()
         reload.set()
 
-    def handle_reload(number: int, frame: FrameType | None) -> None:
-        reload.set()
-
     # Before the settings are read, so that no request to reload is lost.
-    signal.signal(signal.SIGTERM, handle_stop)
-    signal.signal(signal.SIGINT, handle_stop)
-    signal.signal(signal.SIGHUP, handle_reload)
+    handle_signals(
+        {
+            signal.SIGTERM: request_stop,
+            signal.SIGINT: request_stop,
+            signal.SIGHUP: reload.set,
+        }
+    )
     path = settings_path()
     try:
         deployment = load_deployment(path)
