Refuse requests that a stopping daemon cannot finish, before a worker has them

Cause: a stopping daemon accepted new connections for 4.8 of 8 s and served kept ones until the process was gone, whatever time was left. Idle connections were to be closed 5 s after the listener, which is after the end. Requests in the queue, sent again or resumed had no regard for the stop either. A submission of a batch job or a call that waits for results was cut too.

Change: `serving.planned_stop` computes from the time to stop until when a request may be passed on. While callers cannot know of the stop, they are served as before if runs of the route usually end in time. Later, more time must be left than the recent runs took, or than the request has itself. Other requests get 503 with the verdict not-run and may come back at once, also from the queue, and cost no quota. At the end, idle connections are closed, and what has no answer yet gets its last one: 503 if it was not passed on, else 502 or 504. A body that this daemon broke off is not taken for whole, also without a length. An account no longer gets its token back for a request that may have run when its caller left.

Ruled out: refusing everything whose own deadline is after the end. It is safer for streams, but refuses short requests for 4 of 8 s; callers keep addresses for up to 6 s.

The fakes of workers gain bodies without a length, and that of the job keeper the check on arrival.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -54,6 +54,8 @@
 _MAX_ACCEPTORS = 2
 _CHANGE_RETRY_SECONDS = 0.1
 _HAND_OVER_RETRY_SECONDS = 0.3
+# A submission is answered within this time, also when the store answers slowly.
+_SUBMISSION_LIMIT_SECONDS = 5.0
 
 
 class JobDependencies(NamedTuple):
@@ -85,6 +87,7 @@
         # Largest known number of listed results, by job, for calls that wait for results.
         self._result_counts: dict[str, int] = {}
         self._result_counts_changed = threading.Condition()
+        self._waits_ended = False
         self._round_ended = threading.Condition()
         # Start of the last hand-over round after which this daemon owned no job.
         self._last_empty_round_at = float("-inf")
@@ -138,6 +141,12 @@
         self._stop.set()
         threading.Thread(target=self._hand_over, name="jobs-hand-over", daemon=True).start()
 
+    def end_waits(self) -> None:
+        """Answer the calls that wait for results, at the end of a planned stop."""
+        with self._result_counts_changed:
+            self._waits_ended = True
+            self._result_counts_changed.notify_all()
+
     def wait_for_hand_over(self, timeout_seconds: float) -> bool:
         """Wait until all jobs are handed over; return whether they are.
 
@@ -175,6 +184,7 @@
 
         :raises Refusal: when the job is not accepted, or when the outcome is unknown.
         """
+        begun = self._clock.now()
         if not self.table.wait_until_complete():
             self.start_following()
         if not self.table.wait_until_complete():
@@ -192,6 +202,18 @@
         finally:
             with self._lock:
                 self._being_accepted.discard(job)
+        seconds = self._clock.now() - begun
+        self._tools.serving.planned_stop.record_run(checked.route.name, seconds)
+
+    def refuse_if_late(self, checked: CheckedRequest) -> None:
+        """Check a submission that has just arrived.
+
+        :raises Refusal: when it cannot be answered before the end of this daemon's planned stop.
+        """
+        now = self._clock.now()
+        self._tools.serving.planned_stop.refuse_if_late(
+            checked.route.name, now, now + _SUBMISSION_LIMIT_SECONDS
+        )
 
     def choose_acceptors(self) -> list[Peer]:
         """Return active peers to which a submission should go, the best first.
@@ -219,7 +241,7 @@
             with self._result_counts_changed:
                 self._clock.wait_for(
                     self._result_counts_changed,
-                    lambda: self._result_counts.get(job, 0) > after,
+                    lambda: self._waits_ended or self._result_counts.get(job, 0) > after,
                     wait,
                 )
             page = self.table.read_page(row, after)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -8,6 +8,7 @@
 from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.crashing_parts import BlockedPart
 from trefoilreach._internal.coordination.serving.overload import OverloadPolicy, Pressure
+from trefoilreach._internal.coordination.serving.planned_stop import make_stopping_refusal
 from trefoilreach._internal.coordination.serving.queue_order import (
     OnlineTimes,
     compute_online_times,
@@ -44,7 +45,7 @@
 _RECHECK_SECONDS = 0.25
 # Time reserved at the end of a request, so that its final answer is within its limit.
 _FINAL_ANSWER_MARGIN_SECONDS = 0.05
-_CALLER_DISCONNECTED = "the caller disconnected"
+_STOPPING = "this daemon stops"
 _PART_BLOCKED = "workers crashed under requests with a part of this prompt"
 
 
@@ -54,6 +55,9 @@
     def __init__(self, tools: ServingDependencies) -> None:
         self.tools = tools
         self._overload_policies: dict[str, OverloadPolicy] = {}
+        self._lock = threading.Lock()
+        # Callers of the requests whose answer has not begun.
+        self._unanswered: set[CallerConnection] = set()
 
     def overload_policy(self, service: str) -> OverloadPolicy:
         """Return the refusal policy of a service."""
@@ -70,14 +74,32 @@
         if self.tools.crashes.is_blocked(request.fingerprint):
             raise Refusal(500, "crashing", "this request crashed the workers that ran it")
         self._refuse_if_blocked(request)
+        self.tools.planned_stop.refuse_if_late(
+            request.route.name, self.tools.clock.now(), request.end
+        )
         self._take_quota(request)
         run = _OnlineAttempts(self, request, caller)
+        with self._lock:
+            self._unanswered.add(caller)
         try:
             return run.start()
         except Refusal as refusal:
             if refusal.verdict is Verdict.NOT_RUN and request.account is not None:
                 self.tools.buckets.refund(request.account)
             raise
+        finally:
+            self.note_answered(caller)
+
+    def note_answered(self, caller: CallerConnection) -> None:
+        """Record that an answer has begun, so that :meth:`end_unanswered` does not end it."""
+        with self._lock:
+            self._unanswered.discard(caller)
+
+    def end_unanswered(self) -> None:
+        """Answer the requests whose answer has not begun, at the end of a planned stop."""
+        with self._lock:
+            for caller in self._unanswered:
+                caller.cancel(_STOPPING)
 
     def _refuse_if_blocked(self, request: OnlineRequest) -> None:
         """Refuse a request with a prompt part that crashes workers, unless it is time to try it.
@@ -122,6 +144,8 @@
         self._may_have_run = False
         self._last_event = request.resume_after
         self._interrupt: Interrupt | None = None
+        # Time of the first attempt.
+        self._sent_at = 0.0
         caller.listen(self._stop_for_caller)
 
     @property
@@ -234,32 +258,51 @@
             on_granted=lambda worker: granted.set(),
         )
         self._caller.listen(granted.set)
-        # Don't start a run that would not end in time.
-        latest_start = self._request.end - self._overload_policy.run_seconds / 2
-        if self._now >= latest_start:
-            raise self._give_up("no time left to run")
+        if self._now >= self._latest_start:
+            raise self._give_up_start("no time left to run")
         ticket = Ticket(request)
         begun = self._now
         self._tools.admission.submit(ticket)
-        reason = self._wait_for_grant(ticket, granted, latest_start)
+        reason = self._wait_for_grant(ticket, granted)
         if ticket.worker is None and self._tools.admission.withdraw(ticket):
-            raise self._give_up(_CALLER_DISCONNECTED if self._caller.disconnected else reason)
+            raise self._give_up_start(reason)
         self._tools.metrics.observe_slot_wait(self._now - begun)
         worker = self._tools.admission.workers.find(ticket.worker or "")
-        if self._caller.disconnected or worker is None:
+        if self._caller.cancel_reason or worker is None or self._now >= self._latest_stop_start:
             self._tools.admission.release(ticket)
-            raise self._give_up(
-                _CALLER_DISCONNECTED if self._caller.disconnected else "the worker has gone"
-            )
+            raise self._give_up_start("the worker has gone")
         return ticket, worker
 
-    def _wait_for_grant(self, ticket: Ticket, granted: threading.Event, latest_start: float) -> str:
+    @property
+    def _latest_start(self) -> float:
+        """Time until which a run may start, so that it ends in time."""
+        latest = self._request.end - self._overload_policy.run_seconds / 2
+        return min(latest, self._latest_stop_start)
+
+    @property
+    def _latest_stop_start(self) -> float:
+        """Time until which a run may start by the planned stop of this daemon."""
+        request = self._request
+        return self._tools.planned_stop.find_latest_start(request.route.name, request.end)
+
+    def _give_up_start(self, reason: str) -> Refusal:
+        """Return the final answer for a request that may not start a run, or not any more.
+
+        :param reason: applies unless the caller or the planned stop ended the wait.
+        """
+        stopping = self._caller.cancel_reason == _STOPPING or self._now >= self._latest_stop_start
+        if stopping and not self._may_have_run:
+            return make_stopping_refusal()
+        return self._give_up(self._caller.cancel_reason or (_STOPPING if stopping else reason))
+
+    def _wait_for_grant(self, ticket: Ticket, granted: threading.Event) -> str:
         """Wait until a ticket has a slot, its caller leaves or there is no hope of a slot.
 
         :returns: the reason if no slot was granted.
         """
         queued = False
-        while not granted.is_set() and self._now < latest_start:
+        # A planned stop may begin during the wait.
+        while not granted.is_set() and self._now < (latest_start := self._latest_start):
             pressure = self._tools.admission.pressure_on(ticket)
             # A stream that has begun elsewhere is kept as long as there is any chance.
             hopeless = not self._may_have_run and self._overload_policy.is_hopeless(
@@ -307,8 +350,9 @@
     def _send(self, worker: WorkerEntry) -> WorkerAnswer:
         request = self._request
         self._interrupt = interrupt = Interrupt()
-        if self._caller.disconnected:
-            raise self._give_up(_CALLER_DISCONNECTED)
+        if self._caller.cancel_reason:
+            raise self._give_up(self._caller.cancel_reason)
+        self._sent_at = self._sent_at or self._now
         time_left = request.end - self._now
         dispatch = Dispatch(
             request.call,
@@ -332,6 +376,7 @@
         answer = attempt.answer
         try:
             body = answer.read_all(max(self._request.end - self._now, _FINAL_ANSWER_MARGIN_SECONDS))
+            self._check_not_interrupted()
         except WorkerFailure as failure:
             self._record_failure(attempt.worker, failure)
             return None
@@ -353,6 +398,7 @@
             self._tools.crashes.record_answered(self._request.shared_parts)
         self._record_outcome(attempt.worker, good=answer.status < 500)
         self._overload_policy.record_run(self._now - begun)
+        self._record_length()
         self._log_end("answered", attempt.worker, answer.status)
         return OnlineAnswer(answer.status, answer.headers, body)
 
@@ -366,6 +412,8 @@
         relay = Relay(self._tools, self._request, attempt, self._may_run_again())
         try:
             first = relay.read_events()
+            self._runner.note_answered(self._caller)
+            self._check_not_interrupted()
         except WorkerFailure as failure:
             relay.close()
             self._record_failure(attempt.worker, failure)
@@ -373,6 +421,21 @@
         headers = attempt.answer.headers
         return OnlineAnswer(200, headers, None, self._relay(relay, first))
 
+    def _check_not_interrupted(self) -> None:
+        """Check that what was read is not the part of an answer before its interruption.
+
+        An answer without a length ends with its connection, also if this daemon ended it.
+
+        :raises WorkerFailure: when the attempt was interrupted.
+        """
+        if self._interrupt is not None and self._interrupt.reason:
+            raise WorkerFailure(self._interrupt.reason, Verdict.MAY_HAVE_RUN)
+
+    def _record_length(self) -> None:
+        """Add the time from the first attempt to the end of the answer to the run lengths."""
+        seconds = self._now - self._sent_at
+        self._tools.planned_stop.record_run(self._request.route.name, seconds)
+
     def _relay(self, relay: Relay, events: list[StreamEvent]) -> Iterator[bytes]:
         """Yield the events of a stream, resuming it at other workers after failures."""
         begun = self._now
@@ -383,6 +446,7 @@
                 yield b"".join(event.raw for event in events)
                 relay, events = self._next_events(relay)
             self._overload_policy.record_run(self._now - begun)
+            self._record_length()
             self._record_outcome(relay.worker, good=True)
             self._log_end("streamed", relay.worker, 200)
         finally:
@@ -439,8 +503,9 @@
         :raises Refusal: when it may not.
         """
         request, workers = self._request, self._tools.admission.workers
-        if self._caller.disconnected:
-            raise self._give_up(_CALLER_DISCONNECTED)
+        if self._caller.cancel_reason:
+            self._may_have_run = self._may_have_run or failure.verdict is Verdict.MAY_HAVE_RUN
+            raise self._give_up(self._caller.cancel_reason)
         if failure.unreachable:
             workers.note_failure(worker.id, str(failure))
             self._record_not_run(worker, str(failure))
@@ -540,7 +605,7 @@
     def _stop_for_caller(self) -> None:
         interrupt = self._interrupt
         if interrupt is not None:
-            interrupt.trigger(_CALLER_DISCONNECTED)
+            interrupt.trigger(self._caller.cancel_reason)
 
     def _log_end(self, outcome: str, worker: WorkerEntry, status: int) -> None:
         log_event(
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
@@ -7,6 +7,7 @@
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets
 from trefoilreach._internal.coordination.serving.admission import Admission, Ticket
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
+from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.coordination.serving.worker_client import (
     Call,
     WorkerAnswer,
@@ -69,6 +70,7 @@
     crashes: CrashRegistry
     worker_client: WorkerClient
     metrics: MetricsPage
+    planned_stop: PlannedStop
 
 
 class Attempt(NamedTuple):
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/job_requests.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/job_requests.py
@@ -37,10 +37,12 @@
     def submit(self, call: Call, checked: CheckedRequest, environ: dict[str, Any]) -> OnlineAnswer:
         """Submit a job, through an active daemon if this one stands by.
 
-        :raises Refusal: when the method is not POST, or the request id or the key is missing.
+        :raises Refusal: when the method is not POST, the request id or the key is missing, or the
+            daemon stops too soon.
         """
         if call.method != "POST" or not call.request_id or checked.account is None:
             raise Refusal(400, "invalid_job", "a job needs POST, a request id and a key")
+        self._jobs.refuse_if_late(checked)
         outcome_unknown = False
         peers = [] if _FORWARDED_VARIABLE in environ else self._jobs.choose_acceptors()
         for peer in peers:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -30,6 +30,7 @@
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.orphans import OrphanPoller
+from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop, plan_stop
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.deployment import Deployment
@@ -61,12 +62,8 @@
 _STORE_ANSWERS_SECONDS = 2.5
 _SETTINGS_POLL_SECONDS = 2.0
 _PEER_FETCH_TIMEOUT_SECONDS = 0.5
-# Share of the time for a planned stop after which the daemon accepts no new connections.
-_STOP_LISTENING_SHARE = 0.6
-# Reserve at the end of that time for closing what the daemon has opened.
-_STOP_MARGIN_SECONDS = 0.6
-# Shortest time for which a stopping daemon still accepts connections.
-_MIN_ACCEPTING_SECONDS = 3.0
+# Time at the end of a planned stop for sending final answers to requests that are still open.
+_FINAL_ANSWERS_SECONDS = 0.2
 
 
 class PlatformDaemon:
@@ -126,8 +123,15 @@
         self._admission = Admission(clock, deployment.vm)
         self._buckets = FleetBuckets(clock, deployment.quota_bound)
         self._crashes = CrashRegistry(clock)
+        self._planned_stop = PlannedStop()
         tools = ServingDependencies(
-            clock, self._admission, self._buckets, self._crashes, worker_client, self._metrics
+            clock,
+            self._admission,
+            self._buckets,
+            self._crashes,
+            worker_client,
+            self._metrics,
+            self._planned_stop,
         )
         self._exchange = ReportExchange(clock, self._identify(), self._list_seed_addresses())
         self._service = ServingState(
@@ -424,18 +428,21 @@
 
     def _drain(self, server: HttpServer) -> None:
         """Leave the entry points, serve the requests that still arrive, and end in time."""
-        begin = self._clock.now()
-        stop_seconds = self._deployment.stop_seconds
-        log_event("daemon:stopping", seconds=stop_seconds)
+        plan = plan_stop(self._clock.now(), self._deployment.stop_seconds)
+        log_event("daemon:stopping", seconds=self._deployment.stop_seconds)
+        self._planned_stop.begin(plan)
         self._service.leaving = True
         self._exchange.request_report()
         server.begin_drain()
         self._jobs.start_hand_over()
-        self._clock.sleep(max(_MIN_ACCEPTING_SECONDS, _STOP_LISTENING_SHARE * stop_seconds))
+        self._clock.sleep(max(0.0, plan.listens_until - self._clock.now()))
         server.stop_listening()
-        deadline = begin + stop_seconds - _STOP_MARGIN_SECONDS
-        all_ended = server.wait_idle(deadline - self._clock.now())
-        handed_over = self._jobs.wait_for_hand_over(deadline - self._clock.now())
+        all_ended = server.wait_idle(plan.ends_at - self._clock.now())
+        if not all_ended:
+            self._service.online.end_unanswered()
+            self._jobs.end_waits()
+            all_ended = server.wait_idle(_FINAL_ANSWERS_SECONDS)
+        handed_over = self._jobs.wait_for_hand_over(plan.ends_at - self._clock.now())
         log_event("daemon:drained", all_requests_ended=all_ended, all_jobs_handed_over=handed_over)
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -23,6 +23,8 @@
 # How long connections without a request stay open after the server stopped listening, for
 # callers that are about to use them.
 _IDLE_KEEP_SECONDS = 5.0
+# Time for closing such connections before the end of the wait for all connections.
+_IDLE_CLOSE_SECONDS = 0.2
 _IDLE_POLL_SECONDS = 0.05
 
 
@@ -217,11 +219,12 @@
         :param limit: seconds.
         """
         begin = self._clock.now()
+        keep = min(_IDLE_KEEP_SECONDS, limit - _IDLE_CLOSE_SECONDS)
         while self._clock.now() - begin < limit:
             channels = list(self._server.active_channels.values())
             if not channels:
                 return True
-            if self._clock.now() - begin > _IDLE_KEEP_SECONDS:
+            if self._clock.now() - begin > keep:
                 self._server.trigger.pull_trigger(self._close_idle)
             self._clock.sleep(_IDLE_POLL_SECONDS)
         return not any(channel.busy for channel in self._server.active_channels.values())
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets, QuotaBound
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
+from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.worker_client import Call, Dispatch, WorkerFailure
 from trefoilreach._internal.metrics_page import MetricsPage
@@ -68,6 +69,8 @@
     :param silence_seconds: time to wait before ``failure_after_pieces`` is raised.
     :param gate: holds back the last part of the body until it is set.
     :param piece_seconds: time before each part of the body after the first.
+    :param ends_with_connection: whether the body has no length, so that an interruption looks like
+        its end.
     """
 
     status: int = 200
@@ -81,6 +84,7 @@
     silence_seconds: float = 0.0
     gate: threading.Event | None = None
     piece_seconds: float = 0.0
+    ends_with_connection: bool = False
 
 
 class FakeAnswer:
@@ -105,6 +109,8 @@
                 if self.interrupt.reason:
                     break
         if self.interrupt.reason:
+            if self.script.ends_with_connection:
+                return b""
             raise WorkerFailure("interrupted", Verdict.MAY_HAVE_RUN)
         if self.pending_pieces:
             if len(self.pending_pieces) < len(self.script.pieces):
@@ -162,7 +168,9 @@
     for entry in make_workers(workers):
         admission.workers.put(entry)
     buckets = FleetBuckets(clock, QuotaBound())
-    return ServingDependencies(clock, admission, buckets, CrashRegistry(clock), link, MetricsPage())
+    return ServingDependencies(
+        clock, admission, buckets, CrashRegistry(clock), link, MetricsPage(), PlannedStop()
+    )
 
 
 def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -156,3 +156,38 @@
         server.stop_listening()
         assert server.wait_idle(8.0)
         assert client.recv(1) == b""
+
+
+def test_idle_connections_are_closed_before_the_end_of_the_wait() -> None:
+    """Guards against requests on kept connections that the end of the process cuts."""
+    server = _serve(lambda environ, start_response: [])
+    with closing(server), closing(_connect(server.port)) as client:
+        harness.wait_until(lambda: server._server.active_channels, 3.0)
+        server.begin_drain()
+        server.stop_listening()
+        begin = time.monotonic()
+        assert server.wait_idle(0.6)
+        assert 0.3 < time.monotonic() - begin < 0.6
+        assert client.recv(1) == b""
+
+
+def test_request_in_the_last_moments_is_answered() -> None:
+    """Guards against closing a connection on which a request is being answered."""
+
+    def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        time.sleep(0.3)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = _serve(app)
+    with closing(server), closing(_connect(server.port)) as client:
+        harness.wait_until(lambda: server._server.active_channels, 3.0)
+        server.begin_drain()
+        server.stop_listening()
+        client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        harness.wait_until(lambda: any(c.busy for c in server._server.active_channels.values()))
+        # Shorter than the time that the answer takes, and than the time for closing.
+        assert not server.wait_idle(0.1)
+        assert server.wait_idle(1.0)
+        answer = client.makefile("rb").read()
+        assert answer.endswith(b"ok") and b"Connection: close" in answer
--- a/tests/unit/test_job_forwarding.py
+++ b/tests/unit/test_job_forwarding.py
@@ -9,6 +9,7 @@
 import pytest
 from serving_fakes import ACCOUNT, make_call, make_route
 from trefoilreach._internal.clock import SystemClock
+from trefoilreach._internal.coordination.serving.planned_stop import make_stopping_refusal
 from trefoilreach._internal.coordination.serving.service import CheckedRequest
 from trefoilreach._internal.platform.job_requests import JobRequestHandler
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
@@ -23,12 +24,18 @@
     """A standby daemon's job keeper that notes what is submitted to it.
 
     :ivar refusal: raised by the submission, if set.
+    :ivar late: raised on the arrival of a submission, if set.
     """
 
     def __init__(self, peers: list[Any]) -> None:
         self.peers = peers
         self.submitted: list[str] = []
         self.refusal: Refusal | None = None
+        self.late: Refusal | None = None
+
+    def refuse_if_late(self, checked: CheckedRequest) -> None:
+        if self.late is not None:
+            raise self.late
 
     def choose_acceptors(self) -> list[Any]:
         return self.peers
@@ -124,3 +131,14 @@
             run()
         assert caught.value.status == 503
         assert jobs.submitted == ["j1"]
+
+
+def test_submission_that_is_too_late_for_a_stopping_daemon_is_passed_on_to_no_peer() -> None:
+    """Guards against a job that a peer accepts while the answer to its caller is cut."""
+    with ExitStack() as stack:
+        run, jobs, servers = submit(stack, ACCEPTED)
+        jobs.late = make_stopping_refusal()
+        with pytest.raises(Refusal) as caught:
+            run()
+        assert (caught.value.status, caught.value.verdict) == (503, Verdict.NOT_RUN)
+        assert servers[0].received == b"" and jobs.submitted == []
