Refuse or end requests at the limit of a planned stop on the product's own interface

Cause: the daemon served kept connections for up to 5 s after it had stopped listening, however long a request would last, and closed what was left at the limit without an answer.

Evidence: a new functional test with a limit of 2 s. On the code before, a completion of 2 s that arrives 0.7 s after the listener closed is cut (RemoteDisconnected), and so is a stream that runs at the limit (IncompleteRead).

Change: `membership.drain` begins the planned stop of the dispatcher with its own times; completions and service calls that would last longer are refused with 503, not-run. At the limit, what runs is stopped as for a caller that leaves: 503 with its true verdict, or an error event in a stream.

Left: a service call that must not be repeated is not interrupted and is cut at the limit; a queued request waits until then.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/dispatch.py
@@ -1,5 +1,6 @@
 """Runs online completions: admission, attempts, resumed streams and the final verdict."""
 
+import math
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager, suppress
@@ -19,6 +20,7 @@
 from trefoilreach._internal.coordination.online.load_view import LoadView
 from trefoilreach._internal.coordination.online.retry_budget import RetryBudget
 from trefoilreach._internal.coordination.online.running import RunningRequest, RunningRequests
+from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.protocol.completion_events import read_text
 from trefoilreach._internal.protocol.openai import Completion, render_prompt
@@ -80,6 +82,7 @@
         self.backends = backends
         self.crash_guard = guard
         self.retry_budget = RetryBudget(clock, settings.routing.retry_share / 100.0)
+        self.planned_stop = PlannedStop()
         self.poller = LoadPoller(clock, engine, backends, settings.routing.load_interval)
         self._settings = settings
         self._config = config
@@ -103,11 +106,18 @@
 
         :raises Refusal: when the answer cannot be completed.
         """
+        started = self.clock.now()
+        self.planned_stop.refuse_if_late(job.route.name, started, math.inf)
         request = RunningRequest(job.request_id, job.is_stopped)
         self.retry_budget.note_request()
         self.backends.demand.record_arrival(job.route.name)
         with self.track(request):
             yield from _CompletionRun(self, job, request).relay()
+        self.planned_stop.record_run(job.route.name, self.clock.now() - started)
+
+    def end_running(self) -> None:
+        """Give running requests their last answer, at the end of a planned stop."""
+        self._running.stop_all("this daemon stops")
 
     @contextmanager
     def track(self, request: RunningRequest) -> Iterator[None]:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/running.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/running.py
@@ -93,6 +93,11 @@
         """Stop checking a request."""
         self._requests.discard(request)
 
+    def stop_all(self, reason: str) -> None:
+        """End all requests."""
+        for request in self._requests.copy():
+            request.stop(reason)
+
     def check_all(self) -> None:
         """Stop requests whose caller disconnected; interrupt attempts whose server is silent."""
         for request in self._requests.copy():
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/service_dispatch.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/online/service_dispatch.py
@@ -1,5 +1,6 @@
 """Runs calls of services: admission, attempts and the final verdict."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -71,10 +72,14 @@
 
         :raises Refusal: when no attempt gives one.
         """
+        started, planned_stop = self._clock.now(), self._dispatcher.planned_stop
+        planned_stop.refuse_if_late(job.route.name, started, math.inf)
         request = RunningRequest(job.request_id, job.is_stopped)
         self._dispatcher.retry_budget.note_request()
         with self._dispatcher.track(request):
-            return self._run_attempts(job, request)
+            reply = self._run_attempts(job, request)
+        planned_stop.record_run(job.route.name, self._clock.now() - started)
+        return reply
 
     def _run_attempts(self, job: ServiceJob, request: RunningRequest) -> ServiceReply:
         failed: list[str] = []
--- a/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/daemon.py
@@ -210,7 +210,7 @@
             entrypoints=EntryPoints(membership),
             streams=streams,
             isolation=IsolationGuard(self._clock, sync, membership, streams, fleet.isolation),
-            drain=Drain(self._clock, membership, fleet.entry_keep, fleet.stream_grace),
+            drain=Drain(self._clock, membership, dispatcher, fleet.entry_keep, fleet.stream_grace),
             batches=batches,
             placement=placement,
             audit=AuditLog(
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -91,5 +91,33 @@
         assert [fault for caller in callers for fault in caller.faults] == []
 
 
+def test_requests_that_cannot_end_in_time_are_refused_or_ended_with_an_error(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that are cut when the grace period of a planned stop is over.
+
+    One stream is still running then; another request arrives late on a kept connection.
+    """
+    with Fleet(tmp_path) as fleet:
+        daemon = start_fleet(fleet, count=2, entry_keep="0.2s", stream_grace="2s")[0]
+        slow = orjson.dumps({**BODY, "max_tokens": 100})
+        for _ in range(2):
+            assert call(daemon, "POST", "/v1/chat/completions", slow, key="s1").status == 200
+        late = HTTPConnection(*daemon, timeout=10)
+        late.connect()
+        stream = LongStream(daemon)
+        fleet.process("vm1").signal(signal.SIGTERM)
+        # The daemon serves for 2.2 s as before, and then waits for 2 s.
+        time.sleep(2.9)
+        late.request("POST", "/v1/chat/completions", slow, HEADERS)
+        answer = late.getresponse()
+        assert (answer.status, answer.getheader("Connection")) == (503, "close")
+        assert answer.getheader("trefoilreach-verdict") == "not-run"
+        assert float(answer.getheader("Retry-After") or "nan") <= 1.0
+        last_event = stream.finish().rstrip().splitlines()[-1]
+        assert orjson.loads(last_event.removeprefix(b"data: "))["error"]
+        assert fleet.process("vm1").wait(15) == 0
+
+
 def _entry_vms(address: Address) -> set[str]:
     return {entry["vm"] for entry in call(address, "GET", "/v1/entrypoints").json()["entrypoints"]}
