--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
@@ -61,7 +61,10 @@
 
 
 class RunLengths:
-    """Lengths of the recent runs of one kind of request; not thread-safe."""
+    """Lengths of the recent runs of one kind of request.
+
+    Threads may record runs at the same time; one that is lost for it makes no difference.
+    """
 
     def __init__(self) -> None:
         self._count = 0
