--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -11,6 +11,7 @@
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets, QuotaBound
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
+from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.worker_client import Call, Dispatch, WorkerFailure
 from trefoilreach._internal.metrics_page import MetricsPage
@@ -166,7 +167,9 @@
     for entry in make_workers(workers):
         admission.workers.put(entry)
     buckets = FleetBuckets(clock, QuotaBound())
-    return ServingDependencies(clock, admission, buckets, CrashRegistry(clock), link, MetricsPage())
+    return ServingDependencies(
+        clock, admission, buckets, CrashRegistry(clock), link, MetricsPage(), PlannedStop()
+    )
 
 
 def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
