Space only the runs of an item that a worker has answered

The wait after a run without an event met the rule that only a crash delays an item's next run: runs that were reset before any answer waited too (test_item_waits_only_after_a_crash). What must be spaced are answers without an event, which come at once; resets are not answers.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -424,7 +424,11 @@
         except WorkerFailure as failure:
             begun = len(run.events) > events_before
             _log_run_end(run, worker, answer, events_before, interrupt)
-            return self._handle_failure(run, worker, failure, interrupt, begun)
+            pause = self._handle_failure(run, worker, failure, interrupt, begun)
+            if answer is not None and not begun and not interrupt.reason:
+                # A worker that answers without an event would answer each further run at once.
+                pause = max(pause, _RETRY_SECONDS)
+            return pause
         finally:
             if answer is not None:
                 answer.close()
@@ -506,10 +510,7 @@
         if dead or failure.timed_out or failure.unreachable:
             self._tools.admission.workers.note_failure(worker.id, str(failure), failure.timed_out)
         run.excluded_workers = {worker.id}
-        if crashed:
-            return choose_crash_pause(run.crashes)
-        # A worker that answers without an event would answer each further run at once.
-        return 0.0 if begun or dead else _RETRY_SECONDS
+        return choose_crash_pause(run.crashes) if crashed else 0.0
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
