Refuse at once when no worker takes new requests

Callers whose request came back while a service had no worker were held until just before their deadline: 2.67 s of 3 s, then 503. Each refusal without a worker also moved the retry times of the policy by a whole run for each daemon, because it spaced the callers over one slot: with twelve daemons the 11th refusal said 97 s and the 31st 289 s, and callers were still told 287 s once 48 slots were there.

Cause: a queue without slots counted as one whose wait is not known. It is known that nothing can be granted, and clients return by themselves.

The queue without slots is now hopeless, whether it is so at the arrival or becomes so; the refusal has its own code, no_worker, and a fixed time of 1 s to come back. Streams that have begun still wait for a worker.

The test of a caller that disconnects in the queue used no worker, so its request was refused before it was queued; it now has a full worker and tests the time.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -45,6 +45,7 @@
 # Time reserved at the end of a request, so that its final answer is within its limit.
 _FINAL_ANSWER_MARGIN_SECONDS = 0.05
 _CALLER_DISCONNECTED = "the caller disconnected"
+_NO_WORKER = "no worker takes new requests"
 _PART_BLOCKED = "workers crashed under requests with a part of this prompt"
 
 
@@ -167,17 +168,20 @@
         pressure = self._tools.admission.pressure(self._service, urgency)
         if not self._overload_policy.must_refuse(pressure, self._times.on_time_until - now):
             return
+        code, reason = "overloaded", "no slot within the target"
+        if not pressure.slots:
+            code, reason = "no_worker", _NO_WORKER
         seconds = self._overload_policy.assign_retry_delay(pressure, now)
         log_decision(
             "refuse",
             "retry-later",
-            "no slot within the target",
+            reason,
             request_id=request.call.request_id,
             account=request.account_name,
             pressure=pressure._asdict(),
             retry_after=round(seconds, 3),
         )
-        raise Refusal(503, "overloaded", "no slot within the target", retry_after=seconds)
+        raise Refusal(503, code, reason, retry_after=seconds)
 
     def _open_attempt(self) -> Attempt:
         """Return the answer of a worker that has started, or at least accepted, the request.
@@ -265,19 +269,22 @@
             hopeless = not self._may_have_run and self._overload_policy.is_hopeless(
                 pressure, latest_start - self._now
             )
+            reason = "no free slot"
+            if hopeless:
+                reason = "no slot can become free in time" if pressure.slots else _NO_WORKER
             if hopeless or not queued:
-                self._log_wait(pressure, latest_start, hopeless)
+                self._log_wait(pressure, latest_start, "leave" if hopeless else "wait", reason)
                 queued = True
             if hopeless:
-                return "no slot can become free in time"
+                return reason
             self._tools.clock.wait(granted, min(latest_start - self._now, _RECHECK_SECONDS))
         return "no slot became free in time"
 
-    def _log_wait(self, pressure: Pressure, latest_start: float, hopeless: bool) -> None:
+    def _log_wait(self, pressure: Pressure, latest_start: float, choice: str, reason: str) -> None:
         log_decision(
             "queue",
-            "leave" if hopeless else "wait",
-            "no slot can become free in time" if hopeless else "no free slot",
+            choice,
+            reason,
             request_id=self._request.call.request_id,
             account=self._request.account_name,
             pressure=pressure._asdict(),
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/overload.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/overload.py
@@ -14,6 +14,8 @@
 _NEWEST_RUN_WEIGHT = 0.05
 _INITIAL_RUN_SECONDS = 0.8
 _MIN_RETRY_SECONDS = 0.1
+# Workers that replace others are there within seconds, and callers wait for a part of their time.
+_NO_WORKER_RETRY_SECONDS = 1.0
 # A queued request is hopeless when it would wait for this many times its time left. Runs differ in
 # length, and some requests before it leave the queue.
 _HOPELESS_FACTOR = 1.5
@@ -60,9 +62,11 @@
     def must_refuse(self, pressure: Pressure, max_wait: float) -> bool:
         """Return whether a new request must be refused.
 
+        Without workers, waiting is of no use: nobody knows when one will come.
+
         :param max_wait: longest wait in seconds that still meets the target.
         """
-        return self.estimate_wait(pressure) > max_wait
+        return pressure.slots <= 0 or self.estimate_wait(pressure) > max_wait
 
     def is_hopeless(self, pressure: Pressure, time_left: float) -> bool:
         """Return whether a queued request cannot get a slot before its caller leaves.
@@ -70,16 +74,17 @@
         :param pressure: load with the requests that go before it.
         :param time_left: seconds until its latest start.
         """
-        # Without any worker the estimate says nothing; workers may return at any time.
         if pressure.slots <= 0:
-            return False
+            return True
         return self.estimate_wait(pressure) > _HOPELESS_FACTOR * time_left
 
     def assign_retry_delay(self, pressure: Pressure, now: float) -> float:
         """Return after how many seconds a refused caller should retry.
 
-        Each call assigns a later retry time.
+        Each call assigns a later retry time, unless there is no worker whose slots become free.
         """
+        if pressure.slots <= 0:
+            return _NO_WORKER_RETRY_SECONDS
         earliest = now + max(_MIN_RETRY_SECONDS, self.estimate_wait(pressure))
         # Each daemon assigns its share of the slots that become free.
         interval = self._run_seconds * pressure.daemons / max(1, pressure.slots)
--- a/tests/unit/test_online_run.py
+++ b/tests/unit/test_online_run.py
@@ -5,7 +5,16 @@
 from typing import Any
 
 import pytest
-from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from serving_fakes import (
+    ACCOUNT,
+    EVENTS,
+    FakeLink,
+    Script,
+    make_call,
+    make_route,
+    make_tools,
+    make_workers,
+)
 from trefoilreach._internal.coordination.serving import online as online_module
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
@@ -261,9 +270,12 @@
 
 
 def test_request_of_a_caller_that_disconnects_in_the_queue_is_not_sent() -> None:
-    case = Case(RUN_ONCE, workers=0)
-    threading.Timer(0.05, case.watch.mark_disconnected).start()
-    assert case.expect_refusal().status == 503
+    case = Case(RUN_ONCE, workers=1)
+    report_queue(case, waiting=2)
+    begun = time.monotonic()
+    threading.Timer(0.1, case.watch.mark_disconnected).start()
+    assert case.expect_refusal(time_left=4.0).status == 503
+    assert 0.1 <= time.monotonic() - begun < 0.5
     assert case.link.sent == []
 
 
@@ -275,6 +287,41 @@
     assert time.monotonic() - begun < 0.5
 
 
+@pytest.mark.parametrize("time_left", [5.0, 4.0, 3.0])
+def test_request_without_a_worker_is_refused_at_once(time_left: float) -> None:
+    """Guards against a request that is held until its deadline because there is no worker.
+
+    One with less time than its route gives has come back, and is queued while there are workers.
+    """
+    case = Case(RUN_ONCE, workers=0)
+    begun = time.monotonic()
+    refusal = case.expect_refusal(time_left)
+    assert time.monotonic() - begun < 0.3
+    assert refusal.status == 503 and refusal.verdict is Verdict.NOT_RUN
+    assert "worker" in refusal.message
+
+
+def test_queued_request_is_refused_as_soon_as_the_last_worker_has_gone() -> None:
+    """Guards against a queued request that waits until its deadline for the slots of no worker."""
+    case = Case(RUN_ONCE, workers=1)
+    report_queue(case, waiting=0)
+    begun = time.monotonic()
+    threading.Timer(0.3, case.tools.admission.workers.drop, ("w0",)).start()
+    refusal = case.expect_refusal(time_left=4.0)
+    assert 0.3 <= time.monotonic() - begun < 1.0
+    assert refusal.status == 503 and refusal.verdict is Verdict.NOT_RUN
+
+
+def test_retry_times_without_a_worker_do_not_grow() -> None:
+    """Guards against callers that are sent away for minutes, also after workers have come."""
+    case = Case(RUN_ONCE, workers=0)
+    waits = [case.expect_refusal().retry_after or 0.0 for _ in range(40)]
+    assert all(0.1 <= wait <= 2.0 for wait in waits)
+    case.tools.admission.workers.put(make_workers(1)[0])
+    report_queue(case, waiting=60)
+    assert (case.expect_refusal().retry_after or 0.0) < 30.0
+
+
 def report_queue(case: Case, waiting: int, running: int = 2) -> None:
     """Let a peer report that it fills a worker, and requests that go before any new one."""
     now = case.tools.clock.now()
