Use no worker any more that says in its answers that it leaves

Requests that came more than drainMs after an answer with Server-Leaving had been passed on still reached that worker (DRAIN), in touch or not: the header was read nowhere, and a daemon learned of a worker's end only from the store, which may be down or cut off.

What is known of a worker is one belief now (serving.worker_belief), with sources in a fixed order: its own answers and load reports, its entry, failures of requests here, suspicions of peers. Slots are granted by it, and it is looked at again before a request or batch item is sent; a slot of a worker that has begun to leave, or whose entry has gone since, is returned and chosen again, where a request was refused before with other workers free. A refusal by a leaving worker does not count towards the limit of such attempts.

The test that waits for the first part of an item's answer looks at the renamed attribute.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -39,6 +39,7 @@
 from trefoilreach._internal.coordination.serving.relay import split_events
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
+from trefoilreach._internal.coordination.serving.worker_belief import Source
 from trefoilreach._internal.coordination.serving.worker_client import (
     Call,
     Dispatch,
@@ -371,12 +372,11 @@
     def _run_item(self, run: _ItemRun, worker_id: str, interrupt: Interrupt) -> None:
         clock = self._tools.clock
         started_at = clock.now()
-        worker = self._tools.admission.workers.find(worker_id)
+        # The worker may have left while the item waited for a thread; the item is queued again.
+        worker = self._tools.admission.workers.find_open(worker_id)
         pause = 0.0
         try:
-            if worker is None:
-                pause = _RETRY_SECONDS
-            else:
+            if worker is not None:
                 log_decision(
                     "batch",
                     worker_id,
@@ -411,6 +411,8 @@
             answer = self._tools.worker_client.open(
                 dispatch, _FIRST_EVENT_TIMEOUT_SECONDS, interrupt
             )
+            if answer.says_leaving:
+                self._tools.admission.workers.note_leaving(worker, Source.ANSWER)
             if answer.status == 200 and answer.has_receipt:
                 self._tools.admission.workers.note_answer(worker.id)
                 self._read_events(run, worker, answer)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -22,6 +22,7 @@
     ServingDependencies,
 )
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
+from trefoilreach._internal.coordination.serving.worker_belief import Source
 from trefoilreach._internal.coordination.serving.worker_client import (
     Dispatch,
     WorkerAnswer,
@@ -179,6 +180,7 @@
             request_id=request.call.request_id,
             account=request.account_name,
             pressure=pressure._asdict(),
+            unused=self._tools.admission.workers.describe_unused(self._service),
             retry_after=round(seconds, 3),
         )
         raise Refusal(503, code, reason, retry_after=seconds)
@@ -188,12 +190,17 @@
 
         :raises Refusal: when no attempt gets one.
         """
+        workers = self._tools.admission.workers
         while True:
-            ticket, worker = self._wait_for_slot()
+            ticket = self._wait_for_slot()
             block = self._find_forbidding_block()
             if block is not None:
                 self._tools.admission.release(ticket)
                 raise self._give_up(_PART_BLOCKED, block.retry_after)
+            worker = workers.find_open(ticket.worker or "")
+            if worker is None:
+                self._return_slot(ticket)
+                continue
             try:
                 answer = self._send(worker)
             except WorkerFailure as failure:
@@ -201,14 +208,31 @@
                 self._record_failure(worker, failure)
                 continue
             if answer.not_run and answer.is_wrong_worker:
-                self._tools.admission.workers.note_replaced(worker.id)
+                workers.note_replaced(worker.id)
             else:
-                self._tools.admission.workers.note_answer(worker.id)
+                workers.note_answer(worker.id)
+            if answer.says_leaving:
+                workers.note_leaving(worker, Source.ANSWER)
             if not answer.not_run:
                 return Attempt(ticket, worker, answer)
             answer.close()
             self._tools.admission.release(ticket)
-            self._record_not_run(worker, f"worker answered {answer.status}, not run")
+            # A worker that leaves is not chosen again, so that its refusals need no limit.
+            reason = f"worker answered {answer.status}, not run"
+            self._record_not_run(worker, reason, counts=not answer.says_leaving)
+
+    def _return_slot(self, ticket: Ticket) -> None:
+        """Release a slot of a worker that began to leave, or whose entry went, since the choice."""
+        worker = ticket.worker or ""
+        obstacle = self._tools.admission.workers.find_obstacle(worker)
+        self._tools.admission.release(ticket)
+        log_decision(
+            "route",
+            "choose-again",
+            "the worker has gone" if obstacle is None else obstacle.describe(),
+            request_id=self._request.call.request_id,
+            worker=worker,
+        )
 
     def _find_forbidding_block(self) -> BlockedPart | None:
         """Return the block that forbids the next run, or None; claims a trial that is due.
@@ -228,7 +252,7 @@
         _log_block(self._request, block, "refuse")
         return block
 
-    def _wait_for_slot(self) -> tuple[Ticket, WorkerEntry]:
+    def _wait_for_slot(self) -> Ticket:
         granted = threading.Event()
         request = SlotRequest(
             service=self._service,
@@ -249,13 +273,10 @@
         if ticket.worker is None and self._tools.admission.withdraw(ticket):
             raise self._give_up(_CALLER_DISCONNECTED if self._caller.disconnected else reason)
         self._tools.metrics.observe_slot_wait(self._now - begun)
-        worker = self._tools.admission.workers.find(ticket.worker or "")
-        if self._caller.disconnected or worker is None:
+        if self._caller.disconnected:
             self._tools.admission.release(ticket)
-            raise self._give_up(
-                _CALLER_DISCONNECTED if self._caller.disconnected else "the worker has gone"
-            )
-        return ticket, worker
+            raise self._give_up(_CALLER_DISCONNECTED)
+        return ticket
 
     def _wait_for_grant(self, ticket: Ticket, granted: threading.Event, latest_start: float) -> str:
         """Wait until a ticket has a slot, its caller leaves or there is no hope of a slot.
@@ -288,6 +309,7 @@
             request_id=self._request.call.request_id,
             account=self._request.account_name,
             pressure=pressure._asdict(),
+            unused=self._tools.admission.workers.describe_unused(self._service),
             estimated_wait=round(self._overload_policy.estimate_wait(pressure), 3),
             seconds_to_latest_start=round(latest_start - self._now, 3),
         )
@@ -501,8 +523,13 @@
     def _record_outcome(self, worker: WorkerEntry, good: bool) -> None:
         self._tools.admission.outcomes.note(worker.id, good)
 
-    def _record_not_run(self, worker: WorkerEntry, reason: str) -> None:
-        self._not_run_attempts += 1
+    def _record_not_run(self, worker: WorkerEntry, reason: str, counts: bool = True) -> None:
+        """Record an attempt that the worker did not run.
+
+        :param counts: whether it counts towards the limit of such attempts.
+        :raises Refusal: when the request may not be sent again.
+        """
+        self._not_run_attempts += counts
         self._failed_workers.add(worker.id)
         log_event(
             "request:attempt-failed",
@@ -514,7 +541,7 @@
         )
         if self._not_run_attempts >= _MAX_NOT_RUN_ATTEMPTS:
             raise self._give_up(reason)
-        if self._not_run_attempts > 1:
+        if counts and self._not_run_attempts > 1:
             self._tools.clock.sleep(_NOT_RUN_RETRY_DELAY_SECONDS)
 
     def _give_up(self, reason: str, retry_after: float | None = None) -> Refusal:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/orphans.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/orphans.py
@@ -13,6 +13,7 @@
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.serving.admission import Admission
+from trefoilreach._internal.coordination.serving.worker_belief import Source
 from trefoilreach._internal.coordination.serving.worker_client import WorkerClient
 from trefoilreach._internal.logs import log_event
 
@@ -73,7 +74,9 @@
             if not self._is_responsible_for(worker.id):
                 self._admission.set_leftovers(worker.id, 0)
                 continue
-            reported = self._link.fetch_load(worker)
+            reported, leaving = self._link.fetch_load(worker)
+            if leaving:
+                self._admission.workers.note_leaving(worker, Source.LOAD_REPORT)
             known = self._admission.count_known_requests(worker.id)
             before = self._known_before.get(worker.id, known)
             self._known_before[worker.id] = known
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
@@ -37,6 +37,17 @@
     resume_after: int | None
 
 
+class LoadReport(NamedTuple):
+    """What a worker reports of itself.
+
+    :param requests: number of requests that run or wait there; None if it does not say.
+    :param leaving: whether it states that it leaves.
+    """
+
+    requests: int | None
+    leaving: bool = False
+
+
 class WorkerFailure(Exception):
     """Raised when a worker gives no usable answer.
 
@@ -77,6 +88,10 @@
     def is_wrong_worker(self) -> bool:
         """Whether another worker than the expected one has answered."""
 
+    @property
+    def says_leaving(self) -> bool:
+        """Whether the worker states that it leaves; its runs go on, but it takes no new ones."""
+
     @property
     def has_receipt(self) -> bool:
         """Whether the answer carries the worker's receipt."""
@@ -116,5 +131,5 @@
     def is_refused(self, worker: WorkerEntry) -> bool:
         """Return whether no process listens at a worker's address."""
 
-    def fetch_load(self, worker: WorkerEntry) -> int | None:
-        """Return how many requests run or wait at a worker; None if it does not report it."""
+    def fetch_load(self, worker: WorkerEntry) -> LoadReport:
+        """Return what a worker reports of itself."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -102,6 +102,7 @@
             slots=int(body["slots"]),
             draining=body["state"] == "draining",
             started_ms=int(body.get("born") or 0),
+            sequence=int(body.get("sequence") or 0),
         )
         if body["state"] not in _WORKER_STATES or entry.slots < 1 or not 0 < entry.port < 65536:
             return Err(EntryDecodeError(f"entry of worker {worker_id!r} has a value out of range"))
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/names.py
@@ -9,6 +9,8 @@
 # The worker that must run the request; any other answers 421.
 EXPECTED_WORKER = "X-Target-Instance"
 NOT_RUN = "X-Not-Executed"
+# Set in all answers of a worker that leaves.
+LEAVING = "Server-Leaving"
 # The version of the weights that a caller asks for; a worker with another one answers 421 too.
 EXPECTED_VERSION = "X-Expected-Version"
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -5,7 +5,11 @@
 import orjson
 
 from trefoilreach._internal.clock import Clock
-from trefoilreach._internal.coordination.serving.worker_client import Dispatch, WorkerFailure
+from trefoilreach._internal.coordination.serving.worker_client import (
+    Dispatch,
+    LoadReport,
+    WorkerFailure,
+)
 from trefoilreach._internal.logs import log_event
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.protocol.verdict import Verdict
@@ -79,6 +83,15 @@
         """Whether another worker than the expected one has answered."""
         return self.status == _WRONG_WORKER_STATUS and not self._expects_version
 
+    @property
+    def says_leaving(self) -> bool:
+        """Whether the worker states that it leaves."""
+        return (
+            self._response.getheader(names.LEAVING) is not None
+            # Another worker at the address speaks for itself.
+            and not self.is_wrong_worker
+        )
+
     @property
     def has_receipt(self) -> bool:
         """Whether the answer carries the worker's receipt."""
@@ -180,22 +193,26 @@
         """Return whether connections to a worker's address are refused."""
         return self._pools.get(worker.host, worker.port).is_refused()
 
-    def fetch_load(self, worker: WorkerEntry) -> int | None:
-        """Return how many requests run and wait at a worker, or None when it does not say."""
+    def fetch_load(self, worker: WorkerEntry) -> LoadReport:
+        """Return what a worker reports of itself."""
         pool = self._pools.get(worker.host, worker.port)
         headers = {names.EXPECTED_WORKER: worker.id}
+        leaving = False
         try:
             exchange = pool.request(
                 "GET", names.LOAD_PATH, headers=headers, timeout=_LOAD_TIMEOUT_SECONDS
             )
+            answer = PlatformAnswer(exchange, self._clock)
+            leaving = answer.says_leaving
             try:
                 body = orjson.loads(exchange.read())
             finally:
                 exchange.close()
-            return int(body["running"]) + int(body["waiting"]) if exchange.status == 200 else None
+            requests = int(body["running"]) + int(body["waiting"])
+            return LoadReport(requests if exchange.status == 200 else None, leaving)
         except (HttpFailure, orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             log_event("worker:load-unknown", worker=worker.id, error=str(error))
-            return None
+            return LoadReport(None, leaving)
 
 
 def _build_headers(dispatch: Dispatch) -> dict[str, str]:
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -156,7 +156,9 @@
 
     :param slots: requests that it runs concurrently.
     :param draining: whether it takes no new requests.
-    :param started_ms: start time in ms; a different value for the same id means a restart.
+    :param started_ms: start time in ms; a different value for the same id means a restart, 0 is
+        unknown.
+    :param sequence: counter of the process; a smaller value for the same id means a restart.
     """
 
     id: str
@@ -167,6 +169,7 @@
     slots: int
     draining: bool
     started_ms: int
+    sequence: int = 0
 
 
 class PromptPart(NamedTuple):
--- a/tests/unit/raw_workers.py
+++ b/tests/unit/raw_workers.py
@@ -14,18 +14,24 @@
 
     :param reset: whether it then resets the connection instead of closing it.
     :param kept: whether it keeps the connection open.
+    :param gate: holds the bytes back until it is set.
     """
 
     data: bytes
     reset: bool = False
     kept: bool = False
+    gate: threading.Event | None = None
 
 
 class RawWorkers:
-    """One listener that answers one connection after the other with the bytes of a list."""
+    """One listener that answers one connection after the other with the bytes of a list.
 
-    def __init__(self, stack: ExitStack, *replies: Reply) -> None:
+    :param repeated: reply to all requests after those of the list.
+    """
+
+    def __init__(self, stack: ExitStack, *replies: Reply, repeated: Reply | None = None) -> None:
         self.replies = list(replies)
+        self.repeated = repeated
         self.requests: list[bytes] = []
         self._stack = stack
         self._listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
@@ -39,18 +45,25 @@
         with suppress(OSError):
             while True:
                 connection, _ = self._listener.accept()
-                request = connection.recv(65536)
-                if not request:
-                    # The daemon only looks whether the worker still listens.
-                    connection.close()
-                    continue
-                self.requests.append(request)
-                reply = self.replies.pop(0)
-                connection.sendall(reply.data)
-                if reply.reset:
-                    linger = struct.pack("ii", 1, 0)
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                if reply.kept:
-                    self._stack.callback(connection.close)
-                else:
-                    connection.close()
+                # A peer that resets its connection must not end the worker.
+                with suppress(OSError):
+                    self._answer(connection)
+
+    def _answer(self, connection: socket.socket) -> None:
+        request = connection.recv(65536)
+        if not request:
+            # The daemon only looks whether the worker still listens.
+            connection.close()
+            return
+        self.requests.append(request)
+        reply = self.repeated if self.repeated and not self.replies else self.replies.pop(0)
+        if reply.gate is not None:
+            reply.gate.wait(10.0)
+        connection.sendall(reply.data)
+        if reply.reset:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if reply.kept:
+            self._stack.callback(connection.close)
+        else:
+            connection.close()
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -12,7 +12,12 @@
 from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
-from trefoilreach._internal.coordination.serving.worker_client import Call, Dispatch, WorkerFailure
+from trefoilreach._internal.coordination.serving.worker_client import (
+    Call,
+    Dispatch,
+    LoadReport,
+    WorkerFailure,
+)
 from trefoilreach._internal.metrics_page import MetricsPage
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import (
@@ -74,6 +79,7 @@
     pieces: tuple[bytes, ...] = ()
     not_run: bool = False
     wrong_worker: bool = False
+    leaving: bool = False
     receipt: bool = True
     stream: bool = True
     failure: WorkerFailure | None = None
@@ -95,6 +101,7 @@
     headers = property(lambda self: [("X-Response-Signature", "s")])
     not_run = property(lambda self: self.script.not_run)
     is_wrong_worker = property(lambda self: self.script.wrong_worker)
+    says_leaving = property(lambda self: self.script.leaving)
     has_receipt = property(lambda self: self.script.receipt)
     is_event_stream = property(lambda self: self.script.stream)
 
@@ -152,8 +159,8 @@
     def is_refused(self, worker: WorkerEntry) -> bool:
         return worker.id in self.dead
 
-    def fetch_load(self, worker: WorkerEntry) -> int | None:
-        return self.loads.get(worker.id)
+    def fetch_load(self, worker: WorkerEntry) -> LoadReport:
+        return LoadReport(self.loads.get(worker.id))
 
 
 def make_tools(link: FakeLink, workers: int = 3, clock: Clock | None = None) -> ServingDependencies:
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -70,7 +70,7 @@
     """Guards against the daemon's own end of a connection that is taken for the answer's end."""
     workers = RawWorkers(stack, Reply(BEGUN, kept=True), REST)
     keeper, tools = start_job(stack, workers)
-    wait_until(lambda: "w0" in tools.admission.workers._health)
+    wait_until(lambda: "w0" in tools.admission.workers._beliefs)
     tickets = take_all_slots(tools)
     wait_until(lambda: not tools.admission.running_by_worker()["w0"].batch)
     for ticket in tickets:
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -106,7 +106,7 @@
 
 
 @given(
-    st.sampled_from(["service", "address", "slots", "state", "born"]),
+    st.sampled_from(["service", "address", "slots", "state", "born", "sequence"]),
     st.none() | st.booleans() | st.text(max_size=5) | st.lists(st.integers(-9, 9), max_size=2),
 )
 def test_malformed_worker_entries_are_rejected_fuzz(field: str, value: object) -> None:
@@ -119,9 +119,11 @@
 
 def test_worker_entry_is_decoded() -> None:
     """Guards against a draining worker or a restart that is not recognised."""
-    decoded = decode_worker("w", orjson.dumps({**WORKER, "state": "draining", "born": 17}))
+    row = {**WORKER, "state": "draining", "born": 17, "sequence": 9}
+    decoded = decode_worker("w", orjson.dumps(row))
     assert isinstance(decoded, Ok)
-    assert decoded.ok_value.draining and decoded.ok_value.started_ms == 17
+    assert decoded.ok_value.draining
+    assert (decoded.ok_value.started_ms, decoded.ok_value.sequence) == (17, 9)
     assert isinstance(decode_worker("w", b"\xff{"), Err)
     assert isinstance(decode_worker("w", orjson.dumps({**WORKER, "state": "odd"})), Err)
 
