Let soaked workers say that they leave, and check that no daemon uses them

A daemon that uses a worker which said that it leaves was found by tests of one process only. The stand-in of a worker now says so in all answers while it leaves. In the soak, half of the leaving workers say so in their answers only, as if they didn't reach the store; the check "leaving" reports requests that were sent through a daemon later than drainMs after it passed the news on. Faults of the store excuse nothing; a kill, stop or freeze of the daemon does.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
@@ -23,6 +23,7 @@
 _QUOTA_TOLERANCE_REQUESTS = 20.0
 _MAX_CANCEL_SECONDS = 3.0
 _MAX_DRAIN_SECONDS = 3.0
+_MAX_LEAVING_SECONDS = 2.0
 _MAX_JOB_VISIBILITY_SECONDS = 1.0
 # Bounds that hold only for undisturbed daemons are not checked for this long after a fault that
 # disconnects them: the longest fault and the time to reconnect.
@@ -167,6 +168,31 @@
             yield f"{run.request_id} reached draining {run.worker} {run.at - end:.2f} s too late"
 
 
+@checks.register("leaving")
+def _check_leaving(history: History, events: int) -> Iterator[str]:
+    """A worker receives no request through a daemon that passed on its news that it leaves.
+
+    A kill, stop or freeze of the daemon since then excuses it; faults of the store do not.
+    """
+    leaving_since = {notice.subject: notice.at for notice in history.find_notices("leaving")}
+    interruptions = [n for n in history.notices if n.kind in ("killed", "stopped", "frozen")]
+    runs = _group_runs_by_request(history)
+    told_at: dict[tuple[str, str], float] = {}
+    for attempt in sorted(history.attempts, key=lambda attempt: attempt.ended_at):
+        # Of several runs, the first may have broken off before its head was passed on.
+        if attempt.status == 200 and attempt.complete and len(runs[attempt.request_id]) == 1:
+            run = runs[attempt.request_id][0]
+            if run.at > leaving_since.get(run.worker, float("inf")):
+                told_at.setdefault((attempt.daemon, run.worker), attempt.ended_at)
+    for attempt in history.attempts:
+        for run in runs[attempt.request_id]:
+            since = told_at.get((attempt.daemon, run.worker), float("inf"))
+            interrupted = any(n.subject == attempt.daemon and n.at > since for n in interruptions)
+            if attempt.sent_at > since + _MAX_LEAVING_SECONDS and not interrupted:
+                late = attempt.sent_at - since - _MAX_LEAVING_SECONDS
+                yield f"{attempt.request_id} reached leaving {run.worker} {late:.2f} s too late"
+
+
 @checks.register("cancelled")
 def _check_cancelled(history: History, events: int) -> Iterator[str]:
     """Items of a cancelled job do not start after the bound."""
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
@@ -60,7 +60,8 @@
         if self._rng.random() < self.fail_share:
             self._note(read_seen(exchange, request_id))
             self._history.add(Failure(request_id, self.name, self._history.now(), 500))
-            exchange.reply({}, 500, {names.REQUEST_ID: request_id, names.RECEIPT: "r"})
+            echo = {names.REQUEST_ID: request_id, names.RECEIPT: "r", **self._state_headers}
+            exchange.reply({}, 500, echo)
             return
         if exchange.body == b"impossible":
             self._history.add(Failure(request_id, self.name, self._history.now(), 422))
@@ -173,11 +174,17 @@
         expiry_timer.daemon = True
         expiry_timer.start()
 
-    def drain_worker(self, proxied: ProxiedWorker) -> None:
-        """Register a worker as draining."""
-        self.history.add_notice("draining", proxied.worker.name)
+    def drain_worker(self, proxied: ProxiedWorker, reported: bool) -> None:
+        """Let a worker say in its answers that it leaves; it serves on.
+
+        :param reported: whether it also registers as draining.
+        """
         self.workers.remove(proxied)
-        proxied.worker.register(self.platform, proxied.proxy.port, "draining")
+        self.history.add_notice("leaving", proxied.worker.name)
+        proxied.worker.leaving = True
+        if reported:
+            self.history.add_notice("draining", proxied.worker.name)
+            proxied.worker.register(self.platform, proxied.proxy.port, "draining")
 
     def _delete_entry(self, proxied: ProxiedWorker) -> None:
         self.platform.put(names.WORKER_TABLE, proxied.worker.name, None)
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/faults.py
@@ -19,6 +19,8 @@
 _MAX_FAULT_SECONDS = 4.0
 _GREY_FAILURE_SHARE = 0.4
 _STREAM_BREAK_SHARE = 0.5
+# The other leaving workers say so in their answers only, as if they didn't reach the store.
+_REPORTED_DRAIN_SHARE = 0.5
 _STORE_DELAY_SECONDS = 0.3
 _HOLD_ATTRIBUTES = ("hold_requests", "hold_answers")
 # Longer than any retention time of reports and rows.
@@ -215,7 +217,8 @@
 def _worker_drain(environment: SoakEnvironment, rng: Random, seconds: float) -> None:
     if len(environment.workers) > 1:
         environment.add_worker()
-        environment.drain_worker(rng.choice(environment.workers))
+        proxied = rng.choice(environment.workers)
+        environment.drain_worker(proxied, reported=rng.random() < _REPORTED_DRAIN_SHARE)
 
 
 @faults.register("worker-grey")
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/stream_worker.py
@@ -38,6 +38,8 @@
     :param events: events of each whole stream.
     :param interval: seconds between two events.
     :ivar break_after: events after which the next stream is cut; 0 cuts none.
+    :ivar leaving: whether all its answers say that it leaves.
+    :ivar starts: number of its starts, in place of the time of the last one.
     """
 
     def __init__(self, name: str, slots: int = 8, events: int = 5, interval: float = 0.02) -> None:
@@ -46,10 +48,17 @@
         self.events = events
         self.interval = interval
         self.break_after = 0
+        self.leaving = False
+        self.starts = 1
         self.seen: list[SeenRequest] = []
         self._lock = threading.Lock()
         self._running = 0
 
+    @property
+    def _state_headers(self) -> dict[str, str]:
+        """Headers of all its answers."""
+        return {names.LEAVING: "1"} if self.leaving else {}
+
     def register(self, platform: RowPlatform, port: int, state: str = "ready") -> None:
         """Write the worker's entry."""
         entry = {
@@ -58,19 +67,20 @@
             "zone": "a",
             "slots": self.slots,
             "state": state,
-            "born": 1,
+            "born": self.starts,
         }
         platform.put(names.WORKER_TABLE, self.name, entry)
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         request_id = exchange.headers.get(names.REQUEST_ID, "")
-        echo = {names.REQUEST_ID: request_id}
+        echo = {names.REQUEST_ID: request_id, **self._state_headers}
         if exchange.headers.get(names.EXPECTED_WORKER) != self.name:
             exchange.reply({}, 421, echo)
             return
         if exchange.path == names.LOAD_PATH:
-            exchange.reply({"running": self._running, "waiting": 0})
+            report = {"running": self._running, "waiting": 0}
+            exchange.reply(report, headers=self._state_headers)
             return
         with self._lock:
             free = self._running < self.slots
@@ -89,7 +99,8 @@
         self._note(seen)
         begin = seen.resumed_after
         if exchange.body == b"impossible":
-            exchange.reply({}, 422, {names.REQUEST_ID: request_id, names.RECEIPT: "r"})
+            echo = {names.REQUEST_ID: request_id, names.RECEIPT: "r", **self._state_headers}
+            exchange.reply({}, 422, echo)
             return
         cut, self.break_after = self.break_after, 0
         self._start(exchange, request_id)
@@ -110,6 +121,7 @@
             "Transfer-Encoding": "chunked",
             names.REQUEST_ID: request_id,
             names.RECEIPT: "r",
+            **self._state_headers,
         }
         exchange.start(200, headers)
 
--- a/tests/functional/broken/sitecustomize.py
+++ b/tests/functional/broken/sitecustomize.py
@@ -67,6 +67,15 @@
     FleetBuckets.admit = lambda self, account: None  # type: ignore[method-assign]
 
 
+def _ignore_leaving() -> None:
+    from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
+
+    def note_nothing(self: Any, worker: Any, source: Any) -> None:
+        return
+
+    WorkerDirectory.note_leaving = note_nothing  # type: ignore[method-assign]
+
+
 _BREAKS: dict[str, Callable[[], None]] = {
     "repeat": _repeat_everything,
     "refuse": _promise_not_run,
@@ -74,6 +83,7 @@
     "cut": _end_cut_streams,
     "orphans": _leave_orphans,
     "quota": _admit_all,
+    "leaving": _ignore_leaving,
 }
 if os.environ.get("BROKEN"):
     _BREAKS[os.environ["BROKEN"]]()
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -45,6 +45,7 @@
     BrokenBuild("cut", ("worker-breaks-streams", "connections-reset"), "order"),
     BrokenBuild("orphans", ("kill",), "lost"),
     BrokenBuild("quota", ("reload",), "quota", rate=4.0),
+    BrokenBuild("leaving", ("worker-drain",), "leaving", seconds=8.0),
 )
 
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -118,6 +118,17 @@
     history.add(make_run("c3", "w9", at=5.1))
 
 
+def _use_leaving_worker(history: History) -> None:
+    history.add(Notice("leaving", "w9", 1.0))
+    for number, sent_at in enumerate((1.5, 5.0)):
+        request_id = f"c{7 + number}"
+        events = tuple((n, f"{request_id} {n}") for n in range(1, EVENTS + 1))
+        history.add(
+            make_attempt(request_id, sent_at=sent_at, ended_at=sent_at + 0.5, events=events)
+        )
+        history.add(make_run(request_id, "w9", at=sent_at + 0.1))
+
+
 def _run_cancelled_item(history: History) -> None:
     history.add(Notice("end-asked", "j1", 5.0))
     history.add(Notice("ended", "j1", 5.0))
@@ -180,6 +191,7 @@
     _run_with_withdrawn_key: "withdrawn",
     _exceed_quota: "quota",
     _use_draining_worker: "drain",
+    _use_leaving_worker: "leaving",
     _run_cancelled_item: "cancelled",
     _omit_item: "lost",
     _list_item_twice: "lost",
