Take jobs over only when the clock of the store is known

Cause: a daemon that had been restarted while the store was down regained the table of jobs 0.75 s before the desired state. The store's clock was noted only from answers about the desired state, so that the offset was still 0: the daemon took the job over, counted it as 29,742 s late and listed its items as expired. A job that such a daemon accepted had the daemon's own time in its row.

The first answer about jobs now tells the clock too, and jobs are accepted and taken over only once both are known. Later answers of that feed are not used, because they are noted after the feed's pause.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -29,6 +29,7 @@
     parse_partial,
     parse_result,
 )
+from trefoilreach._internal.coordination.serving.freshness import StoreAnswer
 from trefoilreach._internal.coordination.serving.table_feed import (
     FeedHooks,
     FeedWatch,
@@ -117,8 +118,13 @@
         """Whether this daemon follows the feed of jobs."""
         return self._feed is not None
 
+    @property
+    def complete(self) -> bool:
+        """Whether all rows and the store's clock are known."""
+        return self._complete.is_set()
+
     def wait_until_complete(self) -> bool:
-        """Return whether all rows are known, after a short wait if they are being read."""
+        """As :attr:`complete`, after a short wait if the rows are being read."""
         timeout = 0.0 if self._feed is None else _FIRST_READ_TIMEOUT_SECONDS
         return self._clock.wait(self._complete, timeout)
 
@@ -130,7 +136,7 @@
             _FEED_WAIT_SECONDS,
             lambda: compute_feed_pause(self.count_live_daemons()),
         )
-        hooks = FeedHooks(self._replace_rows, self._apply_rows)
+        hooks = FeedHooks(self._apply_all_rows, self._apply_rows, self._note_answer)
         self._feed = FeedWatch(self._clock, self.rows, watched, hooks)
         stack.callback(self._forget_rows)
         self._feed.start(stack)
@@ -260,8 +266,13 @@
         outcome = self.rows.commit(expected, [job_write(record)])
         return outcome.map(lambda done: JobRow(record, done.version))
 
-    def _replace_rows(self, rows: list[StoredRow], regained: bool) -> None:
+    def _apply_all_rows(self, rows: list[StoredRow], regained: bool) -> None:
         self._apply_rows(rows)
+
+    def _note_answer(self, answer: StoreAnswer) -> None:
+        # Later answers of this feed are noted after a pause; the desired state has a feed without.
+        if not self.store_clock.known:
+            self.store_clock.update(answer.store_ms)
         self._complete.set()
 
     def _apply_rows(self, rows: list[StoredRow]) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -319,6 +319,8 @@
     def _take_over_orphans(self) -> None:
         if self._clock.now() - self._following_since < _STARTUP_GRACE_SECONDS:
             return
+        if not self.table.complete:
+            return
         service = self._tools.service
         if service.route_index is None or service.freshness.age > PEER_TIMEOUT_SECONDS:
             return
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/records.py
@@ -98,16 +98,21 @@
 
 
 class StoreClock:
-    """Estimate of the store's clock, from the times in its answers."""
+    """Estimate of the store's clock, from the times in its answers.
+
+    :ivar known: whether an answer has arrived; before that, the times mean nothing.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._offset = 0.0
+        self.known = False
 
     def update(self, store_ms: float) -> None:
         """Update the estimate from an answer that has just arrived; 0 means no time."""
         if store_ms:
             self._offset = store_ms - self._clock.now() * _MS_PER_SECOND
+        self.known = True
 
     def now_ms(self) -> float:
         """Return the present time of the store's clock in milliseconds."""
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -74,6 +74,26 @@
         return Err(OutcomeUnknown("lost")) if fault == "lost" else outcome
 
 
+class ClockedRows(MemoryRows):
+    """A store whose clock is far behind that of the daemons."""
+
+    def read(self, *arguments: Any) -> Any:
+        return self._stamp(super().read(*arguments))
+
+    def commit(self, *arguments: Any) -> Any:
+        return self._stamp(super().commit(*arguments))
+
+    def poll_changes(self, *arguments: Any) -> Any:
+        return self._stamp(super().poll_changes(*arguments))
+
+    @property
+    def now_ms(self) -> float:
+        return (SystemClock().now() - 100_000.0) * 1000.0
+
+    def _stamp(self, outcome: Any) -> Any:
+        return outcome.map(lambda answer: answer._replace(store_ms=self.now_ms))
+
+
 class CutRows:
     """The store as one daemon reaches it, until it is cut off."""
 
@@ -250,6 +270,39 @@
     assert len(fleet.link.sent) == 5
 
 
+def test_job_taken_over_before_other_tables_were_read_has_not_expired(stack: ExitStack) -> None:
+    """Guards against items that are given up at once by a daemon that has just started.
+
+    It had not read the store's clock, because it regained the table of jobs before the others
+    after an outage.
+    """
+    fleet = Fleet(stack, send_all_events)
+    rows = ClockedRows()
+    former = fleet.start("d0", workers=0, rows=rows)
+    former.table.store_clock.update(rows.now_ms)
+    former.submit("j1", CHECKED, make_document(3))
+    former._stop.set()
+    keeper = fleet.start("d1", rows=rows)
+
+    def is_done() -> bool:
+        # Reading results here would tell the daemon the time.
+        row = keeper.table.get("j1")
+        return row is not None and row.record.state != OPEN
+
+    wait_until(is_done)
+    assert [result.output for result in read_until(keeper, "j1", 3)] == [OUTPUT] * 3
+
+
+def test_job_is_accepted_by_the_clock_of_the_store(stack: ExitStack) -> None:
+    """Guards against a job with the time of one daemon, which other daemons take for expired."""
+    fleet = Fleet(stack, send_all_events)
+    rows = ClockedRows()
+    keeper = fleet.start("d0", workers=0, rows=rows)
+    keeper.submit("j1", CHECKED, make_document(1))
+    row = keeper.table.get("j1")
+    assert row is not None and abs(row.record.accepted_ms - rows.now_ms) < 3000.0
+
+
 def test_owner_restarts_a_job_whose_run_was_stopped(stack: ExitStack) -> None:
     """Guards against an open job that its owner no longer runs after one run of it stopped."""
     fleet = Fleet(stack, send_all_events)
