--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -149,9 +149,9 @@
             slots=_check_field(body, "slots", lambda value: check_integer(value, 1, MAX_SLOTS)),
             draining=_check_field(body, "state", _check_state),
             started_ms=_check_field({"born": 0, **body}, "born", _check_count),
+            sequence=_check_field(body, "sequence", _check_count),
         )
         _check_field(body, "version", check_name)
-        _check_field(body, "sequence", _check_count)
         _check_field(body, "coldLeftMs", lambda value: check_number(value, 0.0, MAX_INT64))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         reason = describe_error(error)
--- a/tests/functional/test_deadly_part.py
+++ b/tests/functional/test_deadly_part.py
@@ -34,14 +34,14 @@
         deployment.workers.append(self._worker)
         self._server = stack.enter_context(ExitStack())
         self._crashes = crashes
-        self._starts = 0
+        self._worker.starts = 0
         self._port = 0
         self._start()
 
     def _start(self) -> None:
         self._port = self._server.enter_context(run_server("127.0.0.1", self._port, self._handle))
-        self._starts += 1
-        self._worker.register(self._deployment.platform, self._port, born=self._starts)
+        self._worker.starts += 1
+        self._worker.register(self._deployment.platform, self._port)
 
     def _handle(self, exchange: Exchange) -> None:
         if DEADLY not in exchange.headers.get("X-Prompt-Prefix", ""):
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -49,6 +49,7 @@
     # owner cancels afterwards do not count as lost.
     BrokenBuild("orphans", ("kill-job-owner",), "lost", cancel_jobs=False),
     BrokenBuild("quota", ("reload",), "quota", rate=4.0),
+    BrokenBuild("leaving", ("worker-drain",), "leaving", seconds=8.0),
 )
 
 
--- a/tests/unit/raw_workers.py
+++ b/tests/unit/raw_workers.py
@@ -16,17 +16,20 @@
     :param data: the bytes, or a function that makes them from the bytes of the request.
     :param reset: whether it then resets the connection instead of closing it.
     :param kept: whether it keeps the connection open.
+    :param gate: holds the bytes back until it is set.
     """
 
     data: bytes | Callable[[bytes], bytes]
     reset: bool = False
     kept: bool = False
+    gate: threading.Event | None = None
 
 
 class RawWorkers:
     """One listener that answers one connection after the other.
 
     :param replies: answers to the requests, in order.
+    :param repeated: answer to all requests after those.
     :param respond: returns the answer to the bytes of a request, in place of ``replies``.
     """
 
@@ -34,10 +37,12 @@
         self,
         stack: ExitStack,
         *replies: Reply,
+        repeated: Reply | None = None,
         respond: Callable[[bytes], Reply] | None = None,
     ) -> None:
         self.replies = list(replies)
-        self._respond = respond or (lambda request: self.replies.pop(0))
+        self.repeated = repeated
+        self._respond = respond or self._take_reply
         self.requests: list[bytes] = []
         self._stack = stack
         self._listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
@@ -51,18 +56,28 @@
         with suppress(OSError):
             while True:
                 connection, _ = self._listener.accept()
-                request = connection.recv(65536)
-                if not request:
-                    # The daemon only looks whether the worker still listens.
-                    connection.close()
-                    continue
-                self.requests.append(request)
-                reply = self._respond(request)
-                connection.sendall(reply.data(request) if callable(reply.data) else reply.data)
-                if reply.reset:
-                    linger = struct.pack("ii", 1, 0)
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                if reply.kept:
-                    self._stack.callback(connection.close)
-                else:
-                    connection.close()
+                # A peer that resets its connection must not end the worker.
+                with suppress(OSError):
+                    self._answer(connection)
+
+    def _take_reply(self, request: bytes) -> Reply:
+        return self.repeated if self.repeated and not self.replies else self.replies.pop(0)
+
+    def _answer(self, connection: socket.socket) -> None:
+        request = connection.recv(65536)
+        if not request:
+            # The daemon only looks whether the worker still listens.
+            connection.close()
+            return
+        self.requests.append(request)
+        reply = self._respond(request)
+        if reply.gate is not None:
+            reply.gate.wait(10.0)
+        connection.sendall(reply.data(request) if callable(reply.data) else reply.data)
+        if reply.reset:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if reply.kept:
+            self._stack.callback(connection.close)
+        else:
+            connection.close()
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -355,9 +355,11 @@
 
 def test_worker_entry_is_decoded() -> None:
     """Guards against a draining worker or a restart that is not recognised."""
-    decoded = decode_worker("w", orjson.dumps({**WORKER, "state": "draining", "born": 17}))
+    row = {**WORKER, "state": "draining", "born": 17, "sequence": 9}
+    decoded = decode_worker("w", orjson.dumps(row))
     assert isinstance(decoded, Ok)
-    assert decoded.ok_value.draining and decoded.ok_value.started_ms == 17
+    assert decoded.ok_value.draining
+    assert (decoded.ok_value.started_ms, decoded.ok_value.sequence) == (17, 9)
     assert isinstance(decode_worker("w", b"\xff{"), Err)
     assert isinstance(decode_worker("w", orjson.dumps({**WORKER, "state": "odd"})), Err)
 
