--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -459,6 +459,8 @@
             if pause:
                 clock.sleep(pause)
             read_started_at = clock.now()
+        if not reader.begun and not answer.is_event_stream:
+            raise IncompleteAnswerError("the answer is not a stream of events")
         reader.finish(answer.framing)
 
     def _handle_error_status(
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -152,3 +152,12 @@
     _, tools = start_job(stack, workers)
     tools.clock.sleep(1.0)
     assert 1 <= len(workers.requests) <= 10
+
+
+def test_empty_answer_that_is_no_stream_does_not_complete_an_item(stack: ExitStack) -> None:
+    """Guards against a part of the text that an empty answer of another type completes."""
+    empty = Reply(
+        HEAD.replace(b"text/event-stream", b"application/json")[:-2] + b"Content-Length: 0\r\n\r\n"
+    )
+    keeper, _ = start_job(stack, RawWorkers(stack, Reply(BEGUN, reset=True), empty, REST))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
