Do not join a second answer of an engine to a stream that broke off

The head of another answer has no data lines and was skipped as an event without a payload, so the events of the second answer were joined to those of the first, and its end completed both. Only an engine's answer without a length or chunks can be affected.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/engine.py
@@ -1,5 +1,6 @@
 """Adapter for model engines that speak the public completions API over HTTP."""
 
+import re
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple, Protocol
 
@@ -27,6 +28,8 @@
 _DATA_PREFIX = b"data:"
 _EVENT_END = b"\n\n"
 _READ_LIMIT_BYTES = 65536
+# Lines of the head of another answer, which no event has.
+_HEAD_LINE = re.compile(rb"^(?:HTTP/1|Content-Type:|X-Request-Id:)", re.MULTILINE | re.IGNORECASE)
 
 
 class EngineError(Exception):
@@ -282,6 +285,8 @@
         marker = self._id_marker
         waiting_for_first = True
         for event in self._read_events():
+            if b"\n" in event and _HEAD_LINE.search(event):
+                raise EngineError("another answer follows the stream", Verdict.MAY_HAVE_RUN)
             payload = _extract_payload(event)
             if payload == _DONE_PAYLOAD:
                 return
