Test a resume on a route whose streams may not be resumed; list it as red

A worker need not heed Last-Event-Id on such a route. Its whole answer is refused since the ids of events are checked, and the request, which may run once, ends with 502.

--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -148,6 +148,32 @@
     assert read_stream(run(stack, workers, RESUMABLE)) == ALL
 
 
+def run_after(
+    stack: ExitStack, workers: RawWorkers, route: ServingRoute, after: int
+) -> OnlineAnswer:
+    """Run a request of a caller that has the events up to ``after``."""
+    client = PlatformWorkers(SystemClock())
+    stack.callback(client.close)
+    tools = make_tools(client, workers=0)
+    tools.admission.workers.put(workers.entry("w0"))
+    call = make_call()
+    request = OnlineRequest(call, route, ACCOUNT, tools.clock.now(), 5.0, (), after, "f")
+    return OnlineRunner(tools).run(request, CallerConnection())
+
+
+@pytest.mark.parametrize("sent", [ALL, b"".join(EVENTS[2:])])
+def test_resume_on_a_route_that_is_not_resumable_gets_the_answer(
+    stack: ExitStack, sent: bytes
+) -> None:
+    """Guards against a whole answer that is lost, and may not be asked for again.
+
+    Where streams may not be resumed, a worker need not heed Last-Event-Id.
+    """
+    workers = RawWorkers(stack, Reply(UNFRAMED + sent))
+    route = make_route(resumable=False, max_runs=1)
+    assert read_stream(run_after(stack, workers, route, 2)) == sent
+
+
 ERRORS = [
     make_error(500),
     make_error(404),
