--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -174,6 +174,26 @@
     assert read_stream(run_after(stack, workers, route, 2)) == sent
 
 
+@pytest.mark.parametrize("after", [0, 2])
+def test_stream_that_broke_off_after_its_last_event_is_whole(stack: ExitStack, after: int) -> None:
+    """Guards against a stream that is aborted though the caller has all its events.
+
+    Workers that state no length answer a resume after the last event with an empty body.
+    """
+    replies = [Reply(UNFRAMED + b"".join(EVENTS[after:]), reset=True)]
+    workers = RawWorkers(
+        stack, respond=lambda request: replies.pop() if replies else Reply(send_rest(request))
+    )
+    answer = run_after(stack, workers, make_route(max_runs=3), after)
+    assert read_stream(answer) == b"".join(EVENTS[after:])
+
+
+def test_caller_that_has_all_events_learns_that_the_stream_has_ended(stack: ExitStack) -> None:
+    """Guards against a caller that resumes after its last event and is refused each time."""
+    workers = RawWorkers(stack, respond=lambda request: Reply(send_rest(request)))
+    assert read_stream(run_after(stack, workers, make_route(max_runs=3), len(EVENTS))) == b""
+
+
 ERRORS = [
     make_error(500),
     make_error(404),
