Complete a cancelled item only once all its choices have ended

An item that is cancelled for online requests counted as complete when its last event had no choices, wherever in the stream that event came, or when one of several choices had ended: a part of the text was listed as completed.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/item_runner.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/batch/item_runner.py
@@ -171,11 +171,13 @@
 
 
 def _is_complete(payloads: list[bytes]) -> bool:
-    """Return whether the last event completes the response, even if ``[DONE]`` was not read."""
-    if not payloads:
-        return False
-    choices = orjson.loads(payloads[-1]).get("choices", ())
-    return not choices or any(choice.get("finish_reason") for choice in choices)
+    """Return whether every choice has ended, even if ``[DONE]`` was not read."""
+    ended: dict[int, bool] = {}
+    for payload in payloads:
+        for choice in orjson.loads(payload).get("choices", ()):
+            index = choice.get("index", 0)
+            ended[index] = ended.get(index, False) or bool(choice.get("finish_reason"))
+    return bool(ended) and all(ended.values())
 
 
 def _join_text(payloads: list[bytes]) -> str:
