Reset the connection of an aborted answer that has neither a length nor chunks

A caller with HTTP/1.0 gets streams that end with their connection. An aborted stream was closed, which such a caller takes for its end; its connection is reset now. With HTTP/1.1 the last chunk is missing, as before. The two cases with HTTP/1.0 failed before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_server.py
@@ -1,8 +1,11 @@
 """HTTP server for callers, operators and the monitor."""
 
 import logging
+import socket
+import struct
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import waitress
@@ -24,6 +27,8 @@
 # callers that are about to use them.
 _IDLE_KEEP_SECONDS = 5.0
 _IDLE_POLL_SECONDS = 0.05
+# Value of SO_LINGER with which a connection is reset when it is closed.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 # Key of the WSGI environment for a function that registers a listener, which is called when the
@@ -43,7 +48,17 @@
         try:
             super().service()
         except AnswerAbortedError:
+            self._reset_unframed_answer()
             self.close_on_finish = True
+        except Exception:
+            self._reset_unframed_answer()
+            raise
+
+    def _reset_unframed_answer(self) -> None:
+        """Let the connection be reset if its regular end would complete the answer (HTTP/1.0)."""
+        if self.wrote_header and not self.chunked_response and self.content_length is None:
+            with suppress(OSError):
+                self.channel.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def get_environment(self) -> dict[str, Any]:
         """Return the WSGI environment."""
--- a/tests/unit/test_http_server.py
+++ b/tests/unit/test_http_server.py
@@ -13,7 +13,11 @@
 import harness
 import pytest
 from trefoilreach._internal.clock import SystemClock
-from trefoilreach._internal.transport.http_server import HttpServer, _DrainingChannel
+from trefoilreach._internal.transport.http_server import (
+    AnswerAbortedError,
+    HttpServer,
+    _DrainingChannel,
+)
 
 _CHUNK = b"x" * 4096
 _CHUNK_COUNT = 2000
@@ -156,3 +160,28 @@
         server.stop_listening()
         assert server.wait_idle(8.0)
         assert client.recv(1) == b""
+
+
+@pytest.mark.parametrize("error", [AnswerAbortedError("no worker"), ValueError("unexpected")])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_aborted_answer_does_not_look_complete(version: str, error: Exception) -> None:
+    """Guards against an answer without a length or chunks that is aborted by closing it.
+
+    HTTP/1.0 has no chunks, so that such an answer ends with its connection.
+    """
+
+    def app(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterator[bytes]:
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        yield b"id: 1\ndata: x\n\n"
+        raise error
+
+    with closing(_serve(app)) as server, closing(_connect(server.port)) as connection:
+        connection.sendall(f"GET / HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+        received = b""
+        reset = False
+        try:
+            while data := connection.recv(65536):
+                received += data
+        except ConnectionResetError:
+            reset = True
+        assert reset or (b"chunked" in received and not received.endswith(b"0\r\n\r\n"))
