Read on after interim answers other than 100

http.client takes an interim answer with another status, such as 103, for the final one without a body. A worker's sound answer after it was refused; with the request's id and a receipt in the interim head, the caller got 103 as the whole answer, and a service's caller got it in any case.

--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -38,6 +38,7 @@
     MisplacedEnvelopeHeaderDefect,
     MissingHeaderBodySeparatorDefect,
 )
+_SWITCHING_PROTOCOLS = 101
 # Largest body that is kept in memory as a whole; the largest object of the platform's store has
 # 8 MiB.
 MAX_BODY_BYTES = 16 * 2**20
@@ -179,6 +180,9 @@
 class _Response(HTTPResponse):
     """A response that is read with limits on time and size."""
 
+    headers: Any
+    msg: Any
+
     def __init__(self, open_socket: socket.socket, clock: Clock, **arguments: Any) -> None:
         super().__init__(open_socket, **arguments)
         self.limited = _LimitedReader(self.fp.detach(), open_socket, clock)
@@ -192,6 +196,10 @@
         :raises IncompleteAnswerError: when it is cut off or malformed.
         """
         super().begin()
+        while 100 <= self.status < 200 and self.status != _SWITCHING_PROTOCOLS:
+            # http.client skips only 100, and takes the others for answers without a body.
+            self.headers = self.msg = None
+            super().begin()
         for defect in self.headers.defects:
             # The parser drops a malformed line and all lines after it, perhaps the body's length.
             if isinstance(defect, _HEAD_DEFECTS):
--- a/tests/unit/test_cut_answers.py
+++ b/tests/unit/test_cut_answers.py
@@ -121,6 +121,17 @@
     assert read_answer(RawWorkers(stack, Reply(HEAD + fields + b"\r\n" + body))) == BODY
 
 
+@pytest.mark.parametrize("status", [b"102 Processing", b"103 Early Hints"])
+def test_interim_answer_is_not_the_answer(stack: ExitStack, status: bytes) -> None:
+    """Guards against an interim head that is passed on as a whole, empty answer."""
+    interim = b"HTTP/1.1 %b\r\nX-Request-Id: q1\r\nX-Response-Signature: s\r\n\r\n" % status
+    whole = Reply(interim + b"HTTP/1.1 100 Continue\r\n\r\n" + interim + b"".join(FRAMED["length"]))
+    cuts = [Reply(interim[:cut]) for cut in range(len(interim) + 1)]
+    workers = RawWorkers(stack, whole, *cuts)
+    assert read_answer(workers) == BODY
+    assert [cut for cut in range(len(cuts)) if read_answer(workers) is not None] == []
+
+
 def test_object_without_a_stated_length_is_not_taken_for_whole(stack: ExitStack) -> None:
     """Guards against a part of a stored output that is read as the whole."""
     head, body = FRAMED["connection"]
