--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -55,7 +55,8 @@
         self._attempt = attempt
         self._may_resume = may_resume
         self._after = after
-        self._reader = EventReader(after)
+        # Where streams may not be resumed, workers need not heed the caller's last event.
+        self._reader = EventReader(after, may_restart=not request.route.resumable)
         self._progressed_at = tools.clock.now()
         self.ended = False
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -86,11 +86,13 @@
     A second answer after a stream without a length would otherwise become a part of it.
 
     :param after: id of the last event of the runs before, or None for a run from the start.
+    :param may_restart: whether the worker may begin with the first event all the same.
     """
 
-    def __init__(self, after: int | None = None) -> None:
+    def __init__(self, after: int | None = None, may_restart: bool = False) -> None:
         self._after = after
         self._last_id = after or 0
+        self._may_restart = may_restart
         self._splitter = EventSplitter()
         self._count = 0
 
@@ -115,6 +117,8 @@
             raise IncompleteAnswerError("another answer follows the stream")
         if event.is_empty:
             return
+        if self._may_restart and not self.begun and event.id == 1:
+            self._last_id = 0
         if event.id != self._last_id + 1:
             raise IncompleteAnswerError(f"event {event.id} follows event {self._last_id}")
         self._last_id = event.id
