Count items taken over as begun when they are queued

Callers saw: after the kill of all daemons, items that were more than half done got a slot only 5 to 14 s after they were due, although a second or two of work was left.

Cause: a new owner ranked an item as if its whole run lay before it, although the checkpoint holds its events. An item due in less than a run counted as late and went behind all jobs in time.

Change: the run time of an item taken over starts at 20 ms for each event that it has, at most the length of a whole run.

Test: an item with 200 events, due in 3 s, before a new one due in 10 s; before the change the new one went first.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -60,6 +60,8 @@
 
 # Expected duration of a run until the first run has ended.
 _INITIAL_RUN_SECONDS = 5.0
+# Estimates how long the runs took whose events a checkpoint holds.
+_EVENT_INTERVAL_SECONDS = 0.02
 # Weight of the latest run in the moving average of run durations.
 _NEW_RUN_WEIGHT = 0.2
 # Timeouts for a worker's first and next event. Processing a prompt again takes up to 45 ms, and
@@ -156,7 +158,10 @@
         self.last_checkpoint = stored
         # Workers that crashed one after the other before they had sent an event.
         self.crashes = 0
-        self.run_seconds = 0.0
+        # At most a whole run, in case the worker sent events faster.
+        self.run_seconds = min(
+            _INITIAL_RUN_SECONDS, (self.last_event or 0) * _EVENT_INTERVAL_SECONDS
+        )
         self.excluded_workers: set[str] = set()
         self.ticket: Ticket | None = None
         self.interrupt: Interrupt | None = None
--- /dev/null
+++ b/tests/unit/test_job_order.py
@@ -0,0 +1,89 @@
+"""Tests the order in which items get slots after their job was taken over from a killed daemon."""
+
+from collections.abc import Mapping
+
+from serving_fakes import ACCOUNT, EVENTS, FakeLink, InlineExecutor, Script, make_route, make_tools
+from trefoilreach._internal.clock import ManualClock
+from trefoilreach._internal.coordination.jobs.job_run import (
+    JobDeadlines,
+    JobRun,
+    JobRunContext,
+    MeanRunTime,
+)
+from trefoilreach._internal.coordination.jobs.records import (
+    OPEN,
+    Item,
+    JobRecord,
+    JobRow,
+    Partial,
+    job_write,
+)
+from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.choice import choose_online
+from trefoilreach._internal.coordination.serving.slot_table import QueueRank
+from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
+from trefoilreach._internal.state.serving import RouteKind
+
+ROUTE = make_route(kind=RouteKind.BATCH, max_runs=3)
+
+
+class Owner:
+    """A daemon that has just started and takes over jobs while online requests fill all slots."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.link = FakeLink(decide=lambda dispatch: Script(pieces=tuple(EVENTS)))
+        tools = make_tools(self.link, workers=1, clock=self.clock)
+        self.admission = tools.admission
+        self.rows = MemoryRows()
+        self._context = JobRunContext(
+            tools, self.rows, MemoryBlobs(), InlineExecutor(), MeanRunTime()
+        )
+        self._online = [
+            Ticket(
+                SlotRequest(
+                    "pool",
+                    f"q{number}",
+                    rank=lambda now: QueueRank(0, now),
+                    choose=lambda loads: choose_online(loads, ""),
+                    on_granted=lambda worker: None,
+                )
+            )
+            for number in range(2)
+        ]
+        self.admission.submit(*self._online)
+
+    def take_over(self, item: str, due_in: float, partials: Mapping[str, Partial]) -> None:
+        """Queue the item of a job that is due in ``due_in`` seconds."""
+        record = JobRecord(f"j-{item}", ACCOUNT.name, ROUTE.name, "d0/1", OPEN, 1, 100, 0.0)
+        version = self.rows.commit([], [job_write(record)]).ok_value.version
+        deadlines = JobDeadlines(self.clock.now() + due_in, self.clock.now() + 60.0)
+        items = [Item(item, f"/a/{item}", (), b"", 100)]
+        row = JobRow(record, version)
+        JobRun(self._context, row, ROUTE, deadlines, items, [], partials, 0).start()
+
+    def free_slots(self) -> list[str]:
+        """End the online requests; return the items in the order in which they were sent."""
+        for ticket in self._online:
+            self.admission.release(ticket)
+        return [dispatch.call.request_id for dispatch in self.link.sent]
+
+
+def test_item_that_is_nearly_done_at_takeover_is_not_taken_for_late() -> None:
+    """Guards against items that wait behind whole runs until they are late.
+
+    Load pattern: all daemons are killed. Items with most of their events in a checkpoint are due in
+    less time than a whole run takes, and need only a part of it.
+    """
+    owner = Owner()
+    owner.take_over("begun", 3.0, {"begun": Partial("begun", 200, "text", 0)})
+    owner.take_over("new", 10.0, {})
+    assert owner.free_slots() == ["begun", "new"]
+
+
+def test_item_without_events_that_cannot_be_in_time_goes_last() -> None:
+    """Guards against a whole run for an item that is late in any case, before one in time."""
+    owner = Owner()
+    owner.take_over("hopeless", 3.0, {})
+    owner.take_over("new", 10.0, {})
+    assert owner.free_slots() == ["new", "hopeless"]
