End a resumed stream that two workers have nothing left for

A caller whose stream was reset after its last event got an aborted stream, and one that resumed after the last event itself got a 502: workers that state no length answer such a resume with nothing, and the relay asked until the route's attempts were used up. A second run without an event now shows that none is left; one may have broken off before its first byte.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -146,6 +146,8 @@
         self._not_run_attempts = 0
         self._may_have_run = False
         self._last_event = request.resume_after
+        # Whether a run after the last event had no event, and only its connection ended it.
+        self._maybe_whole = False
         self._interrupt: Interrupt | None = None
         # Time of the first attempt.
         self._sent_at = 0.0
@@ -446,7 +448,7 @@
             return None
         relay = Relay(self._tools, self._request, attempt, self._may_run_again(), self._last_event)
         try:
-            first = relay.read_events()
+            first = self._read_events(relay)
             self._runner.note_answered(self._caller)
             self._check_not_interrupted()
         except WorkerFailure as failure:
@@ -489,11 +491,26 @@
         """Return the next events and the relay of the worker that sent them."""
         while True:
             try:
-                return relay, relay.read_events()
+                return relay, self._read_events(relay)
             except WorkerFailure as failure:
                 relay.close()
                 relay = self._resume(relay, failure)
 
+    def _read_events(self, relay: Relay) -> list[StreamEvent]:
+        """Return the next events of a stream; none once it is complete.
+
+        One run without an event may have broken off; a second one shows that none is left.
+
+        :raises WorkerFailure: when the stream breaks off.
+        """
+        try:
+            return relay.read_events()
+        except WorkerFailure as failure:
+            if not (failure.maybe_whole and self._maybe_whole):
+                self._maybe_whole = failure.maybe_whole
+                raise
+            return []
+
     def _resume(self, broken: Relay, failure: WorkerFailure) -> Relay:
         """Resume a broken stream at another worker.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -8,7 +8,11 @@
     ServingDependencies,
 )
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
-from trefoilreach._internal.protocol.completeness import Framing, IncompleteAnswerError
+from trefoilreach._internal.protocol.completeness import (
+    Framing,
+    IncompleteAnswerError,
+    UnprovenEndError,
+)
 from trefoilreach._internal.protocol.event_stream import EventReader, StreamEvent
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
@@ -110,7 +114,9 @@
                 return self._reader.feed(data)
             self._reader.finish(self.framing)
         except IncompleteAnswerError as error:
-            raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
+            maybe_whole = isinstance(error, UnprovenEndError)
+            message, verdict = str(error), Verdict.MAY_HAVE_RUN
+            raise WorkerFailure(message, verdict, maybe_whole=maybe_whole) from error
         return []
 
     def close(self) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
@@ -55,6 +55,7 @@
     :param verdict: whether the request may have run.
     :param unreachable: whether no connection could be established.
     :param timed_out: whether the worker exceeded a timeout.
+    :param maybe_whole: whether a resumed stream had no event, as one with nothing left to send.
     """
 
     def __init__(
@@ -63,11 +64,13 @@
         verdict: Verdict,
         unreachable: bool = False,
         timed_out: bool = False,
+        maybe_whole: bool = False,
     ) -> None:
         super().__init__(message)
         self.verdict = verdict
         self.unreachable = unreachable
         self.timed_out = timed_out
+        self.maybe_whole = maybe_whole
 
 
 class WorkerAnswer(Protocol):
