--- a/tests/unit/raw_workers.py
+++ b/tests/unit/raw_workers.py
@@ -1,5 +1,6 @@
 """Workers that answer real connections with given bytes."""
 
+import re
 import socket
 import struct
 import threading
@@ -25,6 +26,17 @@
     gate: threading.Event | None = None
 
 
+def name_request(answer: bytes) -> Callable[[bytes], bytes]:
+    """Return a function that adds the id of the request to the head of an answer."""
+
+    def make(request: bytes) -> bytes:
+        found = re.search(rb"X-Request-Id: [^\r]+\r\n", request)
+        status_line, rest = answer.split(b"\r\n", 1)
+        return b"%b\r\n%b%b" % (status_line, found.group() if found else b"", rest)
+
+    return make
+
+
 class RawWorkers:
     """One listener that answers one connection after the other.
 
--- a/tests/unit/test_broken_builds.py
+++ b/tests/unit/test_broken_builds.py
@@ -10,6 +10,7 @@
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets
 from trefoilreach._internal.coordination.serving.online import _OnlineAttempts
 from trefoilreach._internal.coordination.serving.service import ServingState
+from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
 from trefoilreach._internal.platform import desired_state
 
 MODULE = Path(__file__).parents[1] / "functional" / "broken" / "sitecustomize.py"
@@ -21,6 +22,7 @@
     "cut": (_OnlineAttempts, "_relay"),
     "orphans": (JobManager, "_find_orphaned_jobs"),
     "quota": (FleetBuckets, "admit"),
+    "leaving": (WorkerDirectory, "note_leaving"),
 }
 
 
--- a/tests/unit/test_leaving_workers.py
+++ b/tests/unit/test_leaving_workers.py
@@ -9,7 +9,7 @@
 
 import harness
 import pytest
-from raw_workers import RawWorkers, Reply
+from raw_workers import RawWorkers, Reply, name_request
 from serving_fakes import ACCOUNT, EVENTS, make_call, make_route, make_service, make_tools
 from test_jobs import CHECKED, OUTPUT, ROUTE, make_document, read_until
 from trefoilreach._internal.clock import SystemClock
@@ -38,10 +38,14 @@
 wait_until = partial(harness.wait_until, timeout=3.0)
 
 
-def answer(status: int, headers: bytes = b"", body: bytes = b"text", leaving: bool = True) -> Reply:
+def answer(
+    status: int, headers: bytes = b"", body: bytes = b"text", leaving: bool = True, cut: int = 0
+) -> Reply:
+    """Return an answer without its last ``cut`` bytes."""
     head = b"HTTP/1.1 %d Status\r\nX-Response-Signature: s\r\n%b" % (status, headers)
     head += b"Server-Leaving: 1\r\n" if leaving else b""
-    return Reply(head + b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+    head += b"Content-Length: %d\r\n\r\n" % len(body)
+    return Reply(name_request(head + body[: len(body) - cut]))
 
 
 WHOLE = b"".join(EVENTS)
@@ -50,7 +54,9 @@
 LEAVING_STREAM = answer(200, STREAM, WHOLE)
 REFUSED = answer(503, NOT_RUN)
 CUT_STREAM = Reply(
-    b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" + STREAM + b"\r\n" + EVENTS[0] + EVENTS[1],
+    name_request(
+        b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" + STREAM + b"\r\n" + EVENTS[0] + EVENTS[1]
+    ),
     reset=True,
 )
 
@@ -135,7 +141,7 @@
         (RUN_ONCE, REFUSED),
         (RUN_ONCE, answer(429, NOT_RUN)),
         (RESUMABLE, LEAVING_STREAM),
-        (RUN_ONCE, Reply(answer(200).data[:-1])),
+        (RUN_ONCE, answer(200, cut=1)),
         (RUN_ONCE, answer(200, names.RECEIPT.encode() + b": \r\n")),
     ],
 )
--- a/tests/unit/test_odd_load_reports.py
+++ b/tests/unit/test_odd_load_reports.py
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize("body", ODD_REPORTS)
 def test_odd_load_report_is_no_report(open_site: Callable[[bytes], Site], body: bytes) -> None:
     site = open_site(body)
-    assert site.client.fetch_load(site.worker) is None
+    assert site.client.fetch_load(site.worker).requests is None
 
 
 @pytest.mark.parametrize("figure", [b"3", b"65535", b"1e18", b"9" * 18])
--- a/tests/unit/test_unwritable_requests.py
+++ b/tests/unit/test_unwritable_requests.py
@@ -92,7 +92,7 @@
         with pytest.raises(WorkerFailure) as caught:
             workers.open(Dispatch(make_call(), worker, None, 1.0, None), 1.0, Interrupt())
         assert caught.value.verdict is Verdict.NOT_RUN and caught.value.unreachable
-        assert workers.fetch_load(worker) is None and not workers.is_refused(worker)
+        assert workers.fetch_load(worker).requests is None and not workers.is_refused(worker)
 
 
 def test_request_that_cannot_be_written_is_not_held_against_the_worker(
