Be ready only once the workers are known

A daemon counted as ready with the desired state alone, while another feed was still reading the workers; with the store down at that moment it would not learn of any.

It is ready once both are known.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -86,8 +86,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this daemon has a desired state and is not leaving."""
-        return self.route_index is not None and not self.leaving
+        """Whether this daemon knows the desired state and the workers, and is not leaving."""
+        known = self.route_index is not None and self.admission.workers.loaded
+        return known and not self.leaving
 
     def add_listener(self, listener: Callable[[DesiredState], None]) -> None:
         """Call a function with each new desired state on this daemon."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/workers.py
@@ -54,10 +54,16 @@
         self._on_change = on_change
         self._lock = threading.RLock()
         self._entries: dict[str, WorkerEntry] = {}
+        self._loaded = False
         self._missing: dict[str, MissingEntry] = {}
         # A worker of which nothing is known but its entry has no belief.
         self._beliefs: dict[str, WorkerBelief] = {}
 
+    @property
+    def loaded(self) -> bool:
+        """Whether the entries have been read once."""
+        return self._loaded
+
     @property
     def suspects(self) -> tuple[str, ...]:
         """Ids of the workers that this daemon suspects because of its own requests."""
@@ -176,6 +182,7 @@
             self.put(entry)
         for worker in [name for name in self._entries if name not in found]:
             self.drop(worker, wait_until)
+        self._loaded = True
 
     def note_leaving(self, worker: WorkerEntry, source: Source) -> None:
         """Record that a worker says that it leaves; it gets no new requests from now on.
--- a/tests/unit/test_entry_points.py
+++ b/tests/unit/test_entry_points.py
@@ -7,6 +7,8 @@
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.serving.entry_points import EntryPoint, choose_entry_points
 from trefoilreach._internal.coordination.serving.service import ServingState
+from trefoilreach._internal.coordination.serving.workers import WorkerDirectory
+from trefoilreach._internal.state.serving import DesiredState, RequestLimits, RouteIndex
 
 
 def make_entry_points(count: int, cores: float, name: str) -> list[EntryPoint]:
@@ -78,3 +80,18 @@
     unused: Any = None
     state = ServingState(SystemClock(), deployment, exchange, unused, online, unused)
     assert state.entry_points()[0] == expected
+
+
+def test_daemon_is_ready_only_once_it_knows_the_workers() -> None:
+    """Guards against a daemon that is offered to callers and refuses them for want of workers."""
+    clock = SystemClock()
+    workers = WorkerDirectory(clock, lambda: None)
+    deployment: Any = SimpleNamespace(vm="self", revocation_seconds=5.0, entry_keep_seconds=5.0)
+    online: Any = SimpleNamespace(tools=SimpleNamespace(metrics=None))
+    admission: Any = SimpleNamespace(workers=workers)
+    unused: Any = None
+    state = ServingState(clock, deployment, unused, admission, online, unused)
+    state.route_index = RouteIndex(DesiredState(1, (), (), RequestLimits(), b""))
+    assert not state.ready
+    workers.replace([], 0.0)
+    assert state.ready
