--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,11 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
+
+# Shrinking a failed example of a state machine takes up to 300 s, beyond the limits of CI. The blob
+# that is printed reproduces it, and a fuzz run shrinks it.
+_CI_PHASES = (Phase.explicit, Phase.generate)
 
 settings.register_profile(
     "ci",
@@ -10,6 +14,8 @@
     deadline=None,
     max_examples=60,
     database=None,
+    phases=_CI_PHASES,
+    print_blob=True,
     suppress_health_check=list(HealthCheck),
 )
 settings.register_profile(
