--- a/tests/unit/test_job_order.py
+++ b/tests/unit/test_job_order.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from serving_fakes import ACCOUNT, EVENTS, FakeLink, InlineExecutor, Script, make_route, make_tools
+from serving_fakes import ACCOUNT, FakeLink, InlineExecutor, Script, make_route, make_tools
 from trefoilreach._internal.clock import ManualClock
 from trefoilreach._internal.coordination.jobs.job_run import (
     JobDeadlines,
@@ -21,18 +21,24 @@
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank
+from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
 from trefoilreach._internal.state.serving import RouteKind
 
 ROUTE = make_route(kind=RouteKind.BATCH, max_runs=3)
 
 
+def send_last_event(dispatch: Dispatch) -> Script:
+    """Answer with the event after the one to resume after."""
+    return Script(pieces=(b"id: %d\ndata: text\n\n" % ((dispatch.resume_after or 0) + 1),))
+
+
 class Owner:
     """A daemon that has just started and takes over jobs while online requests fill all slots."""
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.link = FakeLink(decide=lambda dispatch: Script(pieces=tuple(EVENTS)))
+        self.link = FakeLink(decide=send_last_event)
         tools = make_tools(self.link, workers=1, clock=self.clock)
         self.admission = tools.admission
         self.rows = MemoryRows()
