Let the exit of a stopped daemon excuse what it knew of leaving workers

The log of vm-2: it began to stop at 646.854, heard at 646.862 that w2 leaves, exited at 649.860, and its next process, from 650.69 on, sent w2 the request. A restart since the news excuses this; the check counted a stop by its begin only, which was before the news. It now counts the exit as well. A history shows that a stop without an exit still is no excuse.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
@@ -261,6 +261,7 @@
         if process.poll() is None:
             self.history.add_notice("stop-too-long", proxied.daemon.vm)
         proxied.daemon.end()
+        self.history.add_notice("exited", proxied.daemon.vm)
 
     def find_exited(self) -> list[ProxiedDaemon]:
         """Return the daemons whose processes have exited."""
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -224,6 +224,19 @@
     assert find_violations(make_history(), EVENTS) == []
 
 
+def test_daemon_that_has_started_again_need_not_know_who_leaves() -> None:
+    """Guards against a violation by a daemon that heard the news during its stop (seed 722)."""
+    history = make_history()
+    _use_leaving_worker(history)
+    violations = find_violations(history, EVENTS)
+    assert violations and all(line.startswith("leaving") for line in violations)
+    vm = next(attempt.daemon for attempt in history.attempts if attempt.request_id == "c7")
+    history.add(Notice("stopped", vm, 0.5))
+    assert find_violations(history, EVENTS) == violations
+    history.add(Notice("exited", vm, 4.0))
+    assert find_violations(history, EVENTS) == []
+
+
 def test_each_check_has_a_history_that_violates_it() -> None:
     assert set(VIOLATIONS.values()) == set(checks.names)
 
