Count a restart by the start of the next process in the check of leaving workers

The start of the next process excuses it, for kills and stops alike; their begin no longer does, which is stricter.

--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/checks.py
@@ -172,12 +172,11 @@
 def _check_leaving(history: History, events: int) -> Iterator[str]:
     """A worker receives no request through a daemon that passed on its news that it leaves.
 
-    A kill, stop or freeze of the daemon since then excuses it; faults of the store do not. A stop
-    that began before the news excuses it from the exit of the process on.
+    A restart or freeze of the daemon since then excuses it; faults of the store do not. A kill or
+    stop may have begun before the news was heard.
     """
     leaving_since = {notice.subject: notice.at for notice in history.find_notices("leaving")}
-    kinds = ("killed", "stopped", "frozen", "exited")
-    interruptions = [n for n in history.notices if n.kind in kinds]
+    interruptions = [n for n in history.notices if n.kind in ("started-again", "frozen")]
     runs = _group_runs_by_request(history)
     told_at: dict[tuple[str, str], float] = {}
     for attempt in sorted(history.attempts, key=lambda attempt: attempt.ended_at):
--- a/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
+++ b/packages/trefoilreach-emulator/src/trefoilreach_emulator/_internal/soak/environment.py
@@ -119,15 +119,17 @@
 class ProxiedDaemon:
     """A daemon and the proxy through which it reaches the store."""
 
-    def __init__(self, daemon: Daemon, store_proxy: TcpProxy) -> None:
+    def __init__(self, daemon: Daemon, store_proxy: TcpProxy, history: History) -> None:
         self.daemon = daemon
         self.store_proxy = store_proxy
+        self._history = history
         self._lock = threading.Lock()
 
     def restart(self) -> None:
         """Start the daemon again unless another fault has already done so."""
         with self._lock:
             if self.exited:
+                self._history.add_notice("started-again", self.daemon.vm)
                 self.daemon.start(ready=False)
 
     @property
@@ -223,7 +225,7 @@
         """Start a daemon behind a store proxy of its own."""
         store_proxy = self._proxies.add("127.0.0.1", self.deployment.store_port)
         daemon = self.deployment.add_daemon(store=f"127.0.0.1:{store_proxy.port}")
-        proxied = ProxiedDaemon(daemon, store_proxy)
+        proxied = ProxiedDaemon(daemon, store_proxy, self.history)
         self.daemons.append(proxied)
         return proxied
 
@@ -261,7 +263,6 @@
         if process.poll() is None:
             self.history.add_notice("stop-too-long", proxied.daemon.vm)
         proxied.daemon.end()
-        self.history.add_notice("exited", proxied.daemon.vm)
 
     def find_exited(self) -> list[ProxiedDaemon]:
         """Return the daemons whose processes have exited."""
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -233,7 +233,7 @@
     vm = next(attempt.daemon for attempt in history.attempts if attempt.request_id == "c7")
     history.add(Notice("stopped", vm, 0.5))
     assert find_violations(history, EVENTS) == violations
-    history.add(Notice("exited", vm, 4.0))
+    history.add(Notice("started-again", vm, 4.0))
     assert find_violations(history, EVENTS) == []
 
 
