--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -9,10 +9,12 @@
 
 from trefoilreach._internal.clock import Clock, SystemClock
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets, QuotaBound
-from trefoilreach._internal.coordination.serving.admission import Admission
+from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
+from trefoilreach._internal.coordination.serving.slot_table import QueueRank
 from trefoilreach._internal.coordination.serving.worker_client import (
     Call,
     Dispatch,
@@ -179,6 +181,25 @@
     )
 
 
+def take_all_slots(tools: ServingDependencies) -> list[Ticket]:
+    """Queue online requests for all slots of the workers."""
+    slots = sum(worker.slots for worker in tools.admission.workers.entries())
+    tickets = [
+        Ticket(
+            SlotRequest(
+                "pool",
+                f"other-{number}",
+                rank=lambda now: QueueRank(0, now),
+                choose=lambda loads: choose_online(loads, ""),
+                on_granted=lambda worker: None,
+            )
+        )
+        for number in range(slots)
+    ]
+    tools.admission.submit(*tickets)
+    return tickets
+
+
 def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
     """Return a fake with the attributes of a service that the job keeper uses."""
     identity = SimpleNamespace(vm=vm, incarnation=incarnation)
--- a/tests/unit/test_job_order.py
+++ b/tests/unit/test_job_order.py
@@ -2,7 +2,15 @@
 
 from collections.abc import Mapping
 
-from serving_fakes import ACCOUNT, FakeLink, InlineExecutor, Script, make_route, make_tools
+from serving_fakes import (
+    ACCOUNT,
+    FakeLink,
+    InlineExecutor,
+    Script,
+    make_route,
+    make_tools,
+    take_all_slots,
+)
 from trefoilreach._internal.clock import ManualClock
 from trefoilreach._internal.coordination.jobs.job_run import (
     JobDeadlines,
@@ -18,9 +26,6 @@
     Partial,
     job_write,
 )
-from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
-from trefoilreach._internal.coordination.serving.choice import choose_online
-from trefoilreach._internal.coordination.serving.slot_table import QueueRank
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
 from trefoilreach._internal.state.serving import RouteKind
@@ -45,19 +50,7 @@
         self._context = JobRunContext(
             tools, self.rows, MemoryBlobs(), InlineExecutor(), MeanRunTime()
         )
-        self._online = [
-            Ticket(
-                SlotRequest(
-                    "pool",
-                    f"q{number}",
-                    rank=lambda now: QueueRank(0, now),
-                    choose=lambda loads: choose_online(loads, ""),
-                    on_granted=lambda worker: None,
-                )
-            )
-            for number in range(2)
-        ]
-        self.admission.submit(*self._online)
+        self._online = take_all_slots(tools)
 
     def take_over(self, item: str, due_in: float, partials: Mapping[str, Partial]) -> None:
         """Queue the item of a job that is due in ``due_in`` seconds."""
--- a/tests/unit/test_partial_results.py
+++ b/tests/unit/test_partial_results.py
@@ -8,15 +8,12 @@
 import pytest
 from raw_workers import RawWorkers, Reply
 from result import Err, Result
-from serving_fakes import EVENTS, make_service, make_tools
+from serving_fakes import EVENTS, make_service, make_tools, take_all_slots
 from test_jobs import CHECKED, OUTPUT, ROUTE, make_document, read_until, wait_until
 from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.jobs.manager import JobDependencies, JobManager
-from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
-from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
-from trefoilreach._internal.coordination.serving.slot_table import QueueRank
 from trefoilreach._internal.platform.workers import PlatformWorkers
 from trefoilreach._internal.state.rows import (
     Committed,
@@ -66,24 +63,6 @@
     return keeper, tools
 
 
-def take_all_slots(tools: ServingDependencies) -> list[Ticket]:
-    """Queue online requests for both slots of the worker."""
-    tickets = [
-        Ticket(
-            SlotRequest(
-                "pool",
-                f"q{number}",
-                rank=lambda now: QueueRank(0, now),
-                choose=lambda loads: choose_online(loads, ""),
-                on_granted=lambda worker: None,
-            )
-        )
-        for number in range(2)
-    ]
-    tools.admission.submit(*tickets)
-    return tickets
-
-
 def test_item_that_yields_its_slot_is_not_listed_with_a_part_of_its_text(stack: ExitStack) -> None:
     """Guards against the daemon's own end of a connection that is taken for the answer's end."""
     workers = RawWorkers(stack, Reply(BEGUN, kept=True), REST)
--- a/tests/unit/test_stop_plan.py
+++ b/tests/unit/test_stop_plan.py
@@ -9,11 +9,18 @@
 from contextlib import contextmanager
 
 import pytest
-from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from serving_fakes import (
+    ACCOUNT,
+    EVENTS,
+    FakeLink,
+    Script,
+    make_call,
+    make_route,
+    make_tools,
+    take_all_slots,
+)
 from trefoilreach._internal.clock import ManualClock
-from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
-from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.planned_stop import (
     RunLengths,
@@ -21,7 +28,7 @@
     plan_stop,
 )
 from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
-from trefoilreach._internal.coordination.serving.slot_table import QueueRank, RunCounts
+from trefoilreach._internal.coordination.serving.slot_table import RunCounts
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
 from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
@@ -79,23 +86,6 @@
         """Advance the clock to a time after the begin of the stop."""
         self.clock.advance(self.begun_at + seconds - self.clock.now())
 
-    def fill_workers(self) -> None:
-        """Take all slots of the workers."""
-        slots = sum(worker.slots for worker in self.tools.admission.workers.entries())
-        tickets = [
-            Ticket(
-                SlotRequest(
-                    "pool",
-                    f"other-{number}",
-                    rank=lambda now: QueueRank(0, now),
-                    choose=lambda loads: choose_online(loads, ""),
-                    on_granted=lambda worker: None,
-                )
-            )
-            for number in range(slots)
-        ]
-        self.tools.admission.submit(*tickets)
-
     def run(self, route: ServingRoute, caller: CallerConnection | None = None) -> OnlineAnswer:
         seconds = route.timeout_seconds
         request = OnlineRequest(
@@ -214,7 +204,7 @@
 def test_queued_request_is_refused_once_it_could_not_be_finished() -> None:
     """Guards against a request that gets a slot just before the process ends."""
     case = Case(workers=1)
-    case.fill_workers()
+    take_all_slots(case.tools)
     for _ in range(100):
         # A slot may become free at any moment, so that only the stop ends the wait.
         case.runner.overload_policy("pool").record_run(0.0)
@@ -293,7 +283,7 @@
 
 def test_queued_request_at_the_end_is_refused_as_not_run() -> None:
     case = Case(workers=1)
-    case.fill_workers()
+    take_all_slots(case.tools)
     with case.start(PATIENT) as waiting:
         wait_until(lambda: bool(case.tools.admission.queued_by_service()))
         case.runner.end_unanswered()
