--- a/review/standins.py
+++ b/review/standins.py
@@ -730,10 +730,21 @@
 
 
 def read_job(daemons: list[Daemon], job: str) -> list[dict] | None:
-    """Return all results of a batch job, from the first daemon that answers with 200."""
+    """Return all results of a batch job, in pages from daemons that answer; None without one."""
+    results: list[dict] = []
+    while True:
+        page = _read_page(daemons, job, len(results))
+        if page is None:
+            return None
+        results += page
+        if not page:
+            return results
+
+
+def _read_page(daemons: list[Daemon], job: str, after: int) -> list[dict] | None:
     for daemon in daemons:
         try:
-            reply = daemon.call("GET", f"/trefoilreach/lots/{job}?after=0")
+            reply = daemon.call("GET", f"/trefoilreach/lots/{job}?after={after}")
         except OSError:
             continue
         if reply.status == 200:
