--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,4 +1,4 @@
-"""Large batch jobs come and end until the store is full; then comes a job with long texts."""
+"""Large batch jobs come and end until the store is full; then jobs with long and short texts."""
 
 import threading
 import time
@@ -23,18 +23,24 @@
 CALLERS = 4
 # Inside the most events and the largest events of the site file.
 LONG_EVENTS, LONG_EVENT_BYTES = 400, 160
-LAST_JOB = "7c41e09b52d6a3f8"
-LAST_ITEMS = [f"e5b2907c14da6f{number:02x}" for number in range(6)]
+LONG_JOBS = {
+    f"7c41e09b52d6a3{job:02x}": [f"e5b2907c14da{job:02x}{n:02x}" for n in range(18)]
+    for job in range(4)
+}
+SHORT_JOBS = {
+    f"1d02b07c14da6f{job:02x}": [f"d4c1807c14da{job:02x}{n:02x}" for n in range(6)]
+    for job in range(4)
+}
 FINISH_SECONDS = BOUNDS["finishS"]
 CALM_SECONDS = 8.0
 
 
 class TextWorker(Worker):
-    """Writes long texts for the items of the last job."""
+    """Writes long texts for the items of some jobs."""
 
     def plan(self, request_id: str) -> tuple[int, str, float]:
         """Return a run's number of events, the end of their data, and its length in seconds."""
-        if request_id in LAST_ITEMS:
+        if request_id.startswith("e5b2"):
             return LONG_EVENTS, "." * (LONG_EVENT_BYTES - 21), 3.0
         return self.EVENTS, "", self.seconds
 
@@ -82,26 +88,53 @@
         "script",
         f"{len(done)} large jobs are done and were read; objects: {site.store.objects_bytes} bytes",
     )
-    body = make_job([make_item(item) for item in LAST_ITEMS])
-    reply = daemons[0].call("POST", f"/pule252/{LAST_JOB}", LAST_JOB, body)
-    if reply.status != 202:
-        raise OSError(f"the last job was answered {reply.status}")
+    for job, items in LONG_JOBS.items():
+        submit(daemons[0], job, items)
+    time.sleep(24.0)
+    for job, items in SHORT_JOBS.items():
+        submit(daemons[0], job, items)
     time.sleep(FINISH_SECONDS + CALM_SECONDS)
     busy = [at for worker in workers for at, _, _ in worker.runs if time.monotonic() - at < 8.0]
-    site.record("script", f"items sent to workers in the last 8 s: {len(busy)}")
-    if any(worker.running for worker in workers):
-        raise OSError("an item is still at a worker")
-    results = read_job(daemons, LAST_JOB)
-    if results is None:
-        raise OSError("no daemon read the job")
-    listed = {result["id"]: result["state"] for result in results}
-    site.record("caller", f"listed: {listed}; refused objects: {site.store.refused_objects}")
+    if busy or any(worker.running for worker in workers):
+        raise OSError("an item was at a worker in the last 8 s")
+    site.record("script", f"refused objects: {site.store.refused_objects}")
     return [
-        f"LOST: item {item} is neither completed nor errored"
-        f" {FINISH_SECONDS + CALM_SECONDS:.0f} s after the 202, with no item at a worker"
-        for item in LAST_ITEMS
-        if listed.get(item) not in ("completed", "errored")
+        *find_lost(site, "long", LONG_JOBS, read_all(daemons, LONG_JOBS)),
+        *find_lost(site, "short", SHORT_JOBS, read_all(daemons, SHORT_JOBS)),
     ]
 
 
+def submit(daemon, job: str, items: list[str]) -> None:
+    """Submit a job that must be accepted."""
+    reply = daemon.call("POST", f"/pule252/{job}", job, make_job([make_item(i) for i in items]))
+    if reply.status != 202:
+        raise OSError(f"a job was answered {reply.status}")
+
+
+def read_all(daemons, jobs) -> dict[str, str]:
+    """Return the states of all listed items of some jobs."""
+    states: dict[str, str] = {}
+    for job in jobs:
+        results = read_job(daemons, job)
+        if results is None:
+            raise OSError("no daemon read a job")
+        states.update({result["id"]: result["state"] for result in results})
+    return states
+
+
+def find_lost(site: Site, texts: str, jobs, states: dict[str, str]) -> list[str]:
+    """Return the jobs with items that are neither completed nor errored."""
+    lost = []
+    for job, items in jobs.items():
+        missing = [item for item in items if states.get(item) not in ("completed", "errored")]
+        runs = sum(run[1] in missing for worker in site.workers for run in worker.runs)
+        if missing:
+            lost.append(
+                f"LOST: {len(missing)} of {len(items)} items of job {job} with {texts} texts are"
+                " neither completed nor errored, with none of them at a worker;"
+                f" they ran {runs} times"
+            )
+    return lost
+
+
 main(run)
