Release a worker's slot however its answer ends, also before anything was sent

Cause: a stream was handed to the HTTP server as a generator whose finally releases the slot. The finally of a generator that was never started does not run. When the server refused the head of the answer, the slot stayed taken for as long as the daemon ran, and its reports told all other daemons so. The same holds for each unexpected error between the answer's head and the first event.

Change: an attempt owns its slot and its answer through one exit stack, from the ticket on. The body of a stream is an object that releases both when it is closed, read or not. A head that the server cannot write is logged and answered with 502, in place of the server's own page without a request id.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -1,7 +1,8 @@
 """Runs one online request: admission, attempts, relay, resume, final answer."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Generator
+from contextlib import ExitStack
 
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
@@ -18,6 +19,7 @@
 from trefoilreach._internal.coordination.serving.relay import Relay, find_first_answer_timeout
 from trefoilreach._internal.coordination.serving.request import (
     Attempt,
+    EventBody,
     OnlineAnswer,
     OnlineRequest,
     ServingDependencies,
@@ -161,14 +163,18 @@
         """Return the answer; that of a stream once its first event has arrived."""
         self._refuse_if_overloaded()
         while True:
-            attempt = self._open_attempt()
-            stream = self._request.route.kind is RouteKind.STREAM
-            if stream and attempt.answer.status == 200:
-                answer = self._start_stream(attempt)
-            else:
-                answer = self._read_answer(attempt)
-            if answer is not None:
-                return answer
+            with ExitStack() as resources:
+                attempt = self._open_attempt()
+                resources.callback(attempt.close)
+                stream = self._request.route.kind is RouteKind.STREAM
+                if stream and attempt.answer.status == 200:
+                    answer = self._start_stream(attempt)
+                else:
+                    answer = self._read_answer(attempt)
+                if answer is not None:
+                    if answer.events is not None:
+                        resources.pop_all()
+                    return answer
 
     def _compute_times(self) -> OnlineTimes:
         request, route = self._request, self._request.route
@@ -217,46 +223,51 @@
 
         :raises Refusal: when no attempt gets one.
         """
-        workers = self._tools.admission.workers
         while True:
-            ticket = self._wait_for_slot()
-            block = self._find_forbidding_block()
-            if block is not None:
-                self._tools.admission.release(ticket)
-                raise self._give_up(_PART_BLOCKED, block.retry_after)
-            worker = workers.find_open(ticket.worker or "")
-            if worker is None:
-                self._return_slot(ticket)
-                continue
-            try:
-                answer = self._send(worker)
-            except WorkerFailure as failure:
-                self._tools.admission.release(ticket)
-                self._record_failure(worker, failure)
-                continue
-            except BaseException:
-                # A slot that is not released counts as used until the daemon ends.
-                self._tools.admission.release(ticket)
-                raise
-            if answer.not_run and answer.is_wrong_worker:
-                workers.note_replaced(worker.id)
-            else:
-                workers.note_answer(worker.id)
-            if answer.says_leaving:
-                workers.note_leaving(worker, Source.ANSWER)
-            if not answer.not_run:
-                return Attempt(ticket, worker, answer)
-            answer.close()
-            self._tools.admission.release(ticket)
-            # A worker that leaves is not chosen again, so that its refusals need no limit.
-            reason = f"worker answered {answer.status}, not run"
-            self._record_not_run(worker, reason, counts=not answer.says_leaving)
-
-    def _return_slot(self, ticket: Ticket) -> None:
-        """Release a slot of a worker that began to leave, or whose entry went, since the choice."""
+            with ExitStack() as resources:
+                attempt = self._try_worker(self._wait_for_slot(resources), resources)
+                if attempt is not None:
+                    return attempt
+
+    def _try_worker(self, ticket: Ticket, resources: ExitStack) -> Attempt | None:
+        """Send the request to the worker of a slot; return None if it did not take the request.
+
+        :param resources: holds the slot; an attempt takes over what it holds.
+        :raises Refusal: when the request may not be sent again.
+        """
+        workers = self._tools.admission.workers
+        block = self._find_forbidding_block()
+        if block is not None:
+            raise self._give_up(_PART_BLOCKED, block.retry_after)
+        worker = workers.find_open(ticket.worker or "")
+        if worker is None:
+            self._log_lost_worker(ticket)
+            return None
+        try:
+            answer = self._send(worker)
+        except WorkerFailure as failure:
+            resources.close()
+            self._record_failure(worker, failure)
+            return None
+        resources.callback(answer.close)
+        if answer.not_run and answer.is_wrong_worker:
+            workers.note_replaced(worker.id)
+        else:
+            workers.note_answer(worker.id)
+        if answer.says_leaving:
+            workers.note_leaving(worker, Source.ANSWER)
+        if not answer.not_run:
+            return Attempt(worker, answer, resources.pop_all())
+        resources.close()
+        # A worker that leaves is not chosen again, so that its refusals need no limit.
+        reason = f"worker answered {answer.status}, not run"
+        self._record_not_run(worker, reason, counts=not answer.says_leaving)
+        return None
+
+    def _log_lost_worker(self, ticket: Ticket) -> None:
+        """Log that a worker began to leave, or that its entry went, since the choice."""
         worker = ticket.worker or ""
         obstacle = self._tools.admission.workers.find_obstacle(worker)
-        self._tools.admission.release(ticket)
         log_decision(
             "route",
             "choose-again",
@@ -283,7 +294,12 @@
         _log_block(self._request, block, "refuse")
         return block
 
-    def _wait_for_slot(self) -> Ticket:
+    def _wait_for_slot(self, resources: ExitStack) -> Ticket:
+        """Return a ticket that holds a slot.
+
+        :param resources: releases the slot.
+        :raises Refusal: when there is no slot in time.
+        """
         granted = threading.Event()
         request = SlotRequest(
             service=self._service,
@@ -297,16 +313,23 @@
             raise self._give_up_start("no time left to run")
         ticket = Ticket(request)
         begun = self._now
+        # A slot that is not released counts as used until the daemon ends.
+        resources.callback(self._drop_ticket, ticket)
         self._tools.admission.submit(ticket)
         reason = self._wait_for_grant(ticket, granted)
         if ticket.worker is None and self._tools.admission.withdraw(ticket):
             raise self._give_up_start(reason)
         self._tools.metrics.observe_slot_wait(self._now - begun)
         if self._caller.cancel_reason or self._now >= self._latest_stop_start:
-            self._tools.admission.release(ticket)
             raise self._give_up_start("the request was cancelled")
         return ticket
 
+    def _drop_ticket(self, ticket: Ticket) -> None:
+        """Withdraw a ticket from the queue, or release its slot."""
+        if ticket.worker is None:
+            self._tools.admission.withdraw(ticket)
+        self._tools.admission.release(ticket)
+
     @property
     def _latest_start(self) -> float:
         """Time until which a run may start, so that it ends in time."""
@@ -418,8 +441,7 @@
             self._record_failure(attempt.worker, failure)
             return None
         finally:
-            answer.close()
-            self._tools.admission.release(attempt.ticket)
+            attempt.close()
         if answer.status in (429, 503, 408):
             # To the caller these mean that the request has not run, which is not certain
             # without the worker's mark that it has not.
@@ -442,8 +464,7 @@
     def _start_stream(self, attempt: Attempt) -> OnlineAnswer | None:
         """Return a stream whose first events have arrived, or None to send the request again."""
         if not attempt.answer.has_receipt:
-            attempt.answer.close()
-            self._tools.admission.release(attempt.ticket)
+            attempt.close()
             self._record_failed_run(attempt.worker, "the answer has no receipt")
             return None
         relay = Relay(self._tools, self._request, attempt, self._may_run_again(), self._last_event)
@@ -455,8 +476,8 @@
             relay.close()
             self._record_failure(attempt.worker, failure)
             return None
-        headers = attempt.answer.headers
-        return OnlineAnswer(200, headers, None, self._relay(relay, first))
+        events = EventBody(self._relay(relay, first), relay.close)
+        return OnlineAnswer(200, attempt.answer.headers, None, events)
 
     def _check_not_interrupted(self) -> None:
         """Check that a stream whose first events were read may go on.
@@ -471,7 +492,7 @@
         seconds = self._now - self._sent_at
         self._tools.planned_stop.record_run(self._request.route.name, seconds)
 
-    def _relay(self, relay: Relay, events: list[StreamEvent]) -> Iterator[bytes]:
+    def _relay(self, relay: Relay, events: list[StreamEvent]) -> Generator[bytes, None, None]:
         """Yield the events of a stream, resuming it at other workers after failures."""
         begun = self._now
         try:
@@ -520,20 +541,22 @@
         try:
             self._record_failure(broken.worker, failure, broken.begun)
             while True:
-                attempt = self._open_attempt()
-                answer = attempt.answer
-                if answer.status == 200 and answer.is_event_stream and answer.has_receipt:
-                    log_event(
-                        "request:resumed",
-                        request_id=request.call.request_id,
-                        worker=attempt.worker.id,
-                        after_event=self._last_event,
-                    )
-                    return Relay(
-                        self._tools, request, attempt, self._may_run_again(), self._last_event
-                    )
-                answer.close()
-                self._tools.admission.release(attempt.ticket)
+                with ExitStack() as resources:
+                    attempt = self._open_attempt()
+                    resources.callback(attempt.close)
+                    answer = attempt.answer
+                    if answer.status == 200 and answer.is_event_stream and answer.has_receipt:
+                        log_event(
+                            "request:resumed",
+                            request_id=request.call.request_id,
+                            worker=attempt.worker.id,
+                            after_event=self._last_event,
+                        )
+                        relay = Relay(
+                            self._tools, request, attempt, self._may_run_again(), self._last_event
+                        )
+                        resources.pop_all()
+                        return relay
                 self._record_failed_run(
                     attempt.worker, f"worker answered {answer.status} to a resume"
                 )
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -39,7 +39,7 @@
 
 
 class Relay:
-    """Reads the events of an answer; owns the attempt's slot and releases it on close.
+    """Reads the events of an answer; closes the attempt on close.
 
     :param may_resume: whether the stream may be resumed at another worker, so that a long pause
         ends the attempt.
@@ -121,8 +121,7 @@
 
     def close(self) -> None:
         """Close the exchange and release the slot."""
-        self._attempt.answer.close()
-        self._tools.admission.release(self._attempt.ticket)
+        self._attempt.close()
 
     @property
     def _stall_timeout(self) -> float:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
@@ -1,11 +1,12 @@
 """Data types of one online request, and the components that requests are run with."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Generator, Iterator
+from contextlib import ExitStack
 from typing import NamedTuple
 
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.quota.fleet_buckets import FleetBuckets
-from trefoilreach._internal.coordination.serving.admission import Admission, Ticket
+from trefoilreach._internal.coordination.serving.admission import Admission
 from trefoilreach._internal.coordination.serving.crashes import CrashRegistry
 from trefoilreach._internal.coordination.serving.planned_stop import PlannedStop
 from trefoilreach._internal.coordination.serving.worker_client import (
@@ -52,13 +53,36 @@
         return "" if self.account is None else self.account.name
 
 
+class EventBody(Iterator[bytes]):
+    """Events of a stream, as the body of an answer; must be closed, even if it was never read.
+
+    :param events: the events; releases what it uses at its end, but only if it was started.
+    :param release: releases what the first events were read from; may be called more than once.
+    """
+
+    def __init__(self, events: Generator[bytes, None, None], release: Callable[[], None]) -> None:
+        self._events = events
+        self._release = release
+
+    def __next__(self) -> bytes:
+        """Return the next events."""
+        return next(self._events)
+
+    def close(self) -> None:
+        """End the stream and release its slot."""
+        try:
+            self._events.close()
+        finally:
+            self._release()
+
+
 class OnlineAnswer(NamedTuple):
     """An answer for the caller; a stream has ``events`` instead of a ``body``."""
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes | None
-    events: Iterator[bytes] | None = None
+    events: EventBody | None = None
 
 
 class ServingDependencies(NamedTuple):
@@ -74,8 +98,15 @@
 
 
 class Attempt(NamedTuple):
-    """One attempt of a request: its slot, the worker and the worker's answer."""
+    """One attempt of a request.
+
+    :param resources: owns the worker's slot and the answer.
+    """
 
-    ticket: Ticket
     worker: WorkerEntry
     answer: WorkerAnswer
+    resources: ExitStack
+
+    def close(self) -> None:
+        """Close the answer and release the slot; does nothing if called again."""
+        self.resources.close()
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -1,7 +1,8 @@
 """WSGI applications for requests of callers and for the platform's checks."""
 
+import sys
 from collections.abc import Callable, Iterable
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from http import HTTPStatus
 from typing import Any
 
@@ -11,7 +12,7 @@
 from trefoilreach._internal.coordination.serving.crashes import compute_fingerprint
 from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.coordination.serving.service import ServingState
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
 from trefoilreach._internal.platform.job_requests import JobRequestHandler
 from trefoilreach._internal.platform.wire import (
@@ -26,7 +27,7 @@
 from trefoilreach._internal.state.serving import RouteKind, list_shared_parts
 from trefoilreach._internal.transport.http_server import ON_DISCONNECT
 
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+StartResponse = Callable[..., Any]
 
 
 class CallerApplication:
@@ -50,15 +51,21 @@
             log_event("ingress:error", request_id=read_request_id(environ), error=repr(error))
             failed = Refusal(500, "internal", "internal error", Verdict.MAY_HAVE_RUN)
             answer = self._build_error_answer(environ, failed)
+        with ExitStack() as resources:
+            if answer.events is not None:
+                resources.callback(answer.events.close)
+            try:
+                _start_answer(answer, start_response)
+            except (AssertionError, ValueError) as error:
+                reason = f"the head of the answer cannot be written: {describe_error(error)}"
+                failed = Refusal(502, "bad_head", reason, Verdict.MAY_HAVE_RUN)
+                answer = self._build_error_answer(environ, failed)
+                _start_answer(answer, start_response, sys.exc_info())
+            else:
+                # The server closes a body that it was given.
+                resources.pop_all()
         self._service.metrics.record_answer(answer.status, self._service.clock.now() - started)
-        headers = [(name, value) for name, value in answer.headers]
-        if answer.events is None:
-            body = answer.body or b""
-            headers.append(("Content-Length", str(len(body))))
-            start_response(_status_line(answer.status), headers)
-            return [body]
-        start_response(_status_line(answer.status), headers)
-        return answer.events
+        return [answer.body or b""] if answer.events is None else answer.events
 
     def _answer(self, environ: dict[str, Any]) -> OnlineAnswer:
         path = environ["PATH_INFO"]
@@ -157,6 +164,18 @@
         return _respond(start_response, 404, {"error": "not found"})
 
 
+def _start_answer(answer: OnlineAnswer, start_response: StartResponse, error: Any = None) -> None:
+    """Start an answer, in place of one whose start failed with ``error``.
+
+    :raises AssertionError: when the server refuses a header that applies to one connection only.
+    :raises ValueError: when the server cannot write the head.
+    """
+    headers = list(answer.headers)
+    if answer.events is None:
+        headers.append(("Content-Length", str(len(answer.body or b""))))
+    start_response(_status_line(answer.status), headers, error)
+
+
 def _respond(start_response: StartResponse, status: int, body: Any) -> list[bytes]:
     data = orjson.dumps(body)
     start_response(_status_line(status), [names.JSON, ("Content-Length", str(len(data)))])
