Treat a head with an invalid field as malformed

Cause: the parser keeps the line break of a folded line in the value of the field. The check of a head looked only at the fields that frame the body, so the answer was passed on, and the caller's connection could not carry it.

Change: a line break or NUL in a value, or a name that is no token, makes a head malformed, for workers, services, the store and peers alike; the request is then sent elsewhere, as after any other spoilt answer.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -4,9 +4,18 @@
 only if the other side has ended it.
 """
 
+import re
+from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
 
+# RFC 9110, section 5.6.2.
+_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# RFC 9110, section 5.5. The parser keeps the line breaks of a folded line in its value.
+_INVALID_IN_VALUE = re.compile(r"[\r\n\0]")
+# Longest part of a field's name in a message.
+_MAX_SHOWN_LENGTH = 100
+
 
 class IncompleteAnswerError(Exception):
     """An answer ended before it was whole, or is malformed."""
@@ -25,10 +34,12 @@
 
     :param lengths: values of ``Content-Length``.
     :param encodings: values of ``Transfer-Encoding``.
+    :param all: names and values of all fields.
     """
 
     lengths: tuple[str, ...]
     encodings: tuple[str, ...]
+    all: Sequence[tuple[str, str]] = ()
 
 
 class BodyEnd(NamedTuple):
@@ -49,10 +60,14 @@
     """Return the framing of the body.
 
     :param connection_ended: whether the connection ended before the empty line after the head.
-    :raises IncompleteAnswerError: when the head is cut off, or states no valid framing.
+    :raises IncompleteAnswerError: when the head is cut off, has a field that HTTP does not allow,
+        or states no valid framing.
     """
     if connection_ended:
         raise IncompleteAnswerError("the connection ended inside the head")
+    for name, value in fields.all:
+        if not _FIELD_NAME.fullmatch(name) or _INVALID_IN_VALUE.search(value):
+            raise IncompleteAnswerError(f"invalid field {name[:_MAX_SHOWN_LENGTH]!r} in the head")
     if fields.encodings:
         if [value.strip().lower() for value in fields.encodings] != ["chunked"]:
             raise IncompleteAnswerError(f"unknown transfer encoding {fields.encodings!r}")
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -220,6 +220,7 @@
         fields = HeadFields(
             tuple(self.headers.get_all("Content-Length", ())),
             tuple(self.headers.get_all("Transfer-Encoding", ())),
+            self.headers.items(),
         )
         self.framing = check_head(fields, self.limited.ended)
         if self.framing is Framing.CHUNKS and not self.chunked:
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -240,6 +240,30 @@
     assert caught.value.status == 502
 
 
+INVALID_FIELDS = [
+    b"X-Weight-Versions: 1\r\n 1\r\n",
+    b"X-Weight-Versions: 1\r\n\t1\r\n",
+    b"X-Weight-Versions: 1\n 1\r\n",
+    b"X-Weight-Versions: 1\x001\r\n",
+    b"X-Weight Versions: 1\r\n",
+    b"X-Weight-Versions : 1\r\n",
+]
+
+
+@pytest.mark.parametrize("field", INVALID_FIELDS)
+@pytest.mark.parametrize("route", [RESUMABLE, IDEMPOTENT])
+def test_answer_with_an_invalid_field_is_not_passed_on(
+    stack: ExitStack, route: ServingRoute, field: bytes
+) -> None:
+    """Guards against a head that the caller's connection cannot carry, which got it a 500."""
+    head = STREAM_HEAD if route is RESUMABLE else PLAIN[:-2]
+    workers = RawWorkers(stack, Reply(head + field + b"\r\n" + ALL), Reply(head + b"\r\n" + ALL))
+    answer = run(stack, workers, route)
+    assert (answer.body if answer.events is None else read_stream(answer)) == ALL
+    assert len(workers.requests) == 2
+    assert not any("eight" in name for name, _ in answer.headers)
+
+
 def test_success_that_names_no_request_is_not_the_answer(stack: ExitStack) -> None:
     """Guards against the answer to another request, whose id is missing."""
     unnamed = Reply(PLAIN.replace(b"X-Request-Id: q1\r\n", b"") + b"another answer")
