Drop all fields of a worker's answer that apply to its connection only

Callers saw: a 500 for a sound answer with Proxy-Authorization or Trailers among its fields.

Cause: the HTTP server refuses these names, and the list of fields to drop had not all of them.

Change: the list has Proxy-Authorization, Proxy-Connection and Trailers as well.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -47,6 +47,9 @@
     "trailer",
     "upgrade",
     "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "trailers",
     "date",
     "server",
 }
--- a/tests/unit/test_broken_answers.py
+++ b/tests/unit/test_broken_answers.py
@@ -264,6 +264,16 @@
     assert not any("eight" in name for name, _ in answer.headers)
 
 
+@pytest.mark.parametrize("name", [b"Proxy-Authorization", b"Trailers", b"Proxy-Connection"])
+def test_field_of_the_connection_to_the_worker_is_not_passed_on(
+    stack: ExitStack, name: bytes
+) -> None:
+    """Guards against a sound answer that the server refuses because of one of its fields."""
+    workers = RawWorkers(stack, Reply(PLAIN[:-2] + name + b": x\r\n\r\n" + ALL))
+    answer = run(stack, workers, IDEMPOTENT)
+    assert answer.body == ALL and name.decode() not in dict(answer.headers)
+
+
 def test_success_that_names_no_request_is_not_the_answer(stack: ExitStack) -> None:
     """Guards against the answer to another request, whose id is missing."""
     unnamed = Reply(PLAIN.replace(b"X-Request-Id: q1\r\n", b"") + b"another answer")
