Look at a job's row again once its run can be found

Cause: a take-over writes the job's row, reads items and progress (three calls of the store) and only then registers the run. A change of the row that the feed brings in between finds no run to stop, and the start did not look at the row again. The same holds between the acceptance of a job and its start.

Change: a run is registered first; then the cached row decides whether it starts. A row that arrives later finds the registered run, so that no order of the two is left in which the job is run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -309,6 +309,8 @@
             if self._stop.is_set() or row.record.job in self._runs:
                 return
             self._runs[row.record.job] = run
+        # The job may have ended, or changed its owner, before its run could be found and stopped.
+        self._stop_lost_run(self.table.get(row.record.job) or row)
         run.start()
 
     def _stop_lost_run(self, row: JobRow) -> None:
--- /dev/null
+++ b/tests/unit/test_ended_jobs.py
@@ -0,0 +1,93 @@
+"""Tests that nothing of a job runs once it has ended or has another owner."""
+
+import threading
+import time
+from contextlib import ExitStack
+from typing import Any
+
+import pytest
+from result import Result
+from serving_fakes import ACCOUNT
+from test_jobs import CHECKED, Fleet, make_document, send_all_events, stack, wait_until
+from trefoilreach._internal.coordination.jobs import manager as manager_module
+from trefoilreach._internal.coordination.jobs.manager import JobManager
+from trefoilreach._internal.coordination.jobs.records import ENDED, INPUT_TABLE
+from trefoilreach._internal.state.rows import MemoryRows, Snapshot
+from trefoilreach._internal.state.table import StoreError
+
+__all__ = ["stack"]
+
+# Long enough for items to be granted slots and sent.
+_SETTLE_SECONDS = 0.4
+
+
+class SlowInputRows(MemoryRows):
+    """A store that answers reads of inputs only while its gate is open."""
+
+    def __init__(self, rows: MemoryRows) -> None:
+        super().__init__()
+        self.gate = threading.Event()
+        self.waiting = threading.Event()
+        self._shared = rows
+
+    def read(
+        self, table: str, part: str, start: str = "", end: str = ""
+    ) -> Result[Snapshot, StoreError]:
+        answer = self._shared.read(table, part, start, end)
+        if table == INPUT_TABLE:
+            self.waiting.set()
+            self.gate.wait(5.0)
+        return answer
+
+    def commit(self, *arguments: Any) -> Any:
+        return self._shared.commit(*arguments)
+
+    def poll_changes(self, *arguments: Any) -> Any:
+        return self._shared.poll_changes(*arguments)
+
+
+def orphan_job(fleet: Fleet) -> JobManager:
+    """Submit a job to a daemon without workers and let this daemon stop running it."""
+    former = fleet.start("d0", workers=0)
+    former.submit("j1", CHECKED, make_document(3))
+    former._stop.set()
+    return former
+
+
+def test_job_that_ends_while_it_is_taken_over_is_not_run(stack: ExitStack) -> None:
+    """Guards against items of an ended job that run long after its end was acknowledged."""
+    fleet = Fleet(stack, send_all_events)
+    former = orphan_job(fleet)
+    rows = SlowInputRows(fleet.rows)
+    keeper = fleet.start("d1", rows=rows)
+    assert rows.waiting.wait(3.0)
+    former.end("j1", ACCOUNT.name)
+
+    def knows_end() -> bool:
+        row = keeper.table.get("j1")
+        return row is not None and row.record.state == ENDED
+
+    wait_until(knows_end)
+    rows.gate.set()
+    time.sleep(_SETTLE_SECONDS)
+    assert fleet.link.sent == [] and not keeper.has_runs
+
+
+def test_job_that_is_taken_while_it_is_taken_over_is_not_run(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two daemons that run the items of one job."""
+    monkeypatch.setattr(manager_module, "_OWNER_CHANGE_GRACE_SECONDS", 30.0)
+    fleet = Fleet(stack, send_all_events)
+    former = orphan_job(fleet)
+    rows = SlowInputRows(fleet.rows)
+    keeper = fleet.start("d1", rows=rows)
+    assert rows.waiting.wait(3.0)
+    wait_until(lambda: former.table.get("j1").record.owner == "d1/1")
+    row = former.table.get("j1")
+    assert row is not None
+    former.table.write_row(row, row.record._replace(owner="d2/1"))
+    wait_until(lambda: keeper.table.get("j1").record.owner == "d2/1")
+    rows.gate.set()
+    time.sleep(_SETTLE_SECONDS)
+    assert fleet.link.sent == [] and not keeper.has_runs
