Do not send an item whose job was stopped before its ticket was queued

Callers would see: an item of an ended job that runs, or one that runs at its former owner while the job is handed over.

Cause: stopping a job withdraws the tickets of its items. A ticket that was made just before and is queued just after is not found, and nothing asked again when its slot was granted.

Change: an item asks once more, when its slot is granted, whether it may run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -335,7 +335,7 @@
 
     def _make_ticket(self, run: _ItemRun) -> Ticket | None:
         """Return the ticket for an item's next run, or None when the item must not run."""
-        if self._stopped or not self._submits_items or run.item.id not in self._open_items:
+        if not self._may_run(run):
             return None
         run.ticket = Ticket(
             SlotRequest(
@@ -349,6 +349,9 @@
         )
         return run.ticket
 
+    def _may_run(self, run: _ItemRun) -> bool:
+        return not self._stopped and self._submits_items and run.item.id in self._open_items
+
     def _release(self, run: _ItemRun) -> None:
         """Release the slot of an item; listing the result may take longer."""
         ticket, run.ticket = run.ticket, None
@@ -381,7 +384,8 @@
         worker = self._tools.admission.workers.find_open(worker_id)
         pause = 0.0
         try:
-            if worker is not None:
+            # The job may have stopped between the making of the ticket and its queueing.
+            if worker is not None and self._may_run(run):
                 log_decision(
                     "batch",
                     worker_id,
--- a/tests/unit/test_ended_jobs.py
+++ b/tests/unit/test_ended_jobs.py
@@ -7,8 +7,15 @@
 
 import pytest
 from result import Result
-from serving_fakes import ACCOUNT
-from test_jobs import CHECKED, Fleet, make_document, send_all_events, stack, wait_until
+from serving_fakes import ACCOUNT, make_workers
+from test_jobs import (
+    CHECKED,
+    Fleet,
+    make_document,
+    send_all_events,
+    stack,
+    wait_until,
+)
 from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.jobs.manager import JobManager
 from trefoilreach._internal.coordination.jobs.records import ENDED, INPUT_TABLE
@@ -21,30 +28,36 @@
 _SETTLE_SECONDS = 0.4
 
 
-class SlowInputRows(MemoryRows):
+class SharedRows:
+    """The store as one daemon reaches it.
+
+    :param rows: the store.
+    """
+
+    def __init__(self, rows: MemoryRows) -> None:
+        self._rows = rows
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._rows, name)
+
+
+class SlowInputRows(SharedRows):
     """A store that answers reads of inputs only while its gate is open."""
 
     def __init__(self, rows: MemoryRows) -> None:
-        super().__init__()
+        super().__init__(rows)
         self.gate = threading.Event()
         self.waiting = threading.Event()
-        self._shared = rows
 
     def read(
         self, table: str, part: str, start: str = "", end: str = ""
     ) -> Result[Snapshot, StoreError]:
-        answer = self._shared.read(table, part, start, end)
+        answer = self._rows.read(table, part, start, end)
         if table == INPUT_TABLE:
             self.waiting.set()
             self.gate.wait(5.0)
         return answer
 
-    def commit(self, *arguments: Any) -> Any:
-        return self._shared.commit(*arguments)
-
-    def poll_changes(self, *arguments: Any) -> Any:
-        return self._shared.poll_changes(*arguments)
-
 
 def orphan_job(fleet: Fleet) -> JobManager:
     """Submit a job to a daemon without workers and let this daemon stop running it."""
@@ -91,3 +104,24 @@
     rows.gate.set()
     time.sleep(_SETTLE_SECONDS)
     assert fleet.link.sent == [] and not keeper.has_runs
+
+
+@pytest.mark.parametrize("end", ["stop", "suspend"])
+def test_item_that_is_queued_after_its_job_was_stopped_is_not_run(
+    stack: ExitStack, end: str
+) -> None:
+    """Guards against an item whose ticket is made before its job stops, and queued after it."""
+    fleet = Fleet(stack, send_all_events)
+    keeper = fleet.start("d0", workers=0)
+    keeper.submit("j1", CHECKED, make_document(1))
+    admission, run = keeper._tools.serving.admission, keeper._runs["j1"]
+    ticket = run._open_items["i0"].ticket
+    assert ticket is not None
+    admission.withdraw(ticket)
+    # The owner of an open job would otherwise start another run of it.
+    keeper._stop.set()
+    run.stop("ended") if end == "stop" else run.suspend()
+    admission.submit(ticket)
+    admission.workers.put(make_workers(1)[0])
+    time.sleep(_SETTLE_SECONDS)
+    assert fleet.link.sent == [] and not admission.has_requests
