End a job's run when a checkpoint shows that its row has changed

Cause: a failed condition counted as a checkpoint that need not be repeated; only a failed listing of a result ended the run. A hand-over whose row this daemon had written again was taken for done: the row kept its owner, and the events of the items were lost.

Change: checkpoint and listing treat a failed condition alike. A row that this daemon wrote again is adopted and the write repeated; any other change of the row ends the run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -45,7 +45,7 @@
     WorkerAnswer,
     WorkerFailure,
 )
-from trefoilreach._internal.logs import log_decision, log_event
+from trefoilreach._internal.logs import describe_error, log_decision, log_event
 from trefoilreach._internal.protocol.completeness import IncompleteAnswerError, UnprovenEndError
 from trefoilreach._internal.protocol.event_stream import EventReader
 from trefoilreach._internal.protocol.verdict import Verdict
@@ -303,7 +303,9 @@
             outcome = self._context.rows.commit(expected, writes)
             if isinstance(outcome, Err):
                 log_event("job:checkpoint-failed", job=record.job, error=str(outcome.err_value))
-                return isinstance(outcome.err_value, ConditionFailed)
+                if isinstance(outcome.err_value, ConditionFailed):
+                    self._follow_row(outcome.err_value)
+                return self._stopped
             if owner != self._row.record.owner:
                 self._row = JobRow(record, outcome.ok_value.version)
             for run, partial in chosen:
@@ -591,10 +593,6 @@
         Returns False if the write must be repeated.
         """
         record = self._row.record
-        for stored in conflict.rows:
-            if stored.name == job_key(record.job) and parse_job(stored).record == record:
-                # This daemon wrote the row again, when it took over a job that it already owned.
-                self._row = JobRow(record, stored.version)
         found = self._context.rows.read(RESULT_TABLE, find_part(record.job), *key_range(record.job))
         if isinstance(found, Err):
             return False
@@ -603,17 +601,28 @@
             self._listed_count = len(listed) - 1
             self._record_listed(result)
             return True
-        if len(listed) == self._listed_count and not self._is_current(conflict):
-            # The position is right, so the job's row has changed: it has another owner or ended.
-            self.stop("its row has changed")
-            return True
         self._listed_count = len(listed)
-        return False
+        self._follow_row(conflict)
+        return self._stopped
 
-    def _is_current(self, conflict: ConditionFailed) -> bool:
-        """Return whether the job's row has the version that this run expects."""
-        name = job_key(self._row.record.job)
-        return any(row.name == name and row.version == self._row.version for row in conflict.rows)
+    def _follow_row(self, conflict: ConditionFailed) -> None:
+        """Adopt the job's row from a failed condition, or stop if the job is not run here now."""
+        record = self._row.record
+        for stored in conflict.rows:
+            if stored.name != job_key(record.job):
+                continue
+            if stored.version == self._row.version:
+                return
+            try:
+                row = parse_job(stored)
+            except ValueError as error:
+                log_event("job:undecodable", job=record.job, error=describe_error(error))
+                break
+            if row.record == record:
+                # This daemon wrote the row again, when it took over a job that it already owned.
+                self._row = row
+                return
+        self.stop("its row has changed")
 
     def _record_listed(self, result: ItemResult) -> None:
         with self._lock:
--- a/tests/unit/test_ended_jobs.py
+++ b/tests/unit/test_ended_jobs.py
@@ -6,19 +6,21 @@
 from typing import Any
 
 import pytest
-from result import Result
+from result import Ok, Result
 from serving_fakes import ACCOUNT, make_workers
 from test_jobs import (
     CHECKED,
     Fleet,
+    hold_last_event,
     make_document,
     send_all_events,
     stack,
     wait_until,
 )
+from trefoilreach._internal.coordination.jobs import job_run as job_run_module
 from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.jobs.manager import JobManager
-from trefoilreach._internal.coordination.jobs.records import ENDED, INPUT_TABLE
+from trefoilreach._internal.coordination.jobs.records import ENDED, INPUT_TABLE, OPEN
 from trefoilreach._internal.state.rows import MemoryRows, Snapshot
 from trefoilreach._internal.state.table import StoreError
 
@@ -59,6 +61,14 @@
         return answer
 
 
+class LateFeedRows(SharedRows):
+    """A store whose feed brings no changes."""
+
+    def poll_changes(self, table: str, after: int, wait: float) -> Result[Snapshot, StoreError]:
+        time.sleep(0.05)
+        return Ok(Snapshot([], after, 0.0))
+
+
 def orphan_job(fleet: Fleet) -> JobManager:
     """Submit a job to a daemon without workers and let this daemon stop running it."""
     former = fleet.start("d0", workers=0)
@@ -125,3 +135,41 @@
     admission.workers.put(make_workers(1)[0])
     time.sleep(_SETTLE_SECONDS)
     assert fleet.link.sent == [] and not admission.has_requests
+
+
+def test_failed_checkpoint_of_an_ended_job_stops_its_run(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an ended job that runs on where the feed of jobs is late."""
+    monkeypatch.setattr(job_run_module, "_CHECKPOINT_INTERVAL_SECONDS", 0.1)
+    gate = threading.Event()
+    stack.callback(gate.set)
+    fleet = Fleet(stack, hold_last_event(gate))
+    rows = LateFeedRows(fleet.rows)
+    owner, other = fleet.start("d0", rows=rows), fleet.start("d1", workers=0)
+    owner.submit("j1", CHECKED, make_document(1))
+    run = owner._runs["j1"]
+    wait_until(lambda: fleet.link.sent)
+    other.end("j1", ACCOUNT.name)
+    wait_until(lambda: run.finished and not owner.has_runs)
+    assert owner.table.get("j1").record.state == ENDED
+    assert len(fleet.link.sent) == 1
+
+
+def test_checkpoint_after_the_own_row_was_written_again_is_repeated(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a job that its owner stops, or whose hand-over loses its events."""
+    gate = threading.Event()
+    stack.callback(gate.set)
+    fleet = Fleet(stack, hold_last_event(gate))
+    owner = fleet.start("d0")
+    owner.submit("j1", CHECKED, make_document(1))
+    run, row = owner._runs["j1"], owner.table.get("j1")
+    assert row is not None
+    wait_until(lambda: run._open_items["i0"].last_event == 2)
+    owner.table.write_row(row, row.record)
+    run.suspend()
+    wait_until(run.hand_over)
+    stored = owner.table.read_row("j1", ACCOUNT.name)
+    assert stored.record.owner == "" and stored.record.state == OPEN
