Give up open items of a removed route when their job changes its owner

Cause: only a run of a job lists items, and a daemon that took the job over started none because it found no route by the name in the row. Each check took the job over again, with a write of its row.

Change: the next owner lists the open items as errored, which is true and at once. It does so only once its desired state was confirmed later than the job's acceptance; before, the route may be one that it does not know yet, and the job waits without a write. A job whose route is removed while it is accepted starts with the route that it was checked against; before, it was answered 202 and not started.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -203,13 +203,16 @@
 
 
 class JobRun:
-    """Runs the items of one job that this daemon owns."""
+    """Runs the items of one job that this daemon owns.
+
+    :param route: the job's route; None if it was removed, so that no item can run.
+    """
 
     def __init__(
         self,
         context: JobRunContext,
         row: JobRow,
-        route: ServingRoute,
+        route: ServingRoute | None,
         deadlines: JobDeadlines,
         items: list[Item],
         listed: list[ItemResult],
@@ -326,9 +329,10 @@
         """List the open items without an output once the job has expired."""
         if now < self._deadlines.expires_at or self._stopped:
             return
+        reason = "the route was removed" if self._route is None else "the job has expired"
         for run in list(self._open_items.values()):
             run.cancel(self._tools.admission)
-            self._list_result(run, None, "the job has expired")
+            self._list_result(run, None, reason)
 
     def _submit(self, run: _ItemRun) -> None:
         ticket = self._make_ticket(run)
@@ -337,11 +341,12 @@
 
     def _make_ticket(self, run: _ItemRun) -> Ticket | None:
         """Return the ticket for an item's next run, or None when the item must not run."""
-        if not self._may_run(run):
+        route = self._route
+        if route is None or not self._may_run(run):
             return None
         run.ticket = Ticket(
             SlotRequest(
-                service=self._route.pick_service(run.item.id),
+                service=route.pick_service(run.item.id),
                 request_id=run.item.id,
                 rank=lambda now: self._rank(run, now),
                 choose=lambda loads: self._choose(run, loads),
@@ -380,14 +385,14 @@
             interrupt.trigger(_YIELD_REASON)
 
     def _run_item(self, run: _ItemRun, worker_id: str, interrupt: Interrupt) -> None:
-        clock = self._tools.clock
+        clock, route = self._tools.clock, self._route
         started_at = clock.now()
         # The worker may have left while the item waited for a thread; the item is queued again.
         worker = self._tools.admission.workers.find_open(worker_id)
         pause = 0.0
         try:
             # The job may have stopped between the making of the ticket and its queueing.
-            if worker is not None and self._may_run(run):
+            if worker is not None and route is not None and self._may_run(run):
                 log_decision(
                     "batch",
                     worker_id,
@@ -397,7 +402,7 @@
                     after_event=run.last_event,
                     due_in=round(self._deadlines.due_at - started_at, 3),
                 )
-                pause = self._attempt_item(run, worker, interrupt)
+                pause = self._attempt_item(run, worker, route, interrupt)
         except Exception as error:
             log_event("item:error", request_id=run.item.id, error=repr(error))
             pause = _RETRY_SECONDS
@@ -410,10 +415,12 @@
                 clock.sleep(pause)
             self._submit(run)
 
-    def _attempt_item(self, run: _ItemRun, worker: WorkerEntry, interrupt: Interrupt) -> float:
+    def _attempt_item(
+        self, run: _ItemRun, worker: WorkerEntry, route: ServingRoute, interrupt: Interrupt
+    ) -> float:
         """Run an item until it completes, fails or yields; return the seconds before a retry."""
         item, record = run.item, self._row.record
-        call = Call(item.id, "POST", item.target, self._route.host, item.headers, item.body)
+        call = Call(item.id, "POST", item.target, route.host, item.headers, item.body)
         remaining = max(1.0, self._deadlines.expires_at - self._tools.clock.now())
         dispatch = Dispatch(call, worker, record.account, remaining, run.last_event)
         events_before = len(run.events)
@@ -433,7 +440,7 @@
                 self._tools.admission.outcomes.note(worker.id, good=True)
                 self._list_result(run, run.output, "complete")
                 return 0.0
-            return self._handle_error_status(run, worker, answer)
+            return self._handle_error_status(run, worker, answer, route.max_runs)
         except WorkerFailure as failure:
             begun = len(run.events) > events_before
             _log_run_end(run, worker, answer, events_before, interrupt)
@@ -481,7 +488,7 @@
         reader.finish(answer.framing)
 
     def _handle_error_status(
-        self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer
+        self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer, max_runs: int
     ) -> float:
         _log_failed_attempt(
             run, worker, status=answer.status, not_run=answer.not_run, failures=run.failures
@@ -494,7 +501,7 @@
             run.failures += 1
             self._tools.admission.outcomes.note(worker.id, good=False)
             run.events = []
-            if run.failures >= self._route.max_runs:
+            if run.failures >= max_runs:
                 self._list_result(run, None, f"failed {run.failures} times")
         run.excluded_workers = {worker.id}
         return _RETRY_SECONDS
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -29,14 +29,18 @@
     StoredProgress,
     unwrap_or_refuse,
 )
-from trefoilreach._internal.coordination.jobs.records import ENDED, OPEN, Item, JobRow
+from trefoilreach._internal.coordination.jobs.records import ENDED, OPEN, Item, JobRecord, JobRow
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.service import CheckedRequest, ServingState
 from trefoilreach._internal.coordination.serving.slot_table import PEER_TIMEOUT_SECONDS
-from trefoilreach._internal.logs import log_event
+from trefoilreach._internal.logs import log_decision, log_event
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.rows import BlobStore, ConditionFailed, RowStore
-from trefoilreach._internal.state.serving import rank_by_rendezvous_hash
+from trefoilreach._internal.state.serving import (
+    RouteKind,
+    ServingRoute,
+    rank_by_rendezvous_hash,
+)
 
 _CHECK_INTERVAL_SECONDS = 0.4
 _ITEM_THREADS = 64
@@ -54,6 +58,9 @@
 _MAX_ACCEPTORS = 2
 _CHANGE_RETRY_SECONDS = 0.1
 _HAND_OVER_RETRY_SECONDS = 0.3
+# A job's time of acceptance is an estimate, which a slow answer of the store makes too early. The
+# slowest stores answer in 0.3 s, and an acceptance may be repeated for 3 s.
+_ROUTE_REMOVAL_MARGIN_SECONDS = 5.0
 # A submission is answered within this time, also when the store answers slowly.
 _SUBMISSION_LIMIT_SECONDS = 5.0
 
@@ -68,6 +75,17 @@
     service: ServingState
 
 
+class StoredJob(NamedTuple):
+    """What the store has of a job besides its row.
+
+    :param input_bytes: bytes of the document that are stored in rows.
+    """
+
+    items: list[Item]
+    input_bytes: int
+    progress: StoredProgress
+
+
 class JobManager:
     """Serves calls for all batch jobs, and runs those that this daemon owns.
 
@@ -198,7 +216,8 @@
             accepted = self._acceptance.accept(job, checked, data, owner)
             if accepted is not None:
                 row, items = accepted
-                self._start_job(row, items, StoredProgress([], {}), len(data))
+                stored = StoredJob(items, len(data), StoredProgress([], {}))
+                self._start_job(row, checked.route, stored)
         finally:
             with self._lock:
                 self._being_accepted.discard(job)
@@ -290,21 +309,22 @@
         run = self._runs.get(job)
         return max(self._result_counts.get(job, 0), 0 if run is None else run.listed_count)
 
-    def _start_job(
-        self, row: JobRow, items: list[Item], progress: StoredProgress, input_bytes: int
-    ) -> None:
-        """Start running a job that this daemon owns, unless the daemon is stopping."""
-        index = self._tools.service.route_index
-        route = None if index is None else index.find_route_by_name(row.record.route)
-        if route is None:
-            log_event("job:no-route", job=row.record.job, route=row.record.route)
-            return
+    def _start_job(self, row: JobRow, route: ServingRoute | None, stored: StoredJob) -> None:
+        """Start running a job that this daemon owns, unless the daemon is stopping.
+
+        :param route: the job's route; None if it was removed.
+        """
         accepted = self.table.store_clock.to_local(row.record.accepted_ms)
-        deadlines = JobDeadlines(
-            accepted + route.results_target_seconds, accepted + route.abandon_after_seconds
+        if route is None:
+            deadlines = JobDeadlines(accepted, accepted)
+        else:
+            deadlines = JobDeadlines(
+                accepted + route.results_target_seconds, accepted + route.abandon_after_seconds
+            )
+        listed, partials = stored.progress
+        run = JobRun(
+            self._context, row, route, deadlines, stored.items, listed, partials, stored.input_bytes
         )
-        listed, partials = progress
-        run = JobRun(self._context, row, route, deadlines, items, listed, partials, input_bytes)
         with self._lock:
             if self._stop.is_set() or row.record.job in self._runs:
                 return
@@ -390,8 +410,40 @@
             if lost or owner in ("", self._owner):
                 yield row
 
+    def _find_route(self, record: JobRecord) -> ServingRoute | None:
+        """Return a job's route, or None if it is not in the desired state."""
+        index = self._tools.service.route_index
+        route = None if index is None else index.find_route_by_name(record.route)
+        return route if route is not None and route.kind is RouteKind.BATCH else None
+
+    def _is_route_removed(self, record: JobRecord) -> bool:
+        """Return whether a route that is missing here was removed after the job's acceptance.
+
+        The desired state that accepted the job may not have arrived here yet.
+        """
+        confirmed_at = self._clock.now() - self._tools.service.freshness.age
+        accepted_at = self.table.store_clock.to_local(record.accepted_ms)
+        return confirmed_at > accepted_at + _ROUTE_REMOVAL_MARGIN_SECONDS
+
     def _take_over_job(self, row: JobRow) -> None:
-        """Become the owner of a job and run its remaining items."""
+        """Become the owner of a job and run its remaining items.
+
+        Items of a route that was removed are given up, as no desired state says how to run them.
+        """
+        route = self._find_route(row.record)
+        if route is None:
+            removed = self._is_route_removed(row.record)
+            log_decision(
+                "job-route",
+                "give-up" if removed else "wait",
+                "the route is not in the desired state",
+                job=row.record.job,
+                route=row.record.route,
+                desired_state=self._tools.service.version,
+                desired_state_age=round(self._tools.service.freshness.age, 3),
+            )
+            if not removed:
+                return
         record = row.record._replace(owner=self._owner)
         taken = self.table.write_row(row, record)
         if isinstance(taken, Err):
@@ -407,4 +459,4 @@
             log_event("job:load-failed", job=record.job)
             return
         items, size = loaded.ok_value
-        self._start_job(taken.ok_value, items, progress.ok_value, size)
+        self._start_job(taken.ok_value, route, StoredJob(items, size, progress.ok_value))
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -208,6 +208,7 @@
         route_index=SimpleNamespace(
             find_route_by_name=lambda name: route if name == route.name else None
         ),
+        version=1,
         freshness=SimpleNamespace(age=0.0),
         deployment=SimpleNamespace(vm=vm),
     )
