Decide at the workers' client which headers a worker may get

Cause: the headers that are not forwarded were dropped where an online request is read. Items are read elsewhere, and the client of the workers replaced its own headers under one spelling only.

Change: one function selects what a worker may get, for each call to a worker and for reading online requests. Names are compared without regard to case and to hyphen or underscore, and names that HTTP does not allow are dropped, as a space after a name hides it from the comparison but not from each server.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/wire.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/wire.py
@@ -1,34 +1,52 @@
 """Reads callers' requests from WSGI environments."""
 
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from trefoilreach._internal.coordination.serving.worker_client import Call
+from trefoilreach._internal.platform import names
+from trefoilreach._internal.protocol.completeness import is_field_name
 from trefoilreach._internal.state.serving import PromptPart
 
 _MILLISECONDS_PER_SECOND = 1000.0
 _DEFAULT_TIME_LEFT_SECONDS = 30.0
 # Headers that apply to one connection only, or that this system sets or consumes.
 _NOT_FORWARDED = {
-    "HOST",
-    "CONNECTION",
-    "KEEP_ALIVE",
-    "PROXY_CONNECTION",
-    "PROXY_AUTHORIZATION",
-    "TRANSFER_ENCODING",
-    "CONTENT_LENGTH",
-    "TE",
-    "TRAILER",
-    "UPGRADE",
-    "EXPECT",
-    "AUTHORIZATION",
-    "X_REQUEST_ID",
-    "X_DEADLINE_MS",
-    "X_TENANT",
-    "X_TARGET_INSTANCE",
-    "LAST_EVENT_ID",
+    "host",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+    "expect",
+    "authorization",
+    *(
+        name.lower()
+        for name in (
+            names.REQUEST_ID,
+            names.TIME_LEFT_MS,
+            names.ACCOUNT,
+            names.EXPECTED_WORKER,
+            names.LAST_EVENT_ID,
+        )
+    ),
 }
 
 
+def select_forwarded(headers: Iterable[tuple[str, str]]) -> Iterator[tuple[str, str]]:
+    """Yield the headers of a caller that a worker may get.
+
+    Some servers read underscores as hyphens, and drop the space after a name.
+    """
+    for name, value in headers:
+        if is_field_name(name) and name.lower().replace("_", "-") not in _NOT_FORWARDED:
+            yield name, value
+
+
 def read_request_id(environ: dict[str, Any]) -> str:
     """Return the caller's request id, or an empty text without one."""
     return str(environ.get("HTTP_X_REQUEST_ID", ""))
@@ -37,11 +55,12 @@
 def read_call(environ: dict[str, Any]) -> Call:
     """Return the request to forward, without the headers that a worker must not get."""
     length = environ.get("CONTENT_LENGTH")
-    headers = tuple(
+    received = (
         (name[5:].replace("_", "-").title(), value)
         for name, value in environ.items()
-        if name.startswith("HTTP_") and name[5:] not in _NOT_FORWARDED
+        if name.startswith("HTTP_")
     )
+    headers = tuple(select_forwarded(received))
     content_type = environ.get("CONTENT_TYPE")
     if content_type:
         headers += (("Content-Type", content_type),)
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -12,6 +12,7 @@
 )
 from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
+from trefoilreach._internal.platform.wire import select_forwarded
 from trefoilreach._internal.protocol.checked_values import check_integer
 from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Verdict
@@ -237,7 +238,8 @@
 
 def _build_headers(dispatch: Dispatch) -> dict[str, str]:
     call = dispatch.call
-    headers = dict(call.headers)
+    # Headers of batch items come as their callers wrote them.
+    headers = dict(select_forwarded(call.headers))
     headers["Host"] = call.host
     headers["Connection"] = "close"
     headers[names.REQUEST_ID] = call.request_id
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -56,6 +56,11 @@
     ended_here: str
 
 
+def is_field_name(name: str) -> bool:
+    """Return whether HTTP allows a name for a field of a head."""
+    return _FIELD_NAME.fullmatch(name) is not None
+
+
 def check_head(fields: HeadFields, connection_ended: bool) -> Framing:
     """Return the framing of the body.
 
@@ -66,7 +71,7 @@
     if connection_ended:
         raise IncompleteAnswerError("the connection ended inside the head")
     for name, value in fields.all:
-        if not _FIELD_NAME.fullmatch(name) or _INVALID_IN_VALUE.search(value):
+        if not is_field_name(name) or _INVALID_IN_VALUE.search(value):
             raise IncompleteAnswerError(f"invalid field {name[:_MAX_SHOWN_LENGTH]!r} in the head")
     if fields.encodings:
         if [value.strip().lower() for value in fields.encodings] != ["chunked"]:
