Resume unframed streams whose worker was out of time or has ended

A worker stops a run when the time that it was given is over, and a process that ends closes its connections; both leave the same bytes.

Evidence: seven new cases failed before, for items and online streams: two of five events were listed, or passed on, as whole.

Change: where no length is stated, the check of a stream's end is told whether the time is over and whether the worker's address refuses connections. Then the end is no proof, and one more run shows what is left. An expired item starts no further run.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -38,6 +38,7 @@
 from trefoilreach._internal.coordination.serving.queue_order import BatchTimes, rank_batch
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
+from trefoilreach._internal.coordination.serving.stream_end import find_stream_end
 from trefoilreach._internal.coordination.serving.worker_belief import Source
 from trefoilreach._internal.coordination.serving.worker_client import (
     Call,
@@ -75,6 +76,8 @@
 # A read that took longer than this waited for the worker: everything sent before was read.
 _BLOCKING_READ_SECONDS = 0.002
 _RETRY_SECONDS = 0.3
+# Time for an item that starts just before it expires.
+_MIN_RUN_SECONDS = 1.0
 _COMMIT_RETRY_SECONDS = 0.2
 # The loss of a daemon costs at most this much work. Each checkpoint of a job is one call.
 _CHECKPOINT_INTERVAL_SECONDS = 1.5
@@ -357,7 +360,13 @@
         return run.ticket
 
     def _may_run(self, run: _ItemRun) -> bool:
-        return not self._stopped and self._submits_items and run.item.id in self._open_items
+        return (
+            not self._stopped
+            and self._submits_items
+            and run.item.id in self._open_items
+            # An item that has expired is given up at the next check.
+            and self._tools.clock.now() < self._deadlines.expires_at
+        )
 
     def _release(self, run: _ItemRun) -> None:
         """Release the slot of an item; listing the result may take longer."""
@@ -421,7 +430,8 @@
         """Run an item until it completes, fails or yields; return the seconds before a retry."""
         item, record = run.item, self._row.record
         call = Call(item.id, "POST", item.target, route.host, item.headers, item.body)
-        remaining = max(1.0, self._deadlines.expires_at - self._tools.clock.now())
+        now = self._tools.clock.now()
+        remaining = max(_MIN_RUN_SECONDS, self._deadlines.expires_at - now)
         dispatch = Dispatch(call, worker, record.account, remaining, run.last_event)
         events_before = len(run.events)
         answer: WorkerAnswer | None = None
@@ -433,7 +443,7 @@
                 self._tools.admission.workers.note_leaving(worker, Source.ANSWER)
             if answer.status == 200 and answer.has_receipt:
                 self._tools.admission.workers.note_answer(worker.id)
-                self._read_events(run, worker, answer)
+                self._read_events(run, worker, answer, now + remaining)
                 _log_run_end(run, worker, answer, events_before, interrupt)
                 answer.close()
                 self._release(run)
@@ -453,20 +463,25 @@
             if answer is not None:
                 answer.close()
 
-    def _read_events(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
+    def _read_events(
+        self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer, deadline: float
+    ) -> None:
         """Read a run to its end.
 
+        :param deadline: time until which the worker was to run the item.
         :raises WorkerFailure: when it is not whole.
         """
         try:
-            self._read_until_end(run, worker, answer)
+            self._read_until_end(run, worker, answer, deadline)
         except IncompleteAnswerError as error:
             if isinstance(error, UnprovenEndError):
                 # The next run repeats the last event, which shows that it has begun.
                 run.events = run.events[:-1]
             raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
 
-    def _read_until_end(self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer) -> None:
+    def _read_until_end(
+        self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer, deadline: float
+    ) -> None:
         clock, reader = self._tools.clock, EventReader(run.last_event)
         read_started_at = progressed_at = clock.now()
         while data := answer.read_chunk(_NEXT_EVENT_TIMEOUT_SECONDS):
@@ -485,7 +500,7 @@
             read_started_at = clock.now()
         if not reader.begun and not answer.is_event_stream:
             raise IncompleteAnswerError("the answer is not a stream of events")
-        reader.finish(answer.framing)
+        reader.finish(find_stream_end(self._tools, worker, answer, deadline))
 
     def _handle_error_status(
         self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer, max_runs: int
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -148,7 +148,7 @@
         self._not_run_attempts = 0
         self._may_have_run = False
         self._last_event = request.resume_after
-        # Whether a run after the last event had no event, and only its connection ended it.
+        # Whether the last run ended after the last event, and only its connection ended it.
         self._maybe_whole = False
         self._interrupt: Interrupt | None = None
         # Time of the first attempt.
@@ -520,17 +520,20 @@
     def _read_events(self, relay: Relay) -> list[StreamEvent]:
         """Return the next events of a stream; none once it is complete.
 
-        One run without an event may have broken off; a second one shows that none is left.
+        A run whose end is no proof may have broken off; a further one without an event shows that
+        none is left.
 
         :raises WorkerFailure: when the stream breaks off.
         """
         try:
-            return relay.read_events()
+            events = relay.read_events()
         except WorkerFailure as failure:
             if not (failure.maybe_whole and self._maybe_whole):
                 self._maybe_whole = failure.maybe_whole
                 raise
             return []
+        self._maybe_whole = self._maybe_whole and not events
+        return events
 
     def _resume(self, broken: Relay, failure: WorkerFailure) -> Relay:
         """Resume a broken stream at another worker.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -7,6 +7,7 @@
     OnlineRequest,
     ServingDependencies,
 )
+from trefoilreach._internal.coordination.serving.stream_end import find_stream_end
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
 from trefoilreach._internal.protocol.completeness import (
     Framing,
@@ -112,7 +113,9 @@
         try:
             if data:
                 return self._reader.feed(data)
-            self._reader.finish(self.framing)
+            deadline = self._request.received_at + self._request.time_left
+            end = find_stream_end(self._tools, self.worker, self._attempt.answer, deadline)
+            self._reader.finish(end)
         except IncompleteAnswerError as error:
             maybe_whole = isinstance(error, UnprovenEndError)
             message, verdict = str(error), Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/stream_end.py
@@ -0,0 +1,26 @@
+"""Finds out how the body of a worker's stream ended."""
+
+from trefoilreach._internal.coordination.serving.request import ServingDependencies
+from trefoilreach._internal.coordination.serving.worker_client import WorkerAnswer
+from trefoilreach._internal.protocol.completeness import Framing, StreamEnd
+from trefoilreach._internal.state.serving import WorkerEntry
+
+# A worker gets its time in whole milliseconds, and stops a run some milliseconds after or before.
+_DEADLINE_MARGIN_SECONDS = 0.05
+
+
+def find_stream_end(
+    tools: ServingDependencies, worker: WorkerEntry, answer: WorkerAnswer, deadline: float
+) -> StreamEnd:
+    """Return how a body ended that has no more bytes.
+
+    Where only the connection marks the end, a worker that stops a run, or whose process ends
+    between two events, leaves the same bytes as one that has sent everything.
+
+    :param deadline: time until which the worker was to run the request, by the daemon's clock.
+    """
+    framing = answer.framing
+    if framing is not Framing.CONNECTION:
+        return StreamEnd(framing)
+    out_of_time = tools.clock.now() >= deadline - _DEADLINE_MARGIN_SECONDS
+    return StreamEnd(framing, out_of_time, tools.worker_client.is_refused(worker))
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -99,9 +99,9 @@
 
 
 class UnprovenEndError(IncompleteAnswerError):
-    """A resumed stream ended without an event, and only with its connection.
+    """A stream ended between two events, and may have broken off there.
 
-    It may have had no event left, or may have broken off before the first one.
+    It stated no length, and had no event of this run, or its worker had ended or was out of time.
     """
 
 
@@ -118,17 +118,33 @@
     inside_event: bool
 
 
-def check_stream(progress: StreamProgress, framing: Framing) -> None:
+class StreamEnd(NamedTuple):
+    """How the body of a stream ended.
+
+    :param out_of_time: whether the time that the worker was given for the run is over.
+    :param worker_ended: whether no process listens at the worker's address any more.
+    """
+
+    framing: Framing
+    out_of_time: bool = False
+    worker_ended: bool = False
+
+
+def check_stream(progress: StreamProgress, end: StreamEnd) -> None:
     """Check a stream whose body has passed :func:`check_body`.
 
-    :raises UnprovenEndError: when neither an event nor the framing shows that it began.
+    :raises UnprovenEndError: when only its connection ended it, and it may have broken off.
     :raises IncompleteAnswerError: when it is not whole.
     """
     if progress.inside_event:
         raise IncompleteAnswerError("the stream ended inside an event")
-    if progress.events:
-        return
-    if not progress.resumed:
+    if not progress.events and not progress.resumed:
         raise IncompleteAnswerError("the stream ended without an event")
-    if framing is Framing.CONNECTION:
+    if end.framing is not Framing.CONNECTION:
+        return
+    if not progress.events:
         raise UnprovenEndError("the resumed stream ended without an event or a stated length")
+    if end.out_of_time:
+        raise UnprovenEndError("the stream ended without a stated length as its time was over")
+    if end.worker_ended:
+        raise UnprovenEndError("the stream ended without a stated length as its worker ended")
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.protocol.completeness import (
-    Framing,
     IncompleteAnswerError,
+    StreamEnd,
     StreamProgress,
     check_stream,
 )
@@ -124,10 +124,10 @@
         self._last_id = event.id
         self._count += 1
 
-    def finish(self, framing: Framing) -> None:
+    def finish(self, end: StreamEnd) -> None:
         """Check that the run is whole, at the end of its answer.
 
         :raises IncompleteAnswerError: when it is not, or when that is not certain.
         """
         inside_event = bool(self._splitter.incomplete.strip(b"\r\n"))
-        check_stream(StreamProgress(bool(self._after), self._count, inside_event), framing)
+        check_stream(StreamProgress(bool(self._after), self._count, inside_event), end)
--- /dev/null
+++ b/tests/unit/test_unframed_ends.py
@@ -0,0 +1,100 @@
+"""Tests answers that state no length: when the end of the connection is no proof of their end."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack
+
+import pytest
+from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from test_broken_answers import ALL
+from test_jobs import CHECKED, OUTPUT, Fleet, make_document, read_until, stack
+from trefoilreach._internal.coordination.jobs import manager as manager_module
+from trefoilreach._internal.coordination.serving.caller import CallerConnection
+from trefoilreach._internal.coordination.serving.online import OnlineRunner
+from trefoilreach._internal.coordination.serving.request import OnlineRequest
+from trefoilreach._internal.coordination.serving.worker_client import Dispatch
+from trefoilreach._internal.protocol.completeness import Framing
+from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.transport.http_server import AnswerAbortedError
+
+__all__ = ["stack"]
+
+BEGUN = Script(pieces=tuple(EVENTS[:2]), framing=Framing.CONNECTION)
+
+
+class EndingLink(FakeLink):
+    """Workers whose first run stops between two events, without a reset.
+
+    :param gone: whether the process of the first worker has ended then.
+    """
+
+    def __init__(self, gone: bool, rest: Framing) -> None:
+        super().__init__(decide=self._answer)
+        self._gone = gone
+        self._rest = rest
+
+    def _answer(self, dispatch: Dispatch) -> Script:
+        if len(self.sent) == 1:
+            if self._gone:
+                self.dead.add(dispatch.worker.id)
+            return BEGUN
+        return Script(pieces=tuple(EVENTS[dispatch.resume_after or 0 :]), framing=self._rest)
+
+
+@pytest.mark.parametrize("rest", [Framing.CHUNKS, Framing.CONNECTION])
+def test_item_of_a_worker_that_ended_between_two_events_is_resumed(
+    stack: ExitStack, rest: Framing
+) -> None:
+    """Guards against a part of a text listed as whole because its worker's process has ended."""
+    fleet = Fleet(stack, lambda dispatch: BEGUN)
+    fleet.link = EndingLink(gone=True, rest=rest)
+    keeper = fleet.start("d0")
+    keeper.submit("j1", CHECKED, make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output == OUTPUT
+
+
+def test_item_of_a_worker_that_stopped_at_its_time_budget_is_not_complete(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a part of a text listed as whole by an item that runs until it expires."""
+    # The run ends before the job is looked at again.
+    monkeypatch.setattr(manager_module, "_CHECK_INTERVAL_SECONDS", 2.0)
+    route = make_route(kind=CHECKED.route.kind, abandon_after_seconds=1.2)
+    stopped = Script(pieces=(EVENTS[0], EVENTS[1]), piece_seconds=1.22, framing=Framing.CONNECTION)
+    fleet = Fleet(stack, lambda dispatch: stopped)
+    keeper = fleet.start("d0", route=route)
+    keeper.submit("j1", CHECKED._replace(route=route), make_document(1))
+    assert read_until(keeper, "j1", 1)[0].output is None
+
+
+def run_online(link: FakeLink, time_left: float = 5.0, resumable: bool = True) -> Iterator[bytes]:
+    tools = make_tools(link)
+    route = make_route(max_runs=9) if resumable else make_route(resumable=False, max_runs=1)
+    request = OnlineRequest(
+        make_call(), route, ACCOUNT, tools.clock.now(), time_left, (), None, "f"
+    )
+    answer = OnlineRunner(tools).run(request, CallerConnection())
+    assert answer.events is not None
+    return answer.events
+
+
+@pytest.mark.parametrize("rest", [Framing.CHUNKS, Framing.CONNECTION])
+def test_stream_of_a_worker_that_ended_between_two_events_is_resumed(rest: Framing) -> None:
+    """Guards against a part of a stream that looks complete to its caller."""
+    assert b"".join(run_online(EndingLink(gone=True, rest=rest))) == ALL
+
+
+def test_stream_that_ends_without_a_length_at_a_live_worker_is_complete() -> None:
+    """Guards against a second run of each stream that states no length."""
+    link = FakeLink(Script(pieces=tuple(EVENTS), framing=Framing.CONNECTION))
+    assert b"".join(run_online(link)) == ALL
+    assert len(link.sent) == 1
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_stream_that_its_worker_stops_at_the_time_budget_does_not_look_complete(
+    resumable: bool,
+) -> None:
+    """Guards against a part of a stream that ends as if it were whole at the caller's deadline."""
+    stopped = Script(pieces=tuple(EVENTS[:2]), piece_seconds=0.6, framing=Framing.CONNECTION)
+    with pytest.raises((AnswerAbortedError, Refusal)):
+        list(run_online(FakeLink(decide=lambda _: stopped), 0.6, resumable))
