Limit the output of a batch item to what a page of results can hold

Cause: heads, single events and plain bodies have limits. The events of an item, numbered without a gap, were kept as long as they came.

Change: beyond 1 MB, the most that the users' page allows in a page of results, the run is discarded and the item runs again at another worker, as after other spoilt answers.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -88,6 +88,9 @@
 _CRASHES_WITHOUT_PAUSE = 2
 _FIRST_CRASH_PAUSE_SECONDS = 0.5
 _MAX_CRASH_PAUSE_SECONDS = 2.0
+# A page of results, which holds at least one, has at most 1 MB. A worker that sends events without
+# end would otherwise take all memory.
+_MAX_OUTPUT_BYTES = 1_000_000
 _PERMANENT_FAILURE_STATUS = 422
 _RUN_FAILED_STATUS = 500
 _YIELD_REASON = "an online request needs the slot"
@@ -484,12 +487,17 @@
     ) -> None:
         clock, reader = self._tools.clock, EventReader(run.last_event)
         read_started_at = progressed_at = clock.now()
+        size = sum(len(stored) for _, stored in run.events)
         while data := answer.read_chunk(_NEXT_EVENT_TIMEOUT_SECONDS):
             self._tools.admission.workers.record_partial_answer(worker.id)
             for event in reader.feed(data):
                 if not event.is_empty:
                     run.events.append((event.id, event.data))
+                    size += len(event.data)
                     progressed_at = clock.now()
+            if size > _MAX_OUTPUT_BYTES:
+                run.events = []
+                raise IncompleteAnswerError(f"the output exceeds {_MAX_OUTPUT_BYTES} bytes")
             # A stalled worker may still send a byte or a comment now and then.
             if clock.now() - progressed_at > _NEXT_EVENT_TIMEOUT_SECONDS:
                 message = "the stream made no progress"
