Let the bodies that are being read share a limited space

Cause: each plain body may have 16 MiB, and nothing limited what all of them take together. Users give a process 320 MB.

Change: beyond its first 256 KiB, a body needs a share of 40 MiB. Without one it fails like a spoilt answer and is tried elsewhere; small answers need no share and pass at all times.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -1,5 +1,6 @@
 """HTTP client of the workers, in the platform's wire format."""
 
+from contextlib import closing
 from typing import Any
 
 import orjson
@@ -21,6 +22,7 @@
 )
 from trefoilreach._internal.protocol.verdict import Verdict
 from trefoilreach._internal.state.serving import WorkerEntry
+from trefoilreach._internal.transport.buffer_budget import BodyReservation, BufferBudget
 from trefoilreach._internal.transport.http_client import (
     MAX_BODY_BYTES,
     HttpExchange,
@@ -64,10 +66,18 @@
     """A worker's answer whose head was received and whose body is read on demand.
 
     :param expects_version: whether the request names the version of the weights that it needs.
+    :param budget: space that the bodies of all answers share.
     """
 
-    def __init__(self, exchange: HttpExchange, clock: Clock, expects_version: bool = False) -> None:
+    def __init__(
+        self,
+        exchange: HttpExchange,
+        clock: Clock,
+        expects_version: bool = False,
+        budget: BufferBudget | None = None,
+    ) -> None:
         self._clock = clock
+        self._budget = budget or BufferBudget()
         self._expects_version = expects_version
         self._exchange = exchange
         self._response = exchange.response
@@ -148,12 +158,16 @@
         deadline = self._clock.now() + timeout
         parts: list[bytes] = []
         size = 0
-        while data := self.read_chunk(max(deadline - self._clock.now(), _MIN_TIMEOUT_SECONDS)):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES or self._clock.now() > deadline:
-                message = f"the answer does not end after {size} bytes"
-                raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
+        with closing(BodyReservation(self._budget)) as reservation:
+            while data := self.read_chunk(max(deadline - self._clock.now(), _MIN_TIMEOUT_SECONDS)):
+                parts.append(data)
+                size += len(data)
+                if size > MAX_BODY_BYTES or self._clock.now() > deadline:
+                    message = f"the answer does not end after {size} bytes"
+                    raise WorkerFailure(message, Verdict.MAY_HAVE_RUN, timed_out=True)
+                if not reservation.grow(size):
+                    message = f"no space for more than {size} bytes of the answer"
+                    raise WorkerFailure(message, Verdict.MAY_HAVE_RUN)
         body = b"".join(parts)
         request_id = self._response.getheader(names.REQUEST_ID)
         if request_id is not None:
@@ -174,6 +188,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._pools = HttpPools(clock, _CONNECT_TIMEOUT_SECONDS)
+        self._budget = BufferBudget()
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -207,7 +222,7 @@
         expects_version = any(
             name.lower() == names.EXPECTED_VERSION.lower() for name, _ in call.headers
         )
-        answer = PlatformAnswer(exchange, self._clock, expects_version)
+        answer = PlatformAnswer(exchange, self._clock, expects_version, self._budget)
         echoed = exchange.response.getheader(names.REQUEST_ID)
         is_refusal = echoed is None and exchange.status >= _FIRST_ERROR_STATUS
         if echoed != call.request_id and not is_refusal:
--- a/tests/unit/test_endless_answers.py
+++ b/tests/unit/test_endless_answers.py
@@ -20,6 +20,7 @@
 from trefoilreach._internal.platform.store import PlatformRows, StoreClient
 from trefoilreach._internal.platform.workers import PlatformAnswer
 from trefoilreach._internal.protocol.event_stream import EventSplitter, EventTooLargeError
+from trefoilreach._internal.transport.buffer_budget import BufferBudget
 from trefoilreach._internal.transport.http_client import HttpFailure, HttpPool
 
 TIMEOUT_SECONDS = 0.5
@@ -147,6 +148,61 @@
     assert server.closed.wait(LIMIT_SECONDS)
 
 
+def read_endless_bodies(stack: ExitStack, count: int, budget: BufferBudget) -> list[Exception]:
+    """Read endless bodies at the same time; return how they failed."""
+    servers = [Server(stack, HEAD + b"\r\n", lambda: repeat(b"x" * 65536)) for _ in range(count)]
+    failures: list[Exception] = []
+
+    def read(server: Server) -> None:
+        pool = HttpPool("127.0.0.1", server.port, SystemClock())
+        exchange = pool.request("GET", "/", timeout=TIMEOUT_SECONDS)
+        answer = PlatformAnswer(exchange, SystemClock(), budget=budget)
+        try:
+            answer.read_all(10.0)
+        except WorkerFailure as failure:
+            failures.append(failure)
+        finally:
+            answer.close()
+
+    threads = [threading.Thread(target=read, args=(server,)) for server in servers]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return failures
+
+
+def test_bodies_without_end_share_a_limited_space(stack: ExitStack) -> None:
+    """Guards against a faulty worker whose answers together take all memory of the process."""
+    tracemalloc.start()
+    try:
+        failures = read_endless_bodies(stack, 12, BufferBudget())
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert len(failures) == 12
+    # A third of the 320 MB that the users give a process.
+    assert peak < 107_000_000
+
+
+def test_small_answers_pass_while_the_space_is_taken(stack: ExitStack) -> None:
+    """Guards against callers who are refused because of others' endless answers."""
+    budget = BufferBudget(limit_bytes=0)
+    server = Server(stack, HEAD + b"Content-Length: 200000\r\n\r\n", lambda: iter([b"x" * 200_000]))
+    pool = HttpPool("127.0.0.1", server.port, SystemClock())
+    exchange = pool.request("GET", "/", timeout=TIMEOUT_SECONDS)
+    answer = PlatformAnswer(exchange, SystemClock(), budget=budget)
+    assert len(answer.read_all(5.0)) == 200_000
+    answer.close()
+
+
+def test_space_of_answers_is_given_back(stack: ExitStack) -> None:
+    """Guards against a space that shrinks with each answer that fails."""
+    budget = BufferBudget(limit_bytes=2_000_000)
+    assert len(read_endless_bodies(stack, 4, budget)) == 4
+    assert budget.reserve(2_000_000) and not budget.reserve(1)
+
+
 @pytest.mark.parametrize("name", [*HEADS, *BODIES])
 def test_store_without_end_counts_as_unavailable(stack: ExitStack, name: str) -> None:
     """Guards against a feed of the store that stops for good, and keys that stay in force."""
