Store a large output before taking the lock of the job's commits

Cause: the write of the object was repeated under the lock of the job's commits, so that each further item and each checkpoint of the job waited in another of the daemon's 64 threads.

Change: the object is written first, without the lock. A commit of unknown outcome is still repeated under it, as a result of another item would take its position.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -364,9 +364,8 @@
 
     def _may_run(self, run: _ItemRun) -> bool:
         return (
-            not self._stopped
+            self._is_open(run)
             and self._submits_items
-            and run.item.id in self._open_items
             # An item that has expired is given up at the next check.
             and self._tools.clock.now() < self._deadlines.expires_at
         )
@@ -560,11 +559,12 @@
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
         result = ItemResult(run.item.id, output)
+        # Other results are listed while the store refuses an object.
+        while (stored := self._store_output(result)) is None and self._is_open(run):
+            self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
+        # A commit of unknown outcome is repeated before any other, which would take its position.
         with self._commit_lock:
-            while run.item.id in self._open_items and not self._stopped:
-                stored = self._store_output(result)
-                if stored is not None and self._commit(stored):
-                    break
+            while stored is not None and self._is_open(run) and not self._commit(stored):
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
         if output is not None:
             self._context.run_time.add(run.run_seconds or _INITIAL_RUN_SECONDS)
@@ -591,6 +591,9 @@
             return None
         return result._replace(output="", output_blob=name)
 
+    def _is_open(self, run: _ItemRun) -> bool:
+        return not self._stopped and run.item.id in self._open_items
+
     def _commit(self, result: ItemResult) -> bool:
         """Write a result at the next position; return False if the write must be repeated."""
         record, version = self._row
