Delete the document of a job once it is not needed any more

Cause: a document above 720,000 bytes is kept as an object, and nothing deleted it.

Change: the daemon that lists the last result, or that ends the job, deletes the object, with up to five attempts. Until then it is kept, as the bodies of open items are read from it.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -13,6 +13,7 @@
 
 from result import Err
 
+from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.jobs.records import (
     DONE,
     RESULT_TABLE,
@@ -79,6 +80,9 @@
 # Time for an item that starts just before it expires.
 _MIN_RUN_SECONDS = 1.0
 _COMMIT_RETRY_SECONDS = 0.2
+# An object that is not dropped costs only room in the store.
+_MAX_DROP_ATTEMPTS = 5
+_DROP_RETRY_SECONDS = 1.0
 # The loss of a daemon costs at most this much work. Each checkpoint of a job is one call.
 _CHECKPOINT_INTERVAL_SECONDS = 1.5
 # The store limits a call to 1 MB and 100 entries.
@@ -566,6 +570,8 @@
         with self._commit_lock:
             while stored is not None and self._is_open(run) and not self._commit(stored):
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
+        if self._row.record.input_blob and not self._open_items:
+            self._context.executor.submit(self._drop_input)
         if output is not None:
             self._context.run_time.add(run.run_seconds or _INITIAL_RUN_SECONDS)
         late_seconds = self._tools.clock.now() - self._deadlines.due_at
@@ -594,6 +600,9 @@
     def _is_open(self, run: _ItemRun) -> bool:
         return not self._stopped and run.item.id in self._open_items
 
+    def _drop_input(self) -> None:
+        drop_object(self._tools.clock, self._context.blobs, self._row.record.input_blob)
+
     def _commit(self, result: ItemResult) -> bool:
         """Write a result at the next position; return False if the write must be repeated."""
         record, version = self._row
@@ -664,6 +673,17 @@
         self._tools.admission.send_report_soon()
 
 
+def drop_object(clock: Clock, blobs: BlobStore, name: str) -> None:
+    """Delete an object that is not needed any more; give up after some attempts."""
+    for _ in range(_MAX_DROP_ATTEMPTS):
+        dropped = blobs.drop(name)
+        if not isinstance(dropped, Err):
+            log_event("object:dropped", object=name)
+            return
+        log_event("object:drop-failed", object=name, error=str(dropped.err_value))
+        clock.sleep(_DROP_RETRY_SECONDS)
+
+
 def _log_run_end(
     run: _ItemRun,
     worker: WorkerEntry,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -22,6 +22,7 @@
     JobRun,
     JobRunContext,
     MeanRunTime,
+    drop_object,
 )
 from trefoilreach._internal.coordination.jobs.job_table import (
     JobPage,
@@ -303,6 +304,8 @@
             )
         self.table.apply_row(row)
         log_event("job:ended", job=job, account=account, version=row.version)
+        if row.record.input_blob and not self._stop.is_set():
+            self._executor.submit(drop_object, self._clock, self.table.blobs, row.record.input_blob)
 
     def _count_results(self, job: str) -> int:
         """Return the number of listed results of a job, as far as this daemon knows."""
