--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -563,8 +563,9 @@
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
         """Write the result of an item, and repeat until it is listed or the job is stopped."""
         result = ItemResult(run.item.id, output)
+        stored: ItemResult | None = None
         # Other results are listed while the store refuses an object.
-        while (stored := self._store_output(result)) is None and self._is_open(run):
+        while self._is_open(run) and (stored := self._store_output(result)) is None:
             self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
         # A commit of unknown outcome is repeated before any other, which would take its position.
         with self._commit_lock:
