Drop what was read of a body before its failure is handled

Cause: a failure keeps the frame that raised it, and with it the parts of the body, until it is handled, while their share of the limited space had been given back. Other bodies grew into it. Callers would see a process that takes more than twice the space meant for bodies.

The test is unchanged.

--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -1,6 +1,6 @@
 """HTTP client of the workers, in the platform's wire format."""
 
-from contextlib import closing
+from contextlib import ExitStack, closing
 from typing import Any
 
 import orjson
@@ -158,7 +158,10 @@
         deadline = self._clock.now() + timeout
         parts: list[bytes] = []
         size = 0
-        with closing(BodyReservation(self._budget)) as reservation:
+        with ExitStack() as held:
+            # A failure keeps this frame until it is handled, and with it what was read.
+            held.callback(parts.clear)
+            reservation = held.enter_context(closing(BodyReservation(self._budget)))
             while data := self.read_chunk(max(deadline - self._clock.now(), _MIN_TIMEOUT_SECONDS)):
                 parts.append(data)
                 size += len(data)
@@ -168,7 +171,7 @@
                 if not reservation.grow(size):
                     message = f"no space for more than {size} bytes of the answer"
                     raise WorkerFailure(message, Verdict.MAY_HAVE_RUN)
-        body = b"".join(parts)
+            body = b"".join(parts)
         request_id = self._response.getheader(names.REQUEST_ID)
         if request_id is not None:
             try:
