Pass the fields of a head to its check once

The check got all fields, and the two that frame the body once more beside them. It finds those two itself now, and the type that carried them is gone.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -34,19 +34,6 @@
     CONNECTION = "connection"
 
 
-class HeadFields(NamedTuple):
-    """What the head of an answer states about its body.
-
-    :param lengths: values of ``Content-Length``.
-    :param encodings: values of ``Transfer-Encoding``.
-    :param all: names and values of all fields.
-    """
-
-    lengths: tuple[str, ...]
-    encodings: tuple[str, ...]
-    all: Sequence[tuple[str, str]] = ()
-
-
 class BodyEnd(NamedTuple):
     """How the reading of a body ended.
 
@@ -66,27 +53,30 @@
     return _FIELD_NAME.fullmatch(name) is not None
 
 
-def check_head(fields: HeadFields, connection_ended: bool) -> Framing:
+def check_head(fields: Sequence[tuple[str, str]], connection_ended: bool) -> Framing:
     """Return the framing of the body.
 
+    :param fields: names and values of the fields of the head.
     :param connection_ended: whether the connection ended before the empty line after the head.
     :raises IncompleteAnswerError: when the head is cut off, has a field that HTTP does not allow,
         or states no valid framing.
     """
     if connection_ended:
         raise IncompleteAnswerError("the connection ended inside the head")
-    for name, value in fields.all:
+    for name, value in fields:
         if not is_field_name(name) or _INVALID_IN_VALUE.search(value):
             raise IncompleteAnswerError(f"invalid field {name[:_MAX_SHOWN_LENGTH]!r} in the head")
-    if fields.encodings:
-        if [value.strip().lower() for value in fields.encodings] != ["chunked"]:
-            raise IncompleteAnswerError(f"unknown transfer encoding {fields.encodings!r}")
+    encodings = [value for name, value in fields if name.lower() == "transfer-encoding"]
+    lengths = [value for name, value in fields if name.lower() == "content-length"]
+    if encodings:
+        if [value.strip().lower() for value in encodings] != ["chunked"]:
+            raise IncompleteAnswerError(f"unknown transfer encoding {encodings!r}")
         return Framing.CHUNKS
-    if not fields.lengths:
+    if not lengths:
         return Framing.CONNECTION
-    length = fields.lengths[0].strip()
-    if len(set(fields.lengths)) > 1 or not (length.isascii() and length.isdigit()):
-        raise IncompleteAnswerError(f"invalid length {fields.lengths!r}")
+    length = lengths[0].strip()
+    if len(set(lengths)) > 1 or not (length.isascii() and length.isdigit()):
+        raise IncompleteAnswerError(f"invalid length {lengths!r}")
     return Framing.LENGTH
 
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -21,7 +21,6 @@
 from trefoilreach._internal.protocol.completeness import (
     BodyEnd,
     Framing,
-    HeadFields,
     IncompleteAnswerError,
     check_body,
     check_head,
@@ -217,12 +216,7 @@
             # The parser drops a malformed line and all lines after it, perhaps the body's length.
             if isinstance(defect, _HEAD_DEFECTS):
                 raise IncompleteAnswerError(f"malformed head: {defect!r}")
-        fields = HeadFields(
-            tuple(self.headers.get_all("Content-Length", ())),
-            tuple(self.headers.get_all("Transfer-Encoding", ())),
-            self.headers.items(),
-        )
-        self.framing = check_head(fields, self.limited.ended)
+        self.framing = check_head(self.headers.items(), self.limited.ended)
         if self.framing is Framing.CHUNKS and not self.chunked:
             # http.client compares the value with its trailing space.
             self.chunked, self.chunk_left, self.length = True, None, None
