--- a/tests/unit/test_ended_jobs.py
+++ b/tests/unit/test_ended_jobs.py
@@ -3,13 +3,13 @@
 import threading
 import time
 from contextlib import ExitStack
-from typing import Any
 
 import pytest
 from result import Ok, Result
 from serving_fakes import ACCOUNT, make_workers
 from test_jobs import (
     CHECKED,
+    CutRows,
     Fleet,
     hold_last_event,
     make_document,
@@ -30,20 +30,7 @@
 _SETTLE_SECONDS = 0.4
 
 
-class SharedRows:
-    """The store as one daemon reaches it.
-
-    :param rows: the store.
-    """
-
-    def __init__(self, rows: MemoryRows) -> None:
-        self._rows = rows
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._rows, name)
-
-
-class SlowInputRows(SharedRows):
+class SlowInputRows(CutRows):
     """A store that answers reads of inputs only while its gate is open."""
 
     def __init__(self, rows: MemoryRows) -> None:
@@ -61,7 +48,7 @@
         return answer
 
 
-class LateFeedRows(SharedRows):
+class LateFeedRows(CutRows):
     """A store whose feed brings no changes."""
 
     def poll_changes(self, table: str, after: int, wait: float) -> Result[Snapshot, StoreError]:
--- a/tests/unit/test_removed_routes.py
+++ b/tests/unit/test_removed_routes.py
@@ -6,6 +6,7 @@
 
 import pytest
 from serving_fakes import ACCOUNT, make_route
+from test_ended_jobs import orphan_job
 from test_jobs import (
     CHECKED,
     OUTPUT,
@@ -28,13 +29,6 @@
 _SETTLE_SECONDS = 0.4
 
 
-def submit_and_lose(fleet: Fleet) -> None:
-    """Submit a job to a daemon without workers that then stops running jobs."""
-    former = fleet.start("d0", workers=0)
-    former.submit("j1", CHECKED, make_document(3))
-    former._stop.set()
-
-
 @pytest.mark.parametrize("successor", [OTHER_ROUTE, make_route(kind=RouteKind.STREAM)])
 def test_items_of_a_removed_route_are_given_up_by_the_next_owner(
     stack: ExitStack, monkeypatch: pytest.MonkeyPatch, successor: object
@@ -42,7 +36,7 @@
     """Guards against accepted items that are never listed, whatever time passes."""
     monkeypatch.setattr(manager_module, "_ROUTE_REMOVAL_MARGIN_SECONDS", 0.1)
     fleet = Fleet(stack, send_all_events)
-    submit_and_lose(fleet)
+    orphan_job(fleet)
     keeper = fleet.start("d1", route=successor)
     results = read_until(keeper, "j1", 3)
     assert [result.output for result in results] == [None] * 3
@@ -53,7 +47,7 @@
 def test_items_of_a_route_that_is_not_known_yet_are_not_given_up(stack: ExitStack) -> None:
     """Guards against items listed as failed by a daemon whose state is older than their job."""
     fleet = Fleet(stack, send_all_events)
-    submit_and_lose(fleet)
+    orphan_job(fleet)
     before = fleet.rows._version
     keeper = fleet.start("d1", route=OTHER_ROUTE)
     time.sleep(_SETTLE_SECONDS)
