Leave out a method, a probe and an object that are not needed

The deletion of a job's document is queued as in the manager, without a method of its own. A worker is not asked whether it still listens if its time is over, which decides already. Load reports share the space of bodies of their client rather than make one each.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -572,7 +572,9 @@
             while stored is not None and self._is_open(run) and not self._commit(stored):
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
         if self._row.record.input_blob and not self._open_items:
-            self._context.executor.submit(self._drop_input)
+            self._context.executor.submit(
+                drop_object, self._tools.clock, self._context.blobs, self._row.record.input_blob
+            )
         if output is not None:
             self._context.run_time.add(run.run_seconds or _INITIAL_RUN_SECONDS)
         late_seconds = self._tools.clock.now() - self._deadlines.due_at
@@ -601,9 +603,6 @@
     def _is_open(self, run: _ItemRun) -> bool:
         return not self._stopped and run.item.id in self._open_items
 
-    def _drop_input(self) -> None:
-        drop_object(self._tools.clock, self._context.blobs, self._row.record.input_blob)
-
     def _commit(self, result: ItemResult) -> bool:
         """Write a result at the next position; return False if the write must be repeated."""
         record, version = self._row
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/stream_end.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/stream_end.py
@@ -23,4 +23,6 @@
     if framing is not Framing.CONNECTION:
         return StreamEnd(framing)
     out_of_time = tools.clock.now() >= deadline - _DEADLINE_MARGIN_SECONDS
-    return StreamEnd(framing, out_of_time, tools.worker_client.is_refused(worker))
+    # The worker is asked with a connection, which may take a slot for a moment.
+    worker_ended = not out_of_time and tools.worker_client.is_refused(worker)
+    return StreamEnd(framing, out_of_time, worker_ended)
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -247,7 +247,7 @@
             exchange = pool.request(
                 "GET", names.LOAD_PATH, headers=headers, timeout=_LOAD_TIMEOUT_SECONDS
             )
-            answer = PlatformAnswer(exchange, self._clock)
+            answer = PlatformAnswer(exchange, self._clock, budget=self._budget)
             leaving = answer.says_leaving
             try:
                 body = orjson.loads(exchange.read())
