--- a/review/6/run.py
+++ b/review/6/run.py
@@ -10,6 +10,8 @@
 from standins_2 import BATCH_ROUTE, TROUBLE, Site, run_case  # noqa: E402
 
 ITEMS = 10
+# One of seven workers leaves.
+NEW_WORKERS = 6
 FINISH_SECONDS = 18.0
 DRAIN_SECONDS = 2.0
 
@@ -17,7 +19,10 @@
 def main() -> int:
     with Site(CASE, subnet=61) as site:
         old = site.add_worker("i-old", "pool-a", slots=2, events=100, interval=0.02)
-        new = site.add_worker("i-new", "pool-b", slots=8, events=100, interval=0.02)
+        new = [
+            site.add_worker(f"i-new-{number}", "pool-b", slots=8, events=100, interval=0.02)
+            for number in range(NEW_WORKERS)
+        ]
         site.configure([{**BATCH_ROUTE, "service": "pool-a"}])
         site.start_daemons(3)
         job = "7c41e09b52d6a3f8"
@@ -46,9 +51,9 @@
             site.record.write("client", "reads", job, "at", daemon.name, "listed", len(results))
             listed.update({result["id"]: result["state"] for result in results})
         now = time.monotonic()
-        recent = [at for at, _ in old.finished + new.finished if at > now - 5.0]
-        recent += [at for at, _ in old.begun + new.begun if at > now - 5.0]
-        calm = not recent and not new.running
+        events = [event for worker in (old, *new) for event in worker.begun + worker.finished]
+        calm = all(at <= now - 5.0 for at, _ in events)
+        calm = calm and not any(worker.running for worker in new)
         missing = [f"{job}-{n}" for n in range(ITEMS) if f"{job}-{n}" not in listed]
         site.record.write("listed", listed)
         site.record.write("not listed", missing, "workers idle for 5 s:", calm)
