Review case 8: objects of done jobs fill the store for good

Cause: the texts of done jobs are never deleted, and each item whose text the store refuses keeps one of the 64 threads of all items.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -31,6 +31,9 @@
 CASE_LIMIT_SECONDS = 110
 STORE_ANSWER_SECONDS = 0.004
 HISTORY_SECONDS = 20.0
+BLOB_SECONDS = 0.025
+BLOBS_PER_SECOND = 80.0
+MAX_OBJECTS_BYTES = 400_000_000
 HEARTBEAT_SECONDS = 1.2
 # After a crash a worker is back after so long.
 BACK_SECONDS = 4.0
@@ -109,6 +112,10 @@
         self._history: list[tuple[int, float, tuple[str, str, str], str | None]] = []
         self._version = 100
         self._blobs: dict[str, bytes] = {}
+        self.blob_bytes = 0
+        self.refused_objects = 0
+        # When the next call for an object may begin.
+        self._next_blob_at = 0.0
         self._server = start_server("127.0.0.1", self._handle)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
@@ -206,17 +213,32 @@
     def _blob(self, call) -> None:
         verb, _, name = call.route.removeprefix("/trefoilreach/").partition("/")
         name = unquote(name)
+        with self._changed:
+            begins_at = max(self._next_blob_at, time.monotonic())
+            wait = begins_at - time.monotonic()
+            if wait <= 1.0:
+                self._next_blob_at = begins_at + 1 / BLOBS_PER_SECOND
+        if wait > 1.0:
+            call.reply(429, {})
+            return
+        time.sleep(wait + BLOB_SECONDS)
         with self._changed:
             if verb == "blob-put":
-                exists = name in self._blobs and call.headers.get("If-None-Match") == "*"
-                if not exists:
+                exists = name in self._blobs
+                if exists and call.headers.get("If-None-Match") == "*":
+                    status, data = 412, b"{}"
+                elif self.blob_bytes >= MAX_OBJECTS_BYTES:
+                    self.refused_objects += 1
+                    status, data = 507, b"{}"
+                else:
+                    self.blob_bytes += len(call.body) - len(self._blobs.get(name, b""))
                     self._blobs[name] = call.body
-                status, data = (412 if exists else 200), b"{}"
+                    status, data = 200, b"{}"
             elif verb == "blob-get":
                 data = self._blobs.get(name, b"")
                 status = 200 if name in self._blobs else 404
             else:
-                self._blobs.pop(name, None)
+                self.blob_bytes -= len(self._blobs.pop(name, b""))
                 status, data = 200, b"{}"
         call.reply(status, data)
 
@@ -252,6 +274,8 @@
         self.begun: list[tuple[float, str]] = []
         self.finished: list[tuple[float, str]] = []
         self._store, self._record = store, record
+        # Smallest length of the data of an event.
+        self.event_bytes = 0
         # Whether streams are sent in chunks; without, they end with their connection.
         self.chunked = True
         # Output tokens in one event; 0 for ``events`` events whatever the request asks for.
@@ -339,9 +363,8 @@
     def whole_output(self, request_id: str) -> str:
         return "\n".join(self._text(request_id, n) for n in range(1, self.events + 1))
 
-    @staticmethod
-    def _text(request_id: str, number: int) -> str:
-        return f"{request_id}.{number}"
+    def _text(self, request_id: str, number: int) -> str:
+        return f"{request_id}.{number}".ljust(self.event_bytes, ".")
 
     def _handle(self, call) -> None:
         request_id = call.headers.get("X-Request-Id", "")
@@ -391,6 +414,11 @@
         events = self.events
         if self.tokens_per_event:
             events = int(call.headers["X-Token-Usage"].split(",")[1]) // self.tokens_per_event
+        if not self.interval:
+            numbers = range(after + 1, events + 1)
+            data = "".join(f"id: {n}\ndata: {self._text(request_id, n)}\n\n" for n in numbers)
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(data), data.encode()) if data else b"")
+            after = events
         for number in range(after + 1, events + 1):
             first = number == after + 1
             if _ended(call.connection, self.first_event_seconds if first else self.interval):
@@ -687,9 +715,16 @@
         raise TimeoutError("the daemons do not know each other")
 
     def submit(
-        self, daemon: Daemon, job: str, items: int, tokens: int = 625, timeout: float = 5.5
+        self,
+        daemon: Daemon,
+        job: str,
+        items: int,
+        tokens: int = 625,
+        timeout: float = 5.5,
+        output_tokens: int = 0,
     ) -> Answer:
         """Submit a batch job with items of equal size; item n has the id ``JOB-n``."""
+        output_tokens = output_tokens or tokens - tokens // 2
         body = {
             "items": [
                 {
@@ -697,7 +732,7 @@
                     "path": f"/pule252/3/{n}",
                     "headers": {
                         "X-Model": "m",
-                        "X-Token-Usage": f"{tokens // 2},{tokens - tokens // 2}",
+                        "X-Token-Usage": f"{tokens // 2},{output_tokens}",
                         "X-Prompt-Prefix": f"9c2e41:{tokens // 4},{n:08x}:{tokens // 4}",
                     },
                     "body": base64.b64encode(f"item {n} of {job}".encode()).decode(),
