Let items of a batch job follow their route to another service

Cause: a run of a job kept the route of its start. Each ticket for a slot took its service from there, and only a change of the job's owner looked the route up again. Host and limit of attempts were kept alike, and an owner that stayed ran items of a route that had been removed.

Change: each run of an item takes its route from the desired state in force. Waiting items are queued again when that changes; runs that have begun go on. Items of a removed route that do not run are listed as errored at once, which is true and leaves no worker with work that nobody may give out. A daemon's desired state only becomes newer, so that a route which it has found before and does not find now was removed; for one that it has never found, the margin of the take-over decides.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -4,6 +4,9 @@
 one by one or all at once. An item that yields its slot keeps the events received so far, and any
 worker can resume it after them. Checkpoints store the events, so that the next owner of the job can
 resume its items too.
+
+Each run of an item follows the desired state that is in force when it begins, since an operator may
+move the job's route to another service at any time, and the workers of the former one may leave.
 """
 
 import threading
@@ -216,6 +219,8 @@
     """Runs the items of one job that this daemon owns.
 
     :param route: the job's route; None if it was removed, so that no item can run.
+    :ivar route_was_in_force: whether a desired state on this daemon has had the route since the
+        start of the run.
     """
 
     def __init__(
@@ -233,6 +238,7 @@
         self._tools = context.tools
         self._row = row
         self._route = route
+        self.route_was_in_force = False
         self._deadlines = deadlines
         self._input_bytes = input_bytes
         self._lock = threading.RLock()
@@ -272,6 +278,39 @@
         tickets = [self._make_ticket(run) for run in list(self._open_items.values())]
         self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
 
+    def follow_route(self, route: ServingRoute | None) -> None:
+        """Begin further runs as a route states, and queue waiting items for its services.
+
+        Runs that have begun go on.
+
+        :param route: the job's route in the desired state in force; None if it was removed, so that
+            no further run begins.
+        """
+        self.route_was_in_force = self.route_was_in_force or route is not None
+        before, self._route = self._route, route
+        withdrawn = [run for run in list(self._open_items.values()) if self._withdraw_moved(run)]
+        if route != before or withdrawn:
+            log_decision(
+                "job-route",
+                "follow" if route is not None else "give-up",
+                "the desired state has changed",
+                job=self._row.record.job,
+                route=self._row.record.route,
+                services=[] if route is None else [entry.service for entry in route.services],
+                moved_items=len(withdrawn),
+            )
+        tickets = [self._make_ticket(run) for run in withdrawn]
+        self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
+
+    def _withdraw_moved(self, run: _ItemRun) -> bool:
+        """Withdraw an item that waits for a service of a former route; return whether it did."""
+        ticket, route = run.ticket, self._route
+        if ticket is None or ticket.worker is not None:
+            return False
+        if route is not None and ticket.request.service == route.pick_service(run.item.id):
+            return False
+        return self._tools.admission.withdraw(ticket)
+
     def save_progress(self) -> None:
         """Write a checkpoint in the background if the last one is old enough."""
         now = self._tools.clock.now()
@@ -335,12 +374,16 @@
         log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=open_items)
         self.suspend()
 
-    def give_up_expired(self, now: float) -> None:
-        """List the open items without an output once the job has expired."""
-        if now < self._deadlines.expires_at or self._stopped:
+    def give_up_hopeless(self, now: float) -> None:
+        """List the open items without an output once the job has expired or lost its route."""
+        expired = now >= self._deadlines.expires_at
+        if self._stopped or not (expired or self._route is None):
             return
         reason = "the route was removed" if self._route is None else "the job has expired"
         for run in list(self._open_items.values()):
+            if not expired and run.interrupt is not None:
+                # A run that began before the route was removed may still complete.
+                continue
             run.cancel(self._tools.admission)
             self._list_result(run, None, reason)
 
@@ -406,8 +449,14 @@
         worker = self._tools.admission.workers.find_open(worker_id)
         pause = 0.0
         try:
-            # The job may have stopped between the making of the ticket and its queueing.
-            if worker is not None and route is not None and self._may_run(run):
+            # The job may have stopped, or its route may have moved, between the making of the
+            # ticket and its queueing.
+            if (
+                worker is not None
+                and route is not None
+                and worker.service == route.pick_service(run.item.id)
+                and self._may_run(run)
+            ):
                 log_decision(
                     "batch",
                     worker_id,
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -155,6 +155,13 @@
             if increased:
                 self._result_counts_changed.notify_all()
 
+    def follow_routes(self) -> None:
+        """Let the jobs that run here follow the desired state in force."""
+        with self._lock:
+            runs = list(self._runs.values())
+        for run in runs:
+            self._follow_route(run)
+
     def start_hand_over(self) -> None:
         """Start handing over all jobs in the background, for a planned stop."""
         self._stop.set()
@@ -334,6 +341,7 @@
             self._runs[row.record.job] = run
         # The job may have ended, or changed its owner, before its run could be found and stopped.
         self._stop_lost_run(self.table.get(row.record.job) or row)
+        self._follow_route(run)
         run.start()
 
     def _stop_lost_run(self, row: JobRow) -> None:
@@ -352,9 +360,11 @@
                 log_event("jobs:look-failed", error=repr(error))
 
     def _maintain_runs(self) -> None:
+        # Also finds the tickets that were queued while the desired state changed.
+        self.follow_routes()
         now = self._clock.now()
         for job, run in list(self._runs.items()):
-            run.give_up_expired(now)
+            run.give_up_hopeless(now)
             run.save_progress()
             if run.finished and not run.running_count:
                 self.apply_peer_progress({job: run.listed_count})
@@ -419,6 +429,17 @@
         route = None if index is None else index.find_route_by_name(record.route)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
+    def _follow_route(self, run: JobRun) -> None:
+        """Let a job follow the desired state in force, unless that may be older than the job.
+
+        A route that this daemon has found before and does not find now was removed, since its
+        desired state only becomes newer.
+        """
+        record = run.row.record
+        route = self._find_route(record)
+        if route is not None or run.route_was_in_force or self._is_route_removed(record):
+            run.follow_route(route)
+
     def _is_route_removed(self, record: JobRecord) -> bool:
         """Return whether a route that is missing here was removed after the job's acceptance.
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -146,6 +146,7 @@
         self._jobs = JobManager(
             JobDependencies(clock, rows, PlatformBlobs(self._store), tools, self._service)
         )
+        self._service.add_listener(lambda state: self._jobs.follow_routes())
         self._feeds = StoreFeeds(clock, rows, self._service, self._jobs.table.store_clock.update)
         self._blocked_parts = BlockedPartTable(
             clock,
