Bound the length of late requests in a planned stop by the tokens they ask for

Cause: a late request was passed on if the longest recent run of its route still fitted. That forecast shrinks with each shorter run and says nothing of a request that asks for more output.

Change: a stream has at most as many events as the tokens that X-Token-Usage allows, so a late request needs time for that many at the slowest recent pace of its route, with the safety factor. Its own deadline bounds it as before. A stream that breaks late is resumed by what is left of it. Requests that state no length are judged as before. A refusal leaves a line with its inputs (decision:planned-stop).

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -79,9 +79,7 @@
         if self.tools.crashes.is_blocked(request.fingerprint):
             raise Refusal(500, "crashing", "this request crashed the workers that ran it")
         self._refuse_if_blocked(request)
-        self.tools.planned_stop.refuse_if_late(
-            request.route.name, self.tools.clock.now(), request.end
-        )
+        self._refuse_if_stopping(request)
         self._take_quota(request)
         run = _OnlineAttempts(self, request, caller)
         with self._lock:
@@ -117,6 +115,31 @@
             retry_after = max(_MIN_RETRY_AFTER_SECONDS, block.retry_after)
             raise Refusal(503, "blocked_part", _PART_BLOCKED, retry_after=retry_after)
 
+    def _refuse_if_stopping(self, request: OnlineRequest) -> None:
+        """Refuse a request that cannot be finished before the end of a planned stop.
+
+        :raises Refusal: with the promise that it has not run.
+        """
+        # Each event of a stream holds one token or more.
+        most_events = request.most_output_tokens
+        latest = self.tools.planned_stop.find_latest_start(
+            request.route.name, request.end, most_events
+        )
+        now = self.tools.clock.now()
+        if now < latest:
+            return
+        log_decision(
+            "planned-stop",
+            "refuse",
+            "the request may not be finished before this daemon ends",
+            request_id=request.call.request_id,
+            account=request.account_name,
+            seconds_late=round(now - latest, 3),
+            most_events=most_events,
+            time_left=round(request.end - now, 3),
+        )
+        raise make_stopping_refusal()
+
     def _take_quota(self, request: OnlineRequest) -> None:
         if request.account is None:
             return
@@ -148,6 +171,8 @@
         self._not_run_attempts = 0
         self._may_have_run = False
         self._last_event = request.resume_after
+        # Events that were passed on to the caller.
+        self._event_count = 0
         # Whether the last run ended after the last event, and only its connection ended it.
         self._maybe_whole = False
         self._interrupt: Interrupt | None = None
@@ -340,7 +365,12 @@
     def _latest_stop_start(self) -> float:
         """Time until which a run may start by the planned stop of this daemon."""
         request = self._request
-        return self._tools.planned_stop.find_latest_start(request.route.name, request.end)
+        most_events = request.most_output_tokens
+        if most_events is not None:
+            most_events -= self._event_count
+        return self._tools.planned_stop.find_latest_start(
+            request.route.name, request.end, most_events
+        )
 
     def _give_up_start(self, reason: str) -> Refusal:
         """Return the final answer for a request that may not start a run, or not any more.
@@ -490,13 +520,16 @@
     def _record_length(self) -> None:
         """Add the time from the first attempt to the end of the answer to the run lengths."""
         seconds = self._now - self._sent_at
-        self._tools.planned_stop.record_run(self._request.route.name, seconds)
+        self._tools.planned_stop.record_run(
+            self._request.route.name, seconds, max(1, self._event_count)
+        )
 
     def _relay(self, relay: Relay, events: list[StreamEvent]) -> Generator[bytes, None, None]:
         """Yield the events of a stream, resuming it at other workers after failures."""
         begun = self._now
         try:
             while events:
+                self._event_count += sum(not event.is_empty for event in events)
                 numbered = [event.id for event in events if event.id is not None]
                 self._last_event = numbered[-1] if numbered else self._last_event
                 yield b"".join(event.raw for event in events)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
@@ -5,7 +5,8 @@
 time. Later requests come from the few callers that go on with addresses or connections that they
 keep. Another daemon can serve these at once, so a refusal costs their callers one exchange, while
 a cut costs the answer and leaves open whether the request ran. They are passed on only if there
-is more time than any recent request of their kind took.
+is more time than any recent request of their kind took. That says nothing of a longer request, so
+one that states how long its output may be needs time for all of it at the pace of recent runs.
 """
 
 import math
@@ -60,6 +61,25 @@
     return StopPlan(informed_at, min(now + listening, ends_at), ends_at)
 
 
+class _RecentMaximum:
+    """Largest of the recent values, which shrinks slowly while smaller ones follow."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._value = 0.0
+
+    @property
+    def bound(self) -> float:
+        """A value that is hardly ever exceeded; infinity before the first one."""
+        if not self._count:
+            return math.inf
+        return self._value * (_SAFETY_FACTOR + _FEW_RUNS / self._count)
+
+    def record(self, value: float) -> None:
+        self._count += 1
+        self._value = max(value, self._value * (1.0 - _LONGEST_DECAY))
+
+
 class RunLengths:
     """Lengths of the recent runs of one kind of request.
 
@@ -69,7 +89,8 @@
     def __init__(self) -> None:
         self._count = 0
         self._average = 0.0
-        self._longest = 0.0
+        self._longest = _RecentMaximum()
+        self._longest_event = _RecentMaximum()
 
     @property
     def average(self) -> float:
@@ -79,26 +100,40 @@
     @property
     def longest(self) -> float:
         """Length in seconds that a run hardly ever exceeds; infinity before the first run."""
-        if not self._count:
-            return math.inf
-        return self._longest * (_SAFETY_FACTOR + _FEW_RUNS / self._count)
+        return self._longest.bound
+
+    def find_longest(self, most_events: int | None) -> float:
+        """Return the seconds that a run of at most some events hardly ever exceeds.
 
-    def record(self, seconds: float) -> None:
-        """Add the length of a complete run."""
+        :param most_events: None if the request does not state it.
+        """
+        if most_events is None:
+            return self.longest
+        return max(1, most_events) * self._longest_event.bound
+
+    def record(self, seconds: float, events: int = 1) -> None:
+        """Add the length of a complete run.
+
+        :param events: number of events of its answer; 1 for an answer that is no stream.
+        """
         self._count += 1
         self._average += max(_NEWEST_RUN_WEIGHT, 1.0 / self._count) * (seconds - self._average)
-        self._longest = max(seconds, self._longest * (1.0 - _LONGEST_DECAY))
+        self._longest.record(seconds)
+        self._longest_event.record(seconds / max(1, events))
 
 
-def find_latest_start(plan: StopPlan, end: float, lengths: RunLengths) -> float:
+def find_latest_start(
+    plan: StopPlan, end: float, lengths: RunLengths, most_events: int | None = None
+) -> float:
     """Return until when a request may be passed on to a worker.
 
     :param end: time at which the request ends in any case, by its caller's or its route's limit.
+    :param most_events: events that its answer has at most; None if it does not state this.
     """
     if end <= plan.ends_at:
         return math.inf
     usually_in_time = min(plan.informed_at, plan.ends_at - lengths.average)
-    return max(usually_in_time, plan.ends_at - lengths.longest)
+    return max(usually_in_time, plan.ends_at - lengths.find_longest(most_events))
 
 
 class PlannedStop:
@@ -112,18 +147,18 @@
         """Refuse requests that cannot be finished from now on."""
         self._plan = plan
 
-    def record_run(self, kind: str, seconds: float) -> None:
-        """Add the length of a complete run of a kind of request."""
-        self._lengths[kind].record(seconds)
+    def record_run(self, kind: str, seconds: float, events: int = 1) -> None:
+        """Add the length of a complete run of a kind of request, and its number of events."""
+        self._lengths[kind].record(seconds, events)
 
-    def find_latest_start(self, kind: str, end: float) -> float:
+    def find_latest_start(self, kind: str, end: float, most_events: int | None = None) -> float:
         """Return until when a request may be passed on; infinity if no stop limits it."""
         if self._plan is None:
             return math.inf
-        return find_latest_start(self._plan, end, self._lengths[kind])
+        return find_latest_start(self._plan, end, self._lengths[kind], most_events)
 
     def refuse_if_late(self, kind: str, now: float, end: float) -> None:
-        """Check a request that has just arrived.
+        """Check a request that has just arrived and states nothing of its length.
 
         :raises Refusal: when it cannot be finished.
         """
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/request.py
@@ -26,6 +26,7 @@
     :param shared_parts: ids of the prompt parts that other requests may have too, in order.
     :param resume_after: id of the last event that the caller has received, or None.
     :param fingerprint: the same for all attempts of one request.
+    :param most_output_tokens: tokens that its output has at most; None if it does not state this.
     """
 
     call: Call
@@ -36,6 +37,7 @@
     shared_parts: tuple[str, ...]
     resume_after: int | None
     fingerprint: str
+    most_output_tokens: int | None = None
 
     @property
     def end(self) -> float:
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -18,6 +18,7 @@
 from trefoilreach._internal.platform.wire import (
     read_call,
     read_key,
+    read_most_output_tokens,
     read_number,
     read_prompt_parts,
     read_request_id,
@@ -87,6 +88,7 @@
             shared_parts=list_shared_parts(parts),
             resume_after=read_number(environ.get("HTTP_LAST_EVENT_ID")),
             fingerprint=compute_fingerprint(account, call.target, call.body),
+            most_output_tokens=read_most_output_tokens(environ.get("HTTP_X_TOKEN_USAGE", "")),
         )
         log_event(
             "request:admitted",
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/wire.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/wire.py
@@ -93,6 +93,11 @@
     return int(text) if text and text.isascii() and text.isdigit() else None
 
 
+def read_most_output_tokens(text: str) -> int | None:
+    """Return the second number of a text ``prompt tokens,output tokens``, or None without one."""
+    return read_number(text.partition(",")[2].strip())
+
+
 def read_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     """Parse a list ``id:tokens,...`` of prompt parts, up to the first malformed entry."""
     parts = []
--- a/tests/unit/test_stop_plan.py
+++ b/tests/unit/test_stop_plan.py
@@ -72,13 +72,14 @@
         """Number of requests that count against the account's rate."""
         return sum(use.admitted for use in self.tools.buckets.local_usage().values())
 
-    def stop(self, usual_seconds: float = 0.0) -> None:
+    def stop(self, usual_seconds: float = 0.0, usual_events: int = 1) -> None:
         """Begin the planned stop now.
 
         :param usual_seconds: length of the runs so far; 0 for none.
+        :param usual_events: number of events of each of these runs.
         """
         for _ in range(100 if usual_seconds else 0):
-            self.tools.planned_stop.record_run("r", usual_seconds)
+            self.tools.planned_stop.record_run("r", usual_seconds, usual_events)
         self.begun_at = self.clock.now()
         self.tools.planned_stop.begin(plan_stop(self.begun_at, STOP_SECONDS))
 
@@ -86,16 +87,29 @@
         """Advance the clock to a time after the begin of the stop."""
         self.clock.advance(self.begun_at + seconds - self.clock.now())
 
-    def run(self, route: ServingRoute, caller: CallerConnection | None = None) -> OnlineAnswer:
+    def run(
+        self,
+        route: ServingRoute,
+        caller: CallerConnection | None = None,
+        most_tokens: int | None = None,
+    ) -> OnlineAnswer:
         seconds = route.timeout_seconds
         request = OnlineRequest(
-            make_call(), route, LIMITED, self.clock.now(), seconds, ("part",), None, "f"
+            make_call(),
+            route,
+            LIMITED,
+            self.clock.now(),
+            seconds,
+            ("part",),
+            None,
+            "f",
+            most_tokens,
         )
         return self.runner.run(request, caller or CallerConnection())
 
-    def expect_refusal(self, route: ServingRoute) -> Refusal:
+    def expect_refusal(self, route: ServingRoute, most_tokens: int | None = None) -> Refusal:
         with pytest.raises(Refusal) as caught:
-            self.run(route)
+            self.run(route, most_tokens=most_tokens)
         return caught.value
 
     @contextmanager
@@ -201,6 +215,61 @@
     assert b"".join(answer.events or ()) or answer.body
 
 
+@ALL_ROUTES
+def test_late_request_for_a_longer_output_than_usual_is_refused(route: ServingRoute) -> None:
+    """Guards against long streams on a route of short ones that are cut at the end of a stop."""
+    case = Case(COMPLETE)
+    case.stop(usual_seconds=0.3, usual_events=3)
+    case.advance_to(3.5)
+    refusal = case.expect_refusal(route, most_tokens=40)
+    assert (refusal.status, refusal.code) == (503, "stopping")
+    assert case.link.sent == []
+    assert case.admitted == 0
+
+
+def test_late_request_for_a_short_output_is_passed_on() -> None:
+    case = Case(COMPLETE)
+    case.stop(usual_seconds=0.3, usual_events=3)
+    case.advance_to(5.0)
+    answer = case.run(RUN_ONCE, most_tokens=5)
+    assert b"".join(answer.events or ()) == b"".join(EVENTS)
+
+
+def test_stream_that_breaks_late_is_resumed_if_the_rest_is_short() -> None:
+    """Guards against a stream that is cut though another worker could finish it in time."""
+    broken = Script(pieces=tuple(EVENTS[:4]), failure_after_pieces=BROKEN)
+    case = Case(broken, Script(pieces=tuple(EVENTS[4:])))
+    case.stop(usual_seconds=2.5, usual_events=5)
+    case.advance_to(2.5)
+    answer = case.run(RESUMABLE, most_tokens=5)
+    case.advance_to(6.0)
+    assert b"".join(answer.events or ()) == b"".join(EVENTS)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_stream_passed_on_late_ends_in_time_whatever_the_mix_of_lengths(seed: int) -> None:
+    """Guards against a bound from recent runs that says nothing of the next request.
+
+    Load pattern: outputs from 3 to 400 tokens, of which workers make one or several in each event,
+    at a pace that varies by up to half with the load of the worker.
+    """
+    numbers = random.Random(seed)
+    lengths, plan = RunLengths(), plan_stop(0.0, STOP_SECONDS)
+    tokens_per_event = numbers.choice([1, 2, 10])
+    passed = 0
+    for _ in range(400):
+        tokens = round(3 * 133 ** numbers.betavariate(0.5, 2.0))
+        # Few outputs are as long as their requests allow.
+        events = max(1, round(tokens * numbers.choice([0.1, 0.5, 1.0]) / tokens_per_event))
+        seconds = 0.1 + events * 0.02 * numbers.uniform(1.0, 1.5)
+        start = numbers.uniform(3.5, STOP_SECONDS)
+        if start < find_latest_start(plan, 60.0, lengths, tokens):
+            assert start + seconds <= plan.ends_at
+            passed += 1
+        lengths.record(seconds, events)
+    assert passed
+
+
 def test_queued_request_is_refused_once_it_could_not_be_finished() -> None:
     """Guards against a request that gets a slot just before the process ends."""
     case = Case(workers=1)
