Do not pass on a plain answer whose worker may have stopped inside it

The caller gets 200 with the signature and half of the body, whose Content-Length is that of the part.

Cause: the system ends the connections of a killed process like those of a whole answer. Streams and items ask whether the worker still listens and had time; the plain path did not.

Change: the end of each answer is described alike (AnswerEnd, formerly StreamEnd) and judged in protocol.completeness. An unproven end counts as a run without an answer: sent again where that is allowed, 502 elsewhere.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -38,11 +38,11 @@
     result_write,
 )
 from trefoilreach._internal.coordination.serving.admission import Admission, SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.answer_end import find_answer_end
 from trefoilreach._internal.coordination.serving.choice import choose_batch
 from trefoilreach._internal.coordination.serving.queue_order import BatchTimes, rank_batch
 from trefoilreach._internal.coordination.serving.request import ServingDependencies
 from trefoilreach._internal.coordination.serving.slot_table import QueueRank, WorkerLoad
-from trefoilreach._internal.coordination.serving.stream_end import find_stream_end
 from trefoilreach._internal.coordination.serving.worker_belief import Source
 from trefoilreach._internal.coordination.serving.worker_client import (
     Call,
@@ -560,7 +560,7 @@
             read_started_at = clock.now()
         if not reader.begun and not answer.is_event_stream:
             raise IncompleteAnswerError("the answer is not a stream of events")
-        reader.finish(find_stream_end(self._tools, worker, answer, deadline))
+        reader.finish(find_answer_end(self._tools, worker, answer, deadline))
 
     def _handle_error_status(
         self, run: _ItemRun, worker: WorkerEntry, answer: WorkerAnswer, max_runs: int
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -5,6 +5,7 @@
 from contextlib import ExitStack
 
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
+from trefoilreach._internal.coordination.serving.answer_end import find_answer_end
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.choice import choose_online
 from trefoilreach._internal.coordination.serving.crashing_parts import BlockedPart
@@ -32,7 +33,11 @@
     WorkerFailure,
 )
 from trefoilreach._internal.logs import log_decision, log_event
-from trefoilreach._internal.protocol.completeness import Framing
+from trefoilreach._internal.protocol.completeness import (
+    Framing,
+    IncompleteAnswerError,
+    check_plain,
+)
 from trefoilreach._internal.protocol.event_stream import StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
 from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
@@ -467,6 +472,7 @@
         answer = attempt.answer
         try:
             body = answer.read_all(max(self._request.end - self._now, _FINAL_ANSWER_MARGIN_SECONDS))
+            self._check_end(attempt)
         except WorkerFailure as failure:
             self._record_failure(attempt.worker, failure)
             return None
@@ -491,6 +497,18 @@
         self._log_end("answered", attempt.worker, answer.status, answer.framing)
         return OnlineAnswer(answer.status, answer.headers, body)
 
+    def _check_end(self, attempt: Attempt) -> None:
+        """Check the end of an answer that is no stream.
+
+        :raises WorkerFailure: when the body may have broken off.
+        """
+        deadline = self._request.received_at + self._request.time_left
+        end = find_answer_end(self._tools, attempt.worker, attempt.answer, deadline)
+        try:
+            check_plain(end)
+        except IncompleteAnswerError as error:
+            raise WorkerFailure(str(error), Verdict.MAY_HAVE_RUN) from error
+
     def _start_stream(self, attempt: Attempt) -> OnlineAnswer | None:
         """Return a stream whose first events have arrived, or None to send the request again."""
         if not attempt.answer.has_receipt:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/relay.py
@@ -2,12 +2,12 @@
 
 import math
 
+from trefoilreach._internal.coordination.serving.answer_end import find_answer_end
 from trefoilreach._internal.coordination.serving.request import (
     Attempt,
     OnlineRequest,
     ServingDependencies,
 )
-from trefoilreach._internal.coordination.serving.stream_end import find_stream_end
 from trefoilreach._internal.coordination.serving.worker_client import WorkerFailure
 from trefoilreach._internal.protocol.completeness import (
     Framing,
@@ -114,7 +114,7 @@
             if data:
                 return self._reader.feed(data)
             deadline = self._request.received_at + self._request.time_left
-            end = find_stream_end(self._tools, self.worker, self._attempt.answer, deadline)
+            end = find_answer_end(self._tools, self.worker, self._attempt.answer, deadline)
             self._reader.finish(end)
         except IncompleteAnswerError as error:
             maybe_whole = isinstance(error, UnprovenEndError)
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -106,9 +106,9 @@
 
 
 class UnprovenEndError(IncompleteAnswerError):
-    """A stream ended between two events, and may have broken off there.
+    """An answer that stated no length ended, and may have broken off there.
 
-    It stated no length, and had no event of this run, or its worker had ended or was out of time.
+    Its worker had ended or was out of time, or it is a resumed stream without an event.
     """
 
 
@@ -125,8 +125,8 @@
     inside_event: bool
 
 
-class StreamEnd(NamedTuple):
-    """How the body of a stream ended.
+class AnswerEnd(NamedTuple):
+    """How the body of an answer ended.
 
     :param out_of_time: whether the time that the worker was given for the run is over.
     :param worker_ended: whether no process listens at the worker's address any more.
@@ -136,10 +136,34 @@
     out_of_time: bool = False
     worker_ended: bool = False
 
+    @property
+    def doubt(self) -> str:
+        """Why the worker may have stopped before the end of the body; empty if nothing says so."""
+        if self.framing is not Framing.CONNECTION:
+            return ""
+        if self.out_of_time:
+            return "its time was over"
+        return "its worker ended" if self.worker_ended else ""
 
-def check_stream(progress: StreamProgress, end: StreamEnd) -> None:
+
+def check_plain(end: AnswerEnd) -> None:
+    """Check an answer that is no stream, and whose body has passed :func:`check_body`.
+
+    An unproven end counts as a run without an answer: the request is sent again where that is
+    allowed, and is answered 502 elsewhere, as a part of a body cannot be told from the whole.
+
+    :raises UnprovenEndError: when only its connection ended it, and it may have broken off.
+    """
+    if end.doubt:
+        raise UnprovenEndError(f"the answer ended without a stated length as {end.doubt}")
+
+
+def check_stream(progress: StreamProgress, end: AnswerEnd) -> None:
     """Check a stream whose body has passed :func:`check_body`.
 
+    After an unproven end the stream is resumed: a further run without an event shows that nothing
+    is left.
+
     :raises UnprovenEndError: when only its connection ended it, and it may have broken off.
     :raises IncompleteAnswerError: when it is not whole.
     """
@@ -151,7 +175,5 @@
         return
     if not progress.events:
         raise UnprovenEndError("the resumed stream ended without an event or a stated length")
-    if end.out_of_time:
-        raise UnprovenEndError("the stream ended without a stated length as its time was over")
-    if end.worker_ended:
-        raise UnprovenEndError("the stream ended without a stated length as its worker ended")
+    if end.doubt:
+        raise UnprovenEndError(f"the stream ended without a stated length as {end.doubt}")
--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/event_stream.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from trefoilreach._internal.protocol.completeness import (
+    AnswerEnd,
     IncompleteAnswerError,
-    StreamEnd,
     StreamProgress,
     check_stream,
 )
@@ -124,7 +124,7 @@
         self._last_id = event.id
         self._count += 1
 
-    def finish(self, end: StreamEnd) -> None:
+    def finish(self, end: AnswerEnd) -> None:
         """Check that the run is whole, at the end of its answer.
 
         :raises IncompleteAnswerError: when it is not, or when that is not certain.
--- a/tests/unit/test_unframed_ends.py
+++ b/tests/unit/test_unframed_ends.py
@@ -11,10 +11,11 @@
 from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
-from trefoilreach._internal.coordination.serving.request import OnlineRequest
+from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.protocol.completeness import Framing
-from trefoilreach._internal.protocol.verdict import Refusal
+from trefoilreach._internal.protocol.verdict import Refusal, Verdict
+from trefoilreach._internal.state.serving import RouteKind
 from trefoilreach._internal.transport.http_server import AnswerAbortedError
 
 __all__ = ["stack"]
@@ -101,6 +102,66 @@
         list(run_online(FakeLink(decide=lambda _: stopped), 0.6, resumable))
 
 
+def decide_by_run(*scripts: Script) -> FakeLink:
+    """Return workers that answer by one script after the other; a first part ends its worker."""
+
+    def decide(dispatch: Dispatch) -> Script:
+        script = scripts[min(len(link.sent), len(scripts)) - 1]
+        if script is not scripts[-1]:
+            link.dead.add(dispatch.worker.id)
+        return script
+
+    link = FakeLink(decide=decide)
+    return link
+
+
+def ask_plain(link: FakeLink, kind: RouteKind, time_left: float = 5.0) -> OnlineAnswer:
+    tools = make_tools(link)
+    route = make_route(kind=kind, resumable=False, max_runs=2)
+    request = OnlineRequest(
+        make_call(), route, ACCOUNT, tools.clock.now(), time_left, (), None, "f"
+    )
+    return OnlineRunner(tools).run(request, CallerConnection())
+
+
+PART = Script(pieces=(b"part",), stream=False, framing=Framing.CONNECTION)
+WHOLE = Script(pieces=(b"part", b" and rest"), stream=False, framing=Framing.CONNECTION)
+
+
+def test_plain_answer_of_a_worker_that_ended_inside_it_is_asked_for_again() -> None:
+    """Guards against a part of a body that is passed on with its own length as the whole."""
+    link = decide_by_run(PART, WHOLE)
+    assert ask_plain(link, RouteKind.IDEMPOTENT).body == b"part and rest"
+
+
+def test_plain_answer_that_may_not_be_asked_for_again_fails_truly() -> None:
+    """Guards against a success without the whole body, and against a second run."""
+    link = decide_by_run(PART, WHOLE)
+    with pytest.raises(Refusal) as caught:
+        ask_plain(link, RouteKind.NON_IDEMPOTENT)
+    assert (caught.value.status, caught.value.verdict) == (502, Verdict.MAY_HAVE_RUN)
+    assert len(link.sent) == 1
+
+
+def test_plain_answer_that_its_worker_stops_at_the_time_budget_is_not_whole() -> None:
+    """Guards against a part of a body that ends as if it were whole at the caller's deadline."""
+    stopped = Script(
+        pieces=(b"a", b"b"), piece_seconds=1.97, stream=False, framing=Framing.CONNECTION
+    )
+    with pytest.raises(Refusal):
+        ask_plain(FakeLink(decide=lambda _: stopped), RouteKind.IDEMPOTENT, 2.0)
+
+
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
+def test_plain_answer_with_a_stated_end_is_passed_on_though_its_worker_ended(
+    framing: Framing,
+) -> None:
+    """Guards against a whole answer that is thrown away for the later end of its worker."""
+    link = FakeLink(WHOLE._replace(framing=framing))
+    link.dead = {"w0", "w1", "w2"}
+    assert ask_plain(link, RouteKind.NON_IDEMPOTENT).body == b"part and rest"
+
+
 SECOND = PLAIN + b"second"
 
 
