Resume a stream once more when its next worker ended before an event

Cause: a resumed run without an event was taken for the proof that nothing is left, whatever had become of its worker.

Change: a run that ends without an event and whose worker has ended, or was out of time, shows nothing. The stream is resumed at another worker, within the limits that hold for every resume.

--- a/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/protocol/completeness.py
@@ -162,10 +162,10 @@
     """Check a stream whose body has passed :func:`check_body`.
 
     After an unproven end the stream is resumed: a further run without an event shows that nothing
-    is left.
+    is left. A resumed run whose worker may have stopped before its first event shows nothing.
 
     :raises UnprovenEndError: when only its connection ended it, and it may have broken off.
-    :raises IncompleteAnswerError: when it is not whole.
+    :raises IncompleteAnswerError: when it is not whole, or shows nothing.
     """
     if progress.inside_event:
         raise IncompleteAnswerError("the stream ended inside an event")
@@ -174,6 +174,8 @@
     if end.framing is not Framing.CONNECTION:
         return
     if not progress.events:
+        if end.doubt:
+            raise IncompleteAnswerError(f"the resumed stream ended without an event as {end.doubt}")
         raise UnprovenEndError("the resumed stream ended without an event or a stated length")
     if end.doubt:
         raise UnprovenEndError(f"the stream ended without a stated length as {end.doubt}")
--- a/tests/unit/test_unframed_ends.py
+++ b/tests/unit/test_unframed_ends.py
@@ -115,6 +115,31 @@
     return link
 
 
+@pytest.mark.parametrize("resumable", [True, False])
+def test_stream_whose_next_worker_ends_before_its_first_event_is_not_complete(
+    resumable: bool,
+) -> None:
+    """Guards against a part of a stream that looks whole after two workers crashed."""
+    silent = Script(framing=Framing.CONNECTION)
+    rest = Script(pieces=tuple(EVENTS[2:]), framing=Framing.CHUNKS)
+    link = decide_by_run(BEGUN, silent, rest)
+    if resumable:
+        assert b"".join(run_online(link)) == ALL
+    else:
+        with pytest.raises(AnswerAbortedError):
+            list(run_online(link, resumable=False))
+
+
+def test_stream_that_a_live_worker_has_nothing_to_add_to_is_complete() -> None:
+    """Guards against endless runs of a stream whose worker ended after its last event."""
+    link = decide_by_run(
+        Script(pieces=tuple(EVENTS), framing=Framing.CONNECTION),
+        Script(framing=Framing.CONNECTION),
+    )
+    assert b"".join(run_online(link)) == ALL
+    assert len(link.sent) == 2
+
+
 def ask_plain(link: FakeLink, kind: RouteKind, time_left: float = 5.0) -> OnlineAnswer:
     tools = make_tools(link)
     route = make_route(kind=kind, resumable=False, max_runs=2)
