Hold no thread for an output that the object store refuses

Cause: an item whose output was refused repeated the write every 0.2 s in its thread, for as long as its job was open. The items of all jobs of a daemon share 64 threads.

Change: a refused result is deferred. The check of the jobs lists deferred results in the background, one after the other, with a delay that grows to 5 s while the store refuses. A daemon keeps 16 MiB of such outputs; items beyond that run again, one at a time until the store takes an object.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -17,6 +17,7 @@
 from result import Err
 
 from trefoilreach._internal.clock import Clock
+from trefoilreach._internal.coordination.jobs.deferred_results import DeferredResults
 from trefoilreach._internal.coordination.jobs.records import (
     DONE,
     RESULT_TABLE,
@@ -62,6 +63,7 @@
     RowWrite,
 )
 from trefoilreach._internal.state.serving import ServingRoute, WorkerEntry
+from trefoilreach._internal.transport.buffer_budget import BufferBudget
 from trefoilreach._internal.transport.http_client import Interrupt
 
 # Expected duration of a run until the first run has ended.
@@ -147,13 +149,17 @@
 
 
 class JobRunContext(NamedTuple):
-    """Dependencies that the runs of all jobs share."""
+    """Dependencies that the runs of all jobs share.
+
+    :param output_budget: space for outputs that the object store has refused.
+    """
 
     tools: ServingDependencies
     rows: RowStore
     blobs: BlobStore
     executor: Executor
     run_time: MeanRunTime
+    output_budget: BufferBudget
 
 
 class _ItemRun:
@@ -248,6 +254,8 @@
         self._open_items = {
             item.id: _ItemRun(item, partials.get(item.id)) for item in items if item.id not in done
         }
+        self._deferred = DeferredResults(context.tools.clock, context.output_budget)
+        self._retry_lock = threading.Lock()
         self._checkpoint_at = context.tools.clock.now()
         self._stopped = False
         self._submits_items = True
@@ -373,6 +381,7 @@
             open_items = len(self._open_items)
         log_event("job:stopped", job=self._row.record.job, reason=reason, open_items=open_items)
         self.suspend()
+        self._deferred.clear()
 
     def give_up_hopeless(self, now: float) -> None:
         """List the open items without an output once the job has expired or lost its route."""
@@ -413,6 +422,7 @@
         return (
             self._is_open(run)
             and self._submits_items
+            and run.item.id not in self._deferred
             # An item that has expired is given up at the next check.
             and self._tools.clock.now() < self._deadlines.expires_at
         )
@@ -610,16 +620,20 @@
         return choose_crash_pause(run.crashes) if crashed else 0.0
 
     def _list_result(self, run: _ItemRun, output: str | None, reason: str) -> None:
-        """Write the result of an item, and repeat until it is listed or the job is stopped."""
+        """Write the result of an item, and repeat until it is listed or the job is stopped.
+
+        A result whose output the object store refuses is listed later.
+        """
         result = ItemResult(run.item.id, output)
-        stored: ItemResult | None = None
-        # Other results are listed while the store refuses an object.
-        while self._is_open(run) and (stored := self._store_output(result)) is None:
-            self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
+        stored = self._store_output(result) if self._is_open(run) else None
+        if stored is None and self._is_open(run):
+            self._defer(run, result, reason)
+            return
         # A commit of unknown outcome is repeated before any other, which would take its position.
         with self._commit_lock:
             while stored is not None and self._is_open(run) and not self._commit(stored):
                 self._tools.clock.sleep(_COMMIT_RETRY_SECONDS)
+        self._deferred.discard(run.item.id)
         if self._row.record.input_blob and not self._open_items:
             self._context.executor.submit(
                 drop_object, self._tools.clock, self._context.blobs, self._row.record.input_blob
@@ -637,6 +651,38 @@
             late_seconds=round(late_seconds, 3),
         )
 
+    def _defer(self, run: _ItemRun, result: ItemResult, reason: str) -> None:
+        kept = self._deferred.add(result, reason)
+        if not kept:
+            run.events = []
+        if self._stopped:
+            self._deferred.clear()
+        log_event(
+            "item:deferred", request_id=run.item.id, job=self._row.record.job, output_kept=kept
+        )
+
+    def retry_deferred(self) -> None:
+        """List deferred results in the background if it is time for that."""
+        if self._deferred.due and not self.finished and not self._retry_lock.locked():
+            self._context.executor.submit(self._list_deferred)
+
+    def _list_deferred(self) -> None:
+        """List deferred results one after the other until the store refuses an output again."""
+        if not self._retry_lock.acquire(blocking=False):
+            return
+        try:
+            while self._deferred.due and (found := self._deferred.first()) is not None:
+                item, (result, reason, _) = found
+                run = self._open_items.get(item)
+                if run is None or result is None:
+                    self._deferred.discard(item)
+                    if run is not None:
+                        self._submit(run)
+                    continue
+                self._list_result(run, result.output, reason)
+        finally:
+            self._retry_lock.release()
+
     def _store_output(self, result: ItemResult) -> ItemResult | None:
         """Move an output that does not fit in a row to an object; return None if that failed."""
         data = (result.output or "").encode()
@@ -647,6 +693,7 @@
         if isinstance(written, Err):
             log_event("job:output-failed", request_id=result.id, error=str(written.err_value))
             return None
+        self._deferred.note_stored()
         return result._replace(output="", output_blob=name)
 
     def _is_open(self, run: _ItemRun) -> bool:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -42,9 +42,12 @@
     ServingRoute,
     rank_by_rendezvous_hash,
 )
+from trefoilreach._internal.transport.buffer_budget import BufferBudget
 
 _CHECK_INTERVAL_SECONDS = 0.4
 _ITEM_THREADS = 64
+# A tenth of the 170 MB that the smallest VMs of the users' platforms give a process.
+_DEFERRED_OUTPUT_BYTES = 16 * 2**20
 # A daemon that has just started has not received the reports of its peers yet, and would take
 # their jobs over.
 _STARTUP_GRACE_SECONDS = 1.2
@@ -112,7 +115,12 @@
         self._last_empty_round_at = float("-inf")
         self._executor = ThreadPoolExecutor(_ITEM_THREADS, thread_name_prefix="item")
         self._context = JobRunContext(
-            tools.serving, tools.rows, tools.blobs, self._executor, MeanRunTime()
+            tools.serving,
+            tools.rows,
+            tools.blobs,
+            self._executor,
+            MeanRunTime(),
+            BufferBudget(_DEFERRED_OUTPUT_BYTES),
         )
         self.start_following: Callable[[], None] = lambda: None
         self._following_since = float("inf")
@@ -365,6 +373,7 @@
         now = self._clock.now()
         for job, run in list(self._runs.items()):
             run.give_up_hopeless(now)
+            run.retry_deferred()
             run.save_progress()
             if run.finished and not run.running_count:
                 self.apply_peer_progress({job: run.listed_count})
--- a/tests/unit/test_stored_objects.py
+++ b/tests/unit/test_stored_objects.py
@@ -5,10 +5,12 @@
 from contextlib import ExitStack
 from typing import Any
 
+import pytest
 from result import Err, Result
 from serving_fakes import ACCOUNT, EVENTS, Script
 from test_jobs import (
     CHECKED,
+    OUTPUT,
     Fleet,
     hold_last_event,
     make_document,
@@ -17,6 +19,7 @@
     stack,
     wait_until,
 )
+from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.jobs.records import MAX_INPUT_BYTES_IN_ROWS
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.state.rows import MemoryBlobs
@@ -102,3 +105,79 @@
     blobs.full = False
     results = read_until(keeper, "j1", 6)
     assert results[5].id == "i0" and len(results[5].output or "") == 8 * 9000 + 7
+
+
+LARGE_EVENTS = tuple(f"id: {n}\ndata: {'x' * 9000}\n\n".encode() for n in range(1, 9))
+LARGE_OUTPUT_BYTES = 8 * 9000 + 7
+
+
+def answer_by_job(dispatch: Dispatch) -> Script:
+    """Answer items of a large document with outputs that need objects, and others with short ones.
+
+    The header of the item says which.
+    """
+    is_large = ("X-Model", "large") in dispatch.call.headers
+    return Script(pieces=LARGE_EVENTS) if is_large else send_all_events(dispatch)
+
+
+def make_large_document(count: int) -> bytes:
+    return make_document(count).replace(b'"X-Model":"m"', b'"X-Model":"large"')
+
+
+def test_outputs_that_cannot_be_stored_hold_no_thread(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against jobs that are never run as items of other jobs wait for a full store."""
+    monkeypatch.setattr(manager_module, "_ITEM_THREADS", 4)
+    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
+    fleet.blobs = blobs
+    keeper = fleet.start("d0")
+    keeper.submit("large", CHECKED, make_large_document(12))
+    wait_until(lambda: len(fleet.link.sent) == 12)
+    keeper.submit("small", CHECKED, make_document(6))
+    assert [result.output for result in read_until(keeper, "small", 6)] == [OUTPUT] * 6
+    assert keeper.read_results("large", ACCOUNT.name, 0, 0.0).results == []
+    blobs.full = False
+    results = read_until(keeper, "large", 12)
+    assert [len(result.output or "") for result in results] == [LARGE_OUTPUT_BYTES] * 12
+    # No item has run again.
+    assert len(fleet.link.sent) == 18
+
+
+def test_memory_for_outputs_that_cannot_be_stored_is_bounded(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a daemon that runs out of memory, or runs items without end, for a full store.
+
+    Items whose outputs are not kept run again once the store takes objects.
+    """
+    monkeypatch.setattr(manager_module, "_DEFERRED_OUTPUT_BYTES", 3 * LARGE_OUTPUT_BYTES)
+    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
+    fleet.blobs = blobs
+    keeper = fleet.start("d0")
+    keeper.submit("large", CHECKED, make_large_document(8))
+    wait_until(lambda: len(fleet.link.sent) == 8)
+    time.sleep(1.0)
+    assert len(fleet.link.sent) == 8
+    blobs.full = False
+    results = read_until(keeper, "large", 8)
+    assert [len(result.output or "") for result in results] == [LARGE_OUTPUT_BYTES] * 8
+    assert len(fleet.link.sent) == 8 + 5
+    assert keeper._context.output_budget.reserve(3 * LARGE_OUTPUT_BYTES)
+
+
+def test_items_whose_outputs_are_not_kept_do_not_run_without_end(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against workers that are kept busy with outputs that cannot be stored."""
+    monkeypatch.setattr(manager_module, "_DEFERRED_OUTPUT_BYTES", 0)
+    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
+    fleet.blobs = blobs
+    keeper = fleet.start("d0")
+    keeper.submit("large", CHECKED, make_large_document(8))
+    wait_until(lambda: len(fleet.link.sent) >= 8)
+    time.sleep(2.0)
+    # One run in a growing delay, which begins with 0.4 s.
+    assert len(fleet.link.sent) <= 8 + 5
+    blobs.full = False
+    assert len(read_until(keeper, "large", 8, timeout=20.0)) == 8
