Remove finished jobs from the store once their results need not be kept

Cause: nothing deleted the object of an output, nor any row of a job. Memory and full reads grew with all jobs ever accepted as well.

Rendezvous hashing selects one live daemon for each job. Open jobs are never removed. Without the setting nothing is.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_table.py
@@ -92,12 +92,14 @@
     """Cache of all job rows, kept current by a feed, and access to the data of one job.
 
     :ivar on_change: called with each row that is newer than the cached one.
+    :ivar on_drop: called with each job whose row was deleted.
     :ivar count_live_daemons: returns the number of daemons that follow the feed.
     """
 
     def __init__(self, clock: Clock, rows: RowStore, blobs: BlobStore) -> None:
         self.store_clock = StoreClock(clock)
         self.on_change: Callable[[JobRow], None] = lambda row: None
+        self.on_drop: Callable[[str], None] = lambda job: None
         self.count_live_daemons: Callable[[], int] = lambda: 1
         self.rows = rows
         self.blobs = blobs
@@ -176,6 +178,8 @@
         """Remove the row of a deleted job from the cache."""
         with self._lock:
             self._known.pop(job, None)
+            self._owner_changed_at.pop(job, None)
+        self.on_drop(job)
 
     def find_row(self, job: str, account: str) -> JobRow:
         """Return a job's row, from the store when it is not cached.
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -17,6 +17,7 @@
 from trefoilreach._internal.clock import Clock
 from trefoilreach._internal.coordination.exchange.report_exchange import Peer
 from trefoilreach._internal.coordination.jobs.acceptance import JobAcceptance
+from trefoilreach._internal.coordination.jobs.expiry import ExpiredJobRemover
 from trefoilreach._internal.coordination.jobs.job_run import (
     JobDeadlines,
     JobRun,
@@ -45,6 +46,8 @@
 from trefoilreach._internal.transport.buffer_budget import BufferBudget
 
 _CHECK_INTERVAL_SECONDS = 0.4
+# Jobs expire minutes after their end.
+_REMOVAL_INTERVAL_SECONDS = 1.0
 _ITEM_THREADS = 64
 # A tenth of the 170 MB that the smallest VMs of the users' platforms give a process.
 _DEFERRED_OUTPUT_BYTES = 16 * 2**20
@@ -70,13 +73,17 @@
 
 
 class JobDependencies(NamedTuple):
-    """Dependencies of the job keeper."""
+    """Dependencies of the job keeper.
+
+    :param keep_results_seconds: time from a job's acceptance for which its results are kept.
+    """
 
     clock: Clock
     rows: RowStore
     blobs: BlobStore
     serving: ServingDependencies
     service: ServingState
+    keep_results_seconds: float = float("inf")
 
 
 class StoredJob(NamedTuple):
@@ -99,6 +106,8 @@
     def __init__(self, tools: JobDependencies) -> None:
         self.table = JobTable(tools.clock, tools.rows, tools.blobs)
         self.table.on_change = self._stop_lost_run
+        self.table.on_drop = self._forget_result_count
+        self._expired = ExpiredJobRemover(tools.clock, self.table, tools.keep_results_seconds)
         self._acceptance = JobAcceptance(tools.clock, self.table, self._count_results)
         self._tools = tools
         self._clock = tools.clock
@@ -139,7 +148,8 @@
         stack.callback(ended.set)
         self._following_since = self._clock.now()
         self.table.start(stack)
-        threading.Thread(target=self._run_checks, args=(ended,), name="jobs", daemon=True).start()
+        for name, run in (("jobs", self._run_checks), ("jobs-expiry", self._run_removals)):
+            threading.Thread(target=run, args=(ended,), name=name, daemon=True).start()
 
     @property
     def has_runs(self) -> bool:
@@ -382,10 +392,33 @@
                 # If this row is out of date, the next conditional write of it fails.
                 self.table.apply_row(run.row)
 
+    def _run_removals(self, ended: threading.Event) -> None:
+        """Remove expired jobs in a thread of its own, since that waits between its calls."""
+        while not self._clock.wait(ended, _REMOVAL_INTERVAL_SECONDS) and not self._stop.is_set():
+            try:
+                if self._knows_peers():
+                    self._expired.remove_expired(self._is_selected)
+            except Exception as error:
+                log_event("jobs:removal-failed", error=repr(error))
+
+    def _knows_peers(self) -> bool:
+        """Whether this daemon has heard of its peers since its start, and knows the jobs."""
+        started_for = self._clock.now() - self._following_since
+        return self.table.complete and started_for >= _STARTUP_GRACE_SECONDS
+
+    def _is_selected(self, job: str) -> bool:
+        """Return whether rendezvous hashing selects this daemon for a job that does not run."""
+        if job in self._runs or self._stop.is_set():
+            return False
+        vms = [owner.rpartition("/")[0] for owner in self._live_owners()]
+        return rank_by_rendezvous_hash(job, vms)[0] == self._tools.service.deployment.vm
+
+    def _forget_result_count(self, job: str) -> None:
+        with self._result_counts_changed:
+            self._result_counts.pop(job, None)
+
     def _take_over_orphans(self) -> None:
-        if self._clock.now() - self._following_since < _STARTUP_GRACE_SECONDS:
-            return
-        if not self.table.complete:
+        if not self._knows_peers():
             return
         service = self._tools.service
         if service.route_index is None or service.freshness.age > PEER_TIMEOUT_SECONDS:
--- a/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/deployment.py
@@ -21,6 +21,7 @@
     :param store: address of the platform's store.
     :param revocation_seconds: time after which a withdrawn key must fail on every daemon.
     :param stop_seconds: time between the signal to stop and the kill.
+    :param results_keep_seconds: time from a batch job's submission for which its results are kept.
     :param entry_keep_seconds: longest time for which callers may keep an entry point answer.
     """
 
@@ -40,4 +41,5 @@
     revocation_seconds: float
     stop_seconds: float
     entry_keep_seconds: float
+    results_keep_seconds: float
     quota_bound: QuotaBound
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/settings.py
@@ -67,6 +67,7 @@
         ),
         stop_seconds=fields.number("bounds.graceS", "8"),
         entry_keep_seconds=fields.number("bounds.ttl_max_s", "5"),
+        results_keep_seconds=fields.number("bounds.statusS", str(_UNBOUNDED_SECONDS)),
         quota_bound=QuotaBound(
             fields.number("bounds.quotaWindowS", "5"),
             fields.number("bounds.quotaExcess", "0.1"),
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -144,7 +144,14 @@
         )
         self._service.add_listener(lambda state: self._buckets.set_accounts(state.accounts))
         self._jobs = JobManager(
-            JobDependencies(clock, rows, PlatformBlobs(self._store), tools, self._service)
+            JobDependencies(
+                clock,
+                rows,
+                PlatformBlobs(self._store),
+                tools,
+                self._service,
+                deployment.results_keep_seconds,
+            )
         )
         self._service.add_listener(lambda state: self._jobs.follow_routes())
         self._feeds = StoreFeeds(clock, rows, self._service, self._jobs.table.store_clock.update)
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -111,8 +111,11 @@
     """Daemons that share a store and a fake link to the workers.
 
     :param decide: returns the answer of a worker to a dispatch.
+    :ivar keep_results_seconds: time for which the daemons keep results.
     """
 
+    keep_results_seconds = float("inf")
+
     def __init__(self, stack: ExitStack, decide: Callable[[Dispatch], Script]) -> None:
         self.stack = stack
         self.rows, self.blobs = LossyRows(), MemoryBlobs()
@@ -129,7 +132,9 @@
     ) -> JobManager:
         tools = make_tools(self.link, workers, self.clock)
         service = make_service(vm, incarnation, route)
-        parts = JobDependencies(self.clock, rows or self.rows, self.blobs, tools, service)
+        parts = JobDependencies(
+            self.clock, rows or self.rows, self.blobs, tools, service, self.keep_results_seconds
+        )
         keeper = JobManager(parts)
         keeper.start(self.stack)
         keeper.follow(self.stack)
