Give out no keys with the desired state that daemons serve each other

Cause: peers without the store need the desired state, and every server of the checks gave it out as stored.

The path is a new one: builds that expect keys would take digests for keys and turn all callers away. While the store is out, daemons of both builds beside each other cannot fetch a newer state from each other; each answers 503 as unsure once its own is too old.

Open: whoever reaches the control address reads routes, tenants' names and quotas; a proof of membership and the product's own interface are not done.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -47,7 +47,8 @@
 class ServingState:
     """State that the front ends of a daemon share."""
 
-    desired_state_path = "/internal/desired-state"
+    # Builds that served keys used another path. They would take digests for keys.
+    desired_state_path = "/internal/desired-state/2"
 
     def __init__(
         self,
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/desired_state.py
@@ -25,6 +25,7 @@
     ServingRoute,
     WeightedService,
     WorkerEntry,
+    compute_key_digest,
 )
 
 _ROUTE_KINDS = {
@@ -36,12 +37,23 @@
 # Whether a worker in a state takes no new requests.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 _MILLISECONDS_PER_SECOND = 1000.0
+# Field of a client account that only daemons write, to each other.
+_KEY_DIGESTS = "apiKeyDigests"
 
 
 class EntryDecodeError(ValueError):
     """An entry of the store that is malformed or has a value out of range."""
 
 
+def encode_for_peers(document: bytes) -> bytes:
+    """Return the document of a valid desired state with digests in the place of all keys."""
+    body = orjson.loads(document)
+    for entry in body.get("tenants") or ():
+        digests = {compute_key_digest(key) for key in entry.pop("apiKeys", None) or ()}
+        entry[_KEY_DIGESTS] = sorted(digests.union(entry.get(_KEY_DIGESTS) or ()))
+    return orjson.dumps(body)
+
+
 def decode_desired_state(data: bytes) -> Result[DesiredState, EntryDecodeError]:
     """Decode the JSON document of a desired state."""
     try:
@@ -98,18 +110,23 @@
 
 def _decode_account(entry: Mapping[str, Any]) -> ServingAccount:
     priority = entry.get("priority")
-    keys = entry.get("apiKeys") or []
-    if not isinstance(keys, list):
-        raise TypeError("the keys are not a list")
     return ServingAccount(
         name=_require_string(entry["name"]),
-        keys=frozenset(_require_string(key) for key in keys),
+        keys=_read_keys(entry, "apiKeys"),
         priority=None if priority is None else _read_integer(priority, -MAX_INT32, MAX_INT32),
         rate=_read_number(entry.get("ratePerS")),
         burst=_read_number(entry.get("burst")),
+        key_digests=_read_keys(entry, _KEY_DIGESTS),
     )
 
 
+def _read_keys(entry: Mapping[str, Any], field: str) -> frozenset[str]:
+    keys = entry.get(field) or []
+    if not isinstance(keys, list):
+        raise TypeError("the keys are not a list")
+    return frozenset(_require_string(key) for key in keys)
+
+
 def _require_string(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError("not a text")
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/ingress.py
@@ -14,6 +14,7 @@
 from trefoilreach._internal.coordination.serving.service import ServingState
 from trefoilreach._internal.logs import describe_error, log_event
 from trefoilreach._internal.platform import names
+from trefoilreach._internal.platform.desired_state import encode_for_peers
 from trefoilreach._internal.platform.job_requests import JobRequestHandler
 from trefoilreach._internal.platform.wire import (
     read_call,
@@ -137,10 +138,16 @@
 
 
 class ChecksApplication:
-    """Serves readiness, entry addresses for callers, metrics, and the desired state for peers."""
+    """Serves readiness, entry addresses for callers, metrics, and the desired state for peers.
 
-    def __init__(self, service: ServingState) -> None:
+    :param serves_peers: whether peers use the address. Callers and the platform know the others.
+    """
+
+    def __init__(self, service: ServingState, serves_peers: bool) -> None:
         self._service = service
+        self._serves_peers = serves_peers
+        # The last document for peers, with its version.
+        self._for_peers = (0, b"")
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
@@ -156,15 +163,23 @@
             headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
             start_response(_status_line(200), headers)
             return [body]
-        if path == self._service.desired_state_path:
-            index = self._service.route_index
-            if index is None:
-                return _respond(start_response, 503, {"error": "no desired state yet"})
-            body = index.state.document
-            start_response(_status_line(200), [names.JSON, ("Content-Length", str(len(body)))])
-            return [body]
+        if path == self._service.desired_state_path and self._serves_peers:
+            return self._answer_peer(start_response)
         return _respond(start_response, 404, {"error": "not found"})
 
+    def _answer_peer(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer with the desired state; whoever asks learns no key from it."""
+        index = self._service.route_index
+        if index is None:
+            return _respond(start_response, 503, {"error": "no desired state yet"})
+        state = index.state
+        version, body = self._for_peers
+        if version != state.version:
+            body = encode_for_peers(state.document)
+            self._for_peers = (state.version, body)
+        start_response(_status_line(200), [names.JSON, ("Content-Length", str(len(body)))])
+        return [body]
+
 
 def _start_answer(answer: OnlineAnswer, start_response: StartResponse, error: Any = None) -> None:
     """Start an answer, in place of one whose start failed with ``error``.
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform_daemon.py
@@ -250,8 +250,12 @@
         return server
 
     def _start_check_server(self, stack: ExitStack, address: tuple[str, int]) -> None:
+        serves_peers = address[1] == self._deployment.control_port
         server = HttpServer(
-            ChecksApplication(self._service), *address, _CHECK_THREAD_LIMIT, self._clock
+            ChecksApplication(self._service, serves_peers),
+            *address,
+            _CHECK_THREAD_LIMIT,
+            self._clock,
         )
         stack.callback(server.close)
         server.start()
@@ -415,6 +419,8 @@
             pool.close()
         if response.status == 200:
             self._service.adopt(document, f"peer {identity.vm}")
+        else:
+            log_event("desired-state:peer-failed", peer=identity.vm, status=response.status)
 
     def _wait_for_stop(self) -> None:
         """Wait for a planned stop; reload the settings on request or when their file changes."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/state/serving.py
@@ -90,6 +90,7 @@
     :param priority: priority of its requests; None for that of the route.
     :param rate: requests per second over all VMs, 0 for no limit.
     :param burst: requests that may exceed the rate at once.
+    :param key_digests: digests of further keys, from a peer, which gives out no key.
     """
 
     name: str
@@ -97,6 +98,12 @@
     priority: int | None
     rate: float
     burst: float
+    key_digests: frozenset[str] = frozenset()
+
+
+def compute_key_digest(key: str) -> str:
+    """Return a digest by which a daemon recognizes a key without knowing it."""
+    return hashlib.sha256(key.encode()).hexdigest()
 
 
 class RequestLimits(NamedTuple):
@@ -108,7 +115,7 @@
 class DesiredState(NamedTuple):
     """One version of the operator's desired state.
 
-    :param document: its encoded form, which peers that cannot read the store fetch.
+    :param document: its encoded form.
     """
 
     version: int
@@ -128,7 +135,11 @@
             self._by_host.setdefault(route.host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
-        self._by_key = {key: account for account in state.accounts for key in account.keys}
+        self._by_digest = {
+            digest: account
+            for account in state.accounts
+            for digest in (*map(compute_key_digest, account.keys), *account.key_digests)
+        }
         self._by_name = {route.name: route for route in state.routes}
         self._services = {entry.service for route in state.routes for entry in route.services}
 
@@ -153,7 +164,7 @@
 
     def find_account_by_key(self, key: str) -> ServingAccount | None:
         """Return the account that a key belongs to, or None."""
-        return self._by_key.get(key)
+        return self._by_digest.get(compute_key_digest(key))
 
 
 class WorkerEntry(NamedTuple):
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -9,7 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
-from trefoilreach._internal.platform.desired_state import decode_desired_state, decode_worker
+from trefoilreach._internal.platform.desired_state import (
+    decode_desired_state,
+    decode_worker,
+    encode_for_peers,
+)
 from trefoilreach._internal.platform.settings import load_deployment, parse_deployment
 from trefoilreach._internal.platform.wire import (
     read_call,
@@ -125,6 +129,20 @@
     assert isinstance(decode_desired_state(data), Err)
 
 
+def test_desired_state_for_peers_has_digests_in_the_place_of_keys() -> None:
+    """Guards against keys that anyone can read who reaches a daemon, or that peers do not know."""
+    tenants = [{"name": "t", "apiKeys": ["k1", "k2"], "ratePerS": 5}, {"name": "u"}]
+    state = {"version": 3, "routes": [], "tenants": tenants}
+    passed_on = encode_for_peers(encode_for_peers(orjson.dumps(state)))
+    assert b"k1" not in passed_on and b"k2" not in passed_on
+    index = RouteIndex(decode_desired_state(passed_on).unwrap())
+    account = index.find_account_by_key("k2")
+    assert account is not None and account.name == "t" and account.rate == 5
+    assert index.find_account_by_key("k3") is None
+    digest = next(iter(account.key_digests))
+    assert index.find_account_by_key(digest) is None
+
+
 ACCOUNT = {"name": "t", "apiKeys": ["k1"], "ratePerS": 5, "burst": 7, "priority": 1}
 ODD_ROUTE_FIELDS: list[dict[str, object]] = [
     *(
