Let waiting and resumed online requests follow their route to another service

Cause: a request chose its service when it arrived, as items did.

A request whose route was removed since keeps its service, as it was valid when it was sent. Limits and time-outs stay those of the arrival.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -1,7 +1,7 @@
 """Runs one online request: admission, attempts, relay, resume, final answer."""
 
 import threading
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from contextlib import ExitStack
 
 from trefoilreach._internal.coordination.serving.admission import SlotRequest, Ticket
@@ -40,7 +40,7 @@
 )
 from trefoilreach._internal.protocol.event_stream import StreamEvent
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
+from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
 from trefoilreach._internal.transport.http_client import Interrupt
 from trefoilreach._internal.transport.http_server import AnswerAbortedError
 
@@ -60,10 +60,14 @@
 
 
 class OnlineRunner:
-    """Runs online requests."""
+    """Runs online requests.
+
+    :ivar find_route: returns the route with a name in the desired state in force, or None.
+    """
 
     def __init__(self, tools: ServingDependencies) -> None:
         self.tools = tools
+        self.find_route: Callable[[str], ServingRoute | None] = lambda name: None
         self._overload_policies: dict[str, OverloadPolicy] = {}
         self._lock = threading.Lock()
         # Callers of the requests whose answer has not begun.
@@ -169,7 +173,6 @@
         # Whether a worker has begun to answer.
         self._begun = False
         self._service = request.route.pick_service(request.call.request_id)
-        self._overload_policy = runner.overload_policy(self._service)
         self._times = self._compute_times()
         self._failed_workers: set[str] = set()
         self._run_count = 0
@@ -189,6 +192,10 @@
     def _now(self) -> float:
         return self._tools.clock.now()
 
+    @property
+    def _overload_policy(self) -> OverloadPolicy:
+        return self._runner.overload_policy(self._service)
+
     def start(self) -> OnlineAnswer:
         """Return the answer; that of a stream once its first event has arrived."""
         self._refuse_if_overloaded()
@@ -325,35 +332,72 @@
         return block
 
     def _wait_for_slot(self, resources: ExitStack) -> Ticket:
-        """Return a ticket that holds a slot.
+        """Return a ticket that holds a slot of the service that the route names now.
 
         :param resources: releases the slot.
         :raises Refusal: when there is no slot in time.
         """
-        granted = threading.Event()
-        request = SlotRequest(
-            service=self._service,
-            request_id=self._request.call.request_id,
-            rank=self._rank,
-            choose=self._choose,
-            on_granted=lambda worker: granted.set(),
-        )
-        self._caller.listen(granted.set)
-        if self._now >= self._latest_start:
-            raise self._give_up_start("no time left to run")
-        ticket = Ticket(request)
         begun = self._now
-        # A slot that is not released counts as used until the daemon ends.
-        resources.callback(self._drop_ticket, ticket)
-        self._tools.admission.submit(ticket)
-        reason = self._wait_for_grant(ticket, granted)
-        if ticket.worker is None and self._tools.admission.withdraw(ticket):
-            raise self._give_up_start(reason)
+        while True:
+            self._follow_route()
+            granted = threading.Event()
+            self._caller.listen(granted.set)
+            if self._now >= self._latest_start:
+                raise self._give_up_start("no time left to run")
+            ticket = self._make_ticket(granted)
+            # A slot that is not released counts as used until the daemon ends.
+            resources.callback(self._drop_ticket, ticket)
+            self._tools.admission.submit(ticket)
+            reason = self._wait_for_grant(ticket, granted)
+            if ticket.worker is not None or not self._tools.admission.withdraw(ticket):
+                break
+            if not self._has_moved():
+                raise self._give_up_start(reason)
         self._tools.metrics.observe_slot_wait(self._now - begun)
         if self._caller.cancel_reason or self._now >= self._latest_stop_start:
             raise self._give_up_start("the request was cancelled")
         return ticket
 
+    def _make_ticket(self, granted: threading.Event) -> Ticket:
+        return Ticket(
+            SlotRequest(
+                service=self._service,
+                request_id=self._request.call.request_id,
+                rank=self._rank,
+                choose=self._choose,
+                on_granted=lambda worker: granted.set(),
+            )
+        )
+
+    def _find_service(self) -> str:
+        """Return the service that the request's route names now.
+
+        A request on a route that was removed since its arrival keeps its service.
+        """
+        route = self._runner.find_route(self._request.route.name)
+        if route is None or route.kind is not self._request.route.kind:
+            return self._service
+        return route.pick_service(self._request.call.request_id)
+
+    def _has_moved(self) -> bool:
+        """Return whether the route names another service, and the caller still waits."""
+        return not self._caller.cancel_reason and self._find_service() != self._service
+
+    def _follow_route(self) -> None:
+        """Use the service that the request's route names now."""
+        service = self._find_service()
+        if service == self._service:
+            return
+        log_decision(
+            "request-route",
+            "follow",
+            "the desired state has changed since the request arrived",
+            request_id=self._request.call.request_id,
+            former_service=self._service,
+            service=service,
+        )
+        self._service = service
+
     def _drop_ticket(self, ticket: Ticket) -> None:
         """Withdraw a ticket from the queue, or release its slot."""
         if ticket.worker is None:
@@ -395,6 +439,8 @@
         queued = False
         # A planned stop may begin during the wait.
         while not granted.is_set() and self._now < (latest_start := self._latest_start):
+            if self._has_moved():
+                return "the route names another service"
             pressure = self._tools.admission.pressure_on(ticket)
             # A stream that has begun elsewhere is kept as long as there is any chance.
             hopeless = not self._may_have_run and self._overload_policy.is_hopeless(
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/service.py
@@ -73,6 +73,7 @@
         self._decode = decode
         self._lock = threading.Lock()
         self._listeners: list[Callable[[DesiredState], None]] = []
+        online.find_route = self.find_route
 
     @property
     def version(self) -> int:
@@ -123,6 +124,11 @@
             self.exchange.request_report()
         return True
 
+    def find_route(self, name: str) -> ServingRoute | None:
+        """Return the route with a name in the desired state in force, or None."""
+        index = self.route_index
+        return None if index is None else index.find_route_by_name(name)
+
     def check(self, host: str, path: str, key: str | None) -> CheckedRequest:
         """Return the route and the account of a request.
 
