Log failures of deferred results and count removed objects rightly

Found by reading the change again: an error while deferred results are listed ended in the executor without a line, job:removed counted an empty name as an object, and a removal went on after the daemon had left the feed of jobs. No caller saw any of it. Tests of jobs, expired jobs and objects pass as before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/expiry.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/expiry.py
@@ -78,8 +78,8 @@
             if isinstance(read, Err):
                 return read
             found += read.ok_value.rows
-        objects = [*_list_objects(found), row.record.input_blob]
-        for name in filter(None, objects):
+        objects = [name for name in (*_list_objects(found), row.record.input_blob) if name]
+        for name in objects:
             dropped = self._table.blobs.drop(name)
             if isinstance(dropped, Err):
                 return dropped
@@ -95,12 +95,12 @@
         )
         if not isinstance(outcome, Err):
             self._table.drop_row(job)
-            log_event("job:removed", job=job, rows=len(found) + 1, objects=len(objects) - 1)
+            log_event("job:removed", job=job, rows=len(found) + 1, objects=len(objects))
         return outcome
 
 
 def _list_objects(rows: Sequence[StoredRow]) -> list[str]:
-    """Return the names of the objects that results name."""
+    """Return the names of the objects that results name; empty ones for outputs in rows."""
     names: list[str] = []
     for row in rows:
         if row.name.table != RESULT_TABLE:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -680,6 +680,8 @@
                         self._submit(run)
                     continue
                 self._list_result(run, result.output, reason)
+        except Exception as error:
+            log_event("item:deferred-error", job=self._row.record.job, error=repr(error))
         finally:
             self._retry_lock.release()
 
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -396,8 +396,7 @@
         """Remove expired jobs in a thread of its own, since that waits between its calls."""
         while not self._clock.wait(ended, _REMOVAL_INTERVAL_SECONDS) and not self._stop.is_set():
             try:
-                if self._knows_peers():
-                    self._expired.remove_expired(self._is_selected)
+                self._expired.remove_expired(self._may_remove)
             except Exception as error:
                 log_event("jobs:removal-failed", error=repr(error))
 
@@ -406,9 +405,9 @@
         started_for = self._clock.now() - self._following_since
         return self.table.complete and started_for >= _STARTUP_GRACE_SECONDS
 
-    def _is_selected(self, job: str) -> bool:
-        """Return whether rendezvous hashing selects this daemon for a job that does not run."""
-        if job in self._runs or self._stop.is_set():
+    def _may_remove(self, job: str) -> bool:
+        """Return whether this daemon removes a finished job, which no other live one does."""
+        if job in self._runs or self._stop.is_set() or not self._knows_peers():
             return False
         vms = [owner.rpartition("/")[0] for owner in self._live_owners()]
         return rank_by_rendezvous_hash(job, vms)[0] == self._tools.service.deployment.vm
