Watch a worker for a moment before its answer without a length counts as whole

Callers would see: a part of a plain answer, or of a stream, as the whole, when the process of its worker is just ending.

Cause: the system closes the sockets of a process that ends one after the other, and the listening one may be the last. A connection was still accepted after the answer had ended, which counted as a worker that lives.

A listener that closes 20 ms after the first question is found ended by the new test; the former question says that it lives.

Change: the probing connection is watched for up to 0.1 s. A process that is ending closes it and then refuses the next one; one that lives and closes connections beyond its limit takes the next one. Answers that state their length cost nothing.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/answer_end.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/answer_end.py
@@ -24,5 +24,5 @@
         return AnswerEnd(framing)
     out_of_time = tools.clock.now() >= deadline - _DEADLINE_MARGIN_SECONDS
     # The worker is asked with a connection, which may take a slot for a moment.
-    worker_ended = not out_of_time and tools.worker_client.is_refused(worker)
+    worker_ended = not out_of_time and tools.worker_client.has_ended(worker)
     return AnswerEnd(framing, out_of_time, worker_ended)
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/worker_client.py
@@ -139,5 +139,8 @@
     def is_refused(self, worker: WorkerEntry) -> bool:
         """Return whether no process listens at a worker's address."""
 
+    def has_ended(self, worker: WorkerEntry) -> bool:
+        """As :meth:`is_refused`, also for a process that is just ending; waits for a moment."""
+
     def fetch_load(self, worker: WorkerEntry) -> LoadReport:
         """Return what a worker reports of itself."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/platform/workers.py
@@ -238,6 +238,10 @@
         """Return whether connections to a worker's address are refused."""
         return self._pools.get(worker.host, worker.port).is_refused()
 
+    def has_ended(self, worker: WorkerEntry) -> bool:
+        """Return whether the process at a worker's address has ended, after a short wait."""
+        return self._pools.get(worker.host, worker.port).has_ended()
+
     def fetch_load(self, worker: WorkerEntry) -> LoadReport:
         """Return what a worker reports of itself."""
         pool = self._pools.get(worker.host, worker.port)
--- a/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/transport/http_client.py
@@ -30,6 +30,9 @@
 
 # A network device between both ends may drop the state of a connection idle for longer.
 IDLE_LIMIT_SECONDS = 5.0
+# Longest time that the system takes to close the sockets of a process that ends, also on a busy
+# machine.
+_ENDING_SECONDS = 0.1
 # Largest head of an answer, with interim answers: twice the largest that usual servers send.
 _MAX_HEAD_BYTES = 65536
 # Defects of the lines of a head; the parser also reports those of multipart bodies.
@@ -330,6 +333,21 @@
             return failure.refused
         return False
 
+    def has_ended(self) -> bool:
+        """Return whether the process that listened at the address has ended, or is about to.
+
+        The system closes the sockets of a process one after the other, and the listening one may be
+        the last. It then closes a connection that it has just accepted.
+        """
+        try:
+            connection = self._connect()
+        except HttpFailure as failure:
+            return failure.refused
+        closed = is_readable(connection.sock, _ENDING_SECONDS)
+        connection.close()
+        # A process that lives may close connections beyond its limit.
+        return closed and self.is_refused()
+
     def drop_idle(self) -> None:
         """Close the idle connections, for example after a request on one of them timed out."""
         with self._lock:
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -166,6 +166,9 @@
     def is_refused(self, worker: WorkerEntry) -> bool:
         return worker.id in self.dead
 
+    def has_ended(self, worker: WorkerEntry) -> bool:
+        return self.is_refused(worker)
+
     def fetch_load(self, worker: WorkerEntry) -> LoadReport:
         return LoadReport(self.loads.get(worker.id))
 
--- a/tests/unit/test_unframed_ends.py
+++ b/tests/unit/test_unframed_ends.py
@@ -1,21 +1,34 @@
 """Tests answers that state no length: when the end of the connection is no proof of their end."""
 
+import socket
+import threading
 from collections.abc import Iterator
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 
 import pytest
 from raw_workers import RawWorkers, Reply
-from serving_fakes import ACCOUNT, EVENTS, FakeLink, Script, make_call, make_route, make_tools
+from serving_fakes import (
+    ACCOUNT,
+    EVENTS,
+    FakeLink,
+    Script,
+    make_call,
+    make_route,
+    make_tools,
+    make_workers,
+)
 from test_broken_answers import ALL, IDEMPOTENT, PLAIN, run
 from test_jobs import CHECKED, OUTPUT, Fleet, make_document, read_until, stack
+from trefoilreach._internal.clock import SystemClock
 from trefoilreach._internal.coordination.jobs import manager as manager_module
 from trefoilreach._internal.coordination.serving.caller import CallerConnection
 from trefoilreach._internal.coordination.serving.online import OnlineRunner
 from trefoilreach._internal.coordination.serving.request import OnlineAnswer, OnlineRequest
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
+from trefoilreach._internal.platform.workers import PlatformWorkers
 from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.serving import RouteKind
+from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
 from trefoilreach._internal.transport.http_server import AnswerAbortedError
 
 __all__ = ["stack"]
@@ -187,6 +200,36 @@
     assert ask_plain(link, RouteKind.NON_IDEMPOTENT).body == b"part and rest"
 
 
+def listen(stack: ExitStack) -> tuple[socket.socket, WorkerEntry]:
+    listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+    entry = make_workers(1)[0]._replace(host="127.0.0.1", port=listener.getsockname()[1])
+    return listener, entry
+
+
+def test_worker_whose_listener_is_closed_last_has_ended(stack: ExitStack) -> None:
+    """Guards against a part that is taken for whole, as the system ends a process step by step."""
+    listener, entry = listen(stack)
+    timer = threading.Timer(0.02, listener.close)
+    timer.start()
+    stack.callback(timer.join)
+    client = PlatformWorkers(SystemClock())
+    assert not client.is_refused(entry)
+    assert client.has_ended(entry)
+
+
+def test_worker_that_closes_a_connection_beyond_its_limit_has_not_ended(stack: ExitStack) -> None:
+    """Guards against whole answers that are asked for again while their worker is full."""
+    listener, entry = listen(stack)
+
+    def close_all() -> None:
+        with suppress(OSError):
+            while True:
+                listener.accept()[0].close()
+
+    threading.Thread(target=close_all, daemon=True).start()
+    assert not PlatformWorkers(SystemClock()).has_ended(entry)
+
+
 SECOND = PLAIN + b"second"
 
 
