Look for tickets of a former route only after the desired state has changed

Callers saw nothing of it. Each check of the jobs, every 0.4 s, went through all open items of a daemon to find tickets for a service that their route no longer names; a job may have tens of thousands of items.

Change: the tickets are looked through when the route changes and at the two checks after it, which also find those that were being queued at that moment. Found by reading the change again; the tests of moved and removed routes pass as before.

--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -92,6 +92,9 @@
 _CHECKPOINT_INTERVAL_SECONDS = 1.5
 # The store limits a call to 1 MB and 100 entries.
 _MAX_PARTIALS_PER_CHECKPOINT = 15
+# A ticket may be made just before the route moves and queued just after; later checks find it. Each
+# of them goes through all open items, which may be tens of thousands.
+_TICKET_CHECKS = 3
 # Workers may crash in series while an item runs, and the item is owed all the same. Later runs
 # wait, in case it crashes them by itself.
 _CRASHES_WITHOUT_PAUSE = 2
@@ -245,6 +248,8 @@
         self._row = row
         self._route = route
         self.route_was_in_force = False
+        # Further checks for tickets of a former route.
+        self._ticket_checks = 0
         self._deadlines = deadlines
         self._input_bytes = input_bytes
         self._lock = threading.RLock()
@@ -296,6 +301,11 @@
         """
         self.route_was_in_force = self.route_was_in_force or route is not None
         before, self._route = self._route, route
+        if route != before:
+            self._ticket_checks = _TICKET_CHECKS
+        if not self._ticket_checks:
+            return
+        self._ticket_checks -= 1
         withdrawn = [run for run in list(self._open_items.values()) if self._withdraw_moved(run)]
         if route != before or withdrawn:
             log_decision(
