--- a/tests/unit/test_stored_objects.py
+++ b/tests/unit/test_stored_objects.py
@@ -20,6 +20,7 @@
     wait_until,
 )
 from trefoilreach._internal.coordination.jobs import manager as manager_module
+from trefoilreach._internal.coordination.jobs.manager import JobManager
 from trefoilreach._internal.coordination.jobs.records import MAX_INPUT_BYTES_IN_ROWS
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.state.rows import MemoryBlobs
@@ -124,14 +125,19 @@
     return make_document(count).replace(b'"X-Model":"m"', b'"X-Model":"large"')
 
 
+def start_full_fleet(stack: ExitStack) -> tuple[Fleet, FullBlobs, JobManager]:
+    """Return a fleet of one daemon whose object store has no room, the store, and the daemon."""
+    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
+    fleet.blobs = blobs
+    return fleet, blobs, fleet.start("d0")
+
+
 def test_outputs_that_cannot_be_stored_hold_no_thread(
     stack: ExitStack, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against jobs that are never run as items of other jobs wait for a full store."""
     monkeypatch.setattr(manager_module, "_ITEM_THREADS", 4)
-    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
-    fleet.blobs = blobs
-    keeper = fleet.start("d0")
+    fleet, blobs, keeper = start_full_fleet(stack)
     keeper.submit("large", CHECKED, make_large_document(12))
     wait_until(lambda: len(fleet.link.sent) == 12)
     keeper.submit("small", CHECKED, make_document(6))
@@ -152,9 +158,7 @@
     Items whose outputs are not kept run again once the store takes objects.
     """
     monkeypatch.setattr(manager_module, "_DEFERRED_OUTPUT_BYTES", 3 * LARGE_OUTPUT_BYTES)
-    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
-    fleet.blobs = blobs
-    keeper = fleet.start("d0")
+    fleet, blobs, keeper = start_full_fleet(stack)
     keeper.submit("large", CHECKED, make_large_document(8))
     wait_until(lambda: len(fleet.link.sent) == 8)
     time.sleep(1.0)
@@ -171,9 +175,7 @@
 ) -> None:
     """Guards against workers that are kept busy with outputs that cannot be stored."""
     monkeypatch.setattr(manager_module, "_DEFERRED_OUTPUT_BYTES", 0)
-    fleet, blobs = Fleet(stack, answer_by_job), FullBlobs()
-    fleet.blobs = blobs
-    keeper = fleet.start("d0")
+    fleet, blobs, keeper = start_full_fleet(stack)
     keeper.submit("large", CHECKED, make_large_document(8))
     wait_until(lambda: len(fleet.link.sent) >= 8)
     time.sleep(2.0)
