--- a/tests/unit/test_job_order.py
+++ b/tests/unit/test_job_order.py
@@ -29,6 +29,7 @@
 from trefoilreach._internal.coordination.serving.worker_client import Dispatch
 from trefoilreach._internal.state.rows import MemoryBlobs, MemoryRows
 from trefoilreach._internal.state.serving import RouteKind
+from trefoilreach._internal.transport.buffer_budget import BufferBudget
 
 ROUTE = make_route(kind=RouteKind.BATCH, max_runs=3)
 
@@ -48,7 +49,7 @@
         self.admission = tools.admission
         self.rows = MemoryRows()
         self._context = JobRunContext(
-            tools, self.rows, MemoryBlobs(), InlineExecutor(), MeanRunTime()
+            tools, self.rows, MemoryBlobs(), InlineExecutor(), MeanRunTime(), BufferBudget()
         )
         self._online = take_all_slots(tools)
 
