--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -8,7 +8,7 @@
 All requests that a worker had not begun to answer when it crashed are evidence of one crash, which
 one part explains. A part is blocked when several workers have crashed under different requests with
 it, none has begun to answer such a request since, and no other part explains these crashes better.
-Reports of one crash come from several daemons and one by one, so each of them is a reason to judge
+Reports of one crash come from several daemons and one by one, so each of them is a reason to assess
 all parts again: a sound part that was blocked before the deadly one was known is released.
 
 Each report blocks at most one part. A block holds until a request with the part has been answered,
@@ -165,7 +165,7 @@
             self._crashes[key] = crash
             for part in crash.parts:
                 self._suspects[part] = max(at, self._suspects.get(part, at))
-            return self._judge(crash)
+            return self._update_blocks(crash)
 
     def pop_released(self) -> list[str]:
         """Return the parts released since the last call because others explain their crashes."""
@@ -247,8 +247,8 @@
         log_event("part:unblocked", part=part, trials=block.trials, age=at - block.since)
         return True
 
-    def _judge(self, crash: _Crash) -> str | None:
-        """Judge all parts after a crash; return the part that is blocked because of it, if any."""
+    def _update_blocks(self, crash: _Crash) -> str | None:
+        """Assess all parts after a crash; return the part that is blocked because of it, if any."""
         suspects = self._list_suspects()
         # A crash that a blocked part explains is no reason to block another one.
         culprits = _find_culprits(suspects, self._blocks)
@@ -318,11 +318,11 @@
         """
         suspects = [suspect for suspect in self._list_suspects() if suspect.part in parts]
         culprits = _find_culprits(suspects, parts)
-        guilty = {culprit.suspect.part for culprit in culprits}
+        explaining = {culprit.suspect.part for culprit in culprits}
         return [
             suspect.part
             for suspect in suspects
-            if suspect.part not in guilty
+            if suspect.part not in explaining
             and (
                 not suspect.never_answered
                 or all(
@@ -334,7 +334,7 @@
         ]
 
     def _add_block(self, part: str, block: _Block, reason: str) -> None:
-        """Block a part, or extend its block, unless an answer or other parts acquit it.
+        """Block a part, or extend its block, unless an answer is newer or others explain its crashes.
 
         A peer may state a block that it made before it knew of the part that explains the crashes.
         """
