--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/crashing_parts.py
@@ -334,7 +334,7 @@
         ]
 
     def _add_block(self, part: str, block: _Block, reason: str) -> None:
-        """Block a part, or extend its block, unless an answer is newer or others explain its crashes.
+        """Block a part, or extend its block, unless it was answered since or others explain it.
 
         A peer may state a block that it made before it knew of the part that explains the crashes.
         """
