--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/job_run.py
@@ -288,8 +288,7 @@
 
     def start(self) -> None:
         """Queue all open items for slots."""
-        tickets = [self._make_ticket(run) for run in list(self._open_items.values())]
-        self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
+        self._submit(*list(self._open_items.values()))
 
     def follow_route(self, route: ServingRoute | None) -> None:
         """Begin further runs as a route states, and queue waiting items for its services.
@@ -317,8 +316,7 @@
                 services=[] if route is None else [entry.service for entry in route.services],
                 moved_items=len(withdrawn),
             )
-        tickets = [self._make_ticket(run) for run in withdrawn]
-        self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
+        self._submit(*withdrawn)
 
     def _withdraw_moved(self, run: _ItemRun) -> bool:
         """Withdraw an item that waits for a service of a former route; return whether it did."""
@@ -406,10 +404,10 @@
             run.cancel(self._tools.admission)
             self._list_result(run, None, reason)
 
-    def _submit(self, run: _ItemRun) -> None:
-        ticket = self._make_ticket(run)
-        if ticket is not None:
-            self._tools.admission.submit(ticket)
+    def _submit(self, *runs: _ItemRun) -> None:
+        """Queue items for slots, except those that must not run."""
+        tickets = [self._make_ticket(run) for run in runs]
+        self._tools.admission.submit(*[ticket for ticket in tickets if ticket is not None])
 
     def _make_ticket(self, run: _ItemRun) -> Ticket | None:
         """Return the ticket for an item's next run, or None when the item must not run."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/jobs/manager.py
@@ -409,7 +409,11 @@
         """Return whether this daemon removes a finished job, which no other live one does."""
         if job in self._runs or self._stop.is_set() or not self._knows_peers():
             return False
-        vms = [owner.rpartition("/")[0] for owner in self._live_owners()]
+        return self._is_selected(job, self._live_owners())
+
+    def _is_selected(self, job: str, owners: set[str]) -> bool:
+        """Return whether rendezvous hashing selects this daemon among live owners."""
+        vms = [owner.rpartition("/")[0] for owner in owners]
         return rank_by_rendezvous_hash(job, vms)[0] == self._tools.service.deployment.vm
 
     def _forget_result_count(self, job: str) -> None:
@@ -423,12 +427,11 @@
         if service.route_index is None or service.freshness.age > PEER_TIMEOUT_SECONDS:
             return
         owners = self._live_owners()
-        vms = [owner.rpartition("/")[0] for owner in owners]
         for row in self._find_orphaned_jobs(owners):
             # When the answer to an acceptance was lost, the row names this process but no run was
             # started. No other daemon takes over a job of a live owner.
             own = row.record.owner == self._owner
-            if own or rank_by_rendezvous_hash(row.record.job, vms)[0] == service.deployment.vm:
+            if own or self._is_selected(row.record.job, owners):
                 self._take_over_job(row)
 
     def _live_owners(self) -> set[str]:
@@ -466,8 +469,7 @@
 
     def _find_route(self, record: JobRecord) -> ServingRoute | None:
         """Return a job's route, or None if it is not in the desired state."""
-        index = self._tools.service.route_index
-        route = None if index is None else index.find_route_by_name(record.route)
+        route = self._tools.service.find_route(record.route)
         return route if route is not None and route.kind is RouteKind.BATCH else None
 
     def _follow_route(self, run: JobRun) -> None:
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/online.py
@@ -584,9 +584,7 @@
     def _record_length(self) -> None:
         """Add the time from the first attempt to the end of the answer to the run lengths."""
         seconds = self._now - self._sent_at
-        self._tools.planned_stop.record_run(
-            self._request.route.name, seconds, max(1, self._event_count)
-        )
+        self._tools.planned_stop.record_run(self._request.route.name, seconds, self._event_count)
 
     def _relay(self, relay: Relay, events: list[StreamEvent]) -> Generator[bytes, None, None]:
         """Yield the events of a stream, resuming it at other workers after failures."""
--- a/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
+++ b/packages/trefoilreach/src/trefoilreach/_internal/coordination/serving/planned_stop.py
@@ -116,7 +116,7 @@
     def record(self, seconds: float, events: int = 1) -> None:
         """Add the length of a complete run.
 
-        :param events: number of events of its answer; 1 for an answer that is no stream.
+        :param events: number of events of its answer; one that is no stream counts as one event.
         """
         self._count += 1
         self._average += max(_NEWEST_RUN_WEIGHT, 1.0 / self._count) * (seconds - self._average)
--- a/tests/unit/serving_fakes.py
+++ b/tests/unit/serving_fakes.py
@@ -206,7 +206,7 @@
 def make_service(vm: str, incarnation: int, route: ServingRoute) -> Any:
     """Return a fake with the attributes of a service that the job keeper uses."""
     identity = SimpleNamespace(vm=vm, incarnation=incarnation)
-    return SimpleNamespace(
+    service = SimpleNamespace(
         exchange=SimpleNamespace(identity=identity, peers=[]),
         route_index=SimpleNamespace(
             find_route_by_name=lambda name: route if name == route.name else None
@@ -215,6 +215,9 @@
         freshness=SimpleNamespace(age=0.0),
         deployment=SimpleNamespace(vm=vm),
     )
+    # Tests replace the index.
+    service.find_route = lambda name: service.route_index.find_route_by_name(name)
+    return service
 
 
 class InlineExecutor(Executor):
--- a/tests/unit/test_unframed_ends.py
+++ b/tests/unit/test_unframed_ends.py
@@ -28,7 +28,7 @@
 from trefoilreach._internal.platform.workers import PlatformWorkers
 from trefoilreach._internal.protocol.completeness import Framing
 from trefoilreach._internal.protocol.verdict import Refusal, Verdict
-from trefoilreach._internal.state.serving import RouteKind, WorkerEntry
+from trefoilreach._internal.state.serving import RouteKind, ServingRoute, WorkerEntry
 from trefoilreach._internal.transport.http_server import AnswerAbortedError
 
 __all__ = ["stack"]
@@ -81,13 +81,17 @@
     assert read_until(keeper, "j1", 1)[0].output is None
 
 
-def run_online(link: FakeLink, time_left: float = 5.0, resumable: bool = True) -> Iterator[bytes]:
+def ask(link: FakeLink, route: ServingRoute, time_left: float) -> OnlineAnswer:
     tools = make_tools(link)
-    route = make_route(max_runs=9) if resumable else make_route(resumable=False, max_runs=1)
     request = OnlineRequest(
         make_call(), route, ACCOUNT, tools.clock.now(), time_left, (), None, "f"
     )
-    answer = OnlineRunner(tools).run(request, CallerConnection())
+    return OnlineRunner(tools).run(request, CallerConnection())
+
+
+def run_online(link: FakeLink, time_left: float = 5.0, resumable: bool = True) -> Iterator[bytes]:
+    route = make_route(max_runs=9) if resumable else make_route(resumable=False, max_runs=1)
+    answer = ask(link, route, time_left)
     assert answer.events is not None
     return answer.events
 
@@ -154,12 +158,7 @@
 
 
 def ask_plain(link: FakeLink, kind: RouteKind, time_left: float = 5.0) -> OnlineAnswer:
-    tools = make_tools(link)
-    route = make_route(kind=kind, resumable=False, max_runs=2)
-    request = OnlineRequest(
-        make_call(), route, ACCOUNT, tools.clock.now(), time_left, (), None, "f"
-    )
-    return OnlineRunner(tools).run(request, CallerConnection())
+    return ask(link, make_route(kind=kind, resumable=False, max_runs=2), time_left)
 
 
 PART = Script(pieces=(b"part",), stream=False, framing=Framing.CONNECTION)
