--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -31,6 +31,8 @@
 ROW_BYTES = 65_536
 BLOB_BYTES = 8_388_608
 TX_SECONDS = 0.003
+BLOB_SECONDS = 0.025
+BLOBS_PER_SECOND = 80.0
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -91,6 +93,7 @@
     """The platform's store: rows, their feed and raw objects, with the limits of the pages.
 
     :ivar refused: calls that exceeded a limit, as (entries, bytes).
+    :ivar blob_calls: calls for objects by their answer: "done" or "refused" beyond the rate.
     """
 
     def __init__(self):
@@ -98,6 +101,9 @@
         self.blobs = {}
         self.version = 0
         self.refused = []
+        self.blob_calls = {"done": 0, "refused": 0}
+        self._blob_tokens = BLOBS_PER_SECOND
+        self._blob_filled_at = time.monotonic()
         self._changes = []
         self._beats = {}
         self._changed = threading.Condition()
@@ -268,10 +274,27 @@
             reply = {"rows": rows, "ver": self.version, "nowMs": self.now_ms()}
         handler.reply(200, reply)
 
+    def _take_blob_token(self):
+        """Return whether a call for an object is within the rate of all daemons together."""
+        with self._changed:
+            now = time.monotonic()
+            self._blob_tokens = min(
+                BLOBS_PER_SECOND,
+                self._blob_tokens + (now - self._blob_filled_at) * BLOBS_PER_SECOND,
+            )
+            self._blob_filled_at = now
+            taken = self._blob_tokens >= 1.0
+            self._blob_tokens -= taken
+            self.blob_calls["done" if taken else "refused"] += 1
+            return taken
+
     def _serve_blob(self, handler, body, name):
         action, _, blob = name.partition("/")
         blob = unquote(blob)
-        time.sleep(0.025)
+        if not self._take_blob_token():
+            handler.reply(429, {})
+            return
+        time.sleep(BLOB_SECONDS)
         if action == "blob-put":
             if len(body) > BLOB_BYTES:
                 handler.reply(413, {})
@@ -292,15 +315,16 @@
             handler.reply(404, {})
 
 
-def event_data(request_id, tenant, number, padding=0):
+def event_data(request_id, tenant, number, padding=0, letter="."):
     """Return the data of one event; the output depends on the request's id and tenant only."""
-    return f"{tenant} {request_id} word-{number}" + "." * padding
+    return f"{tenant} {request_id} word-{number}" + letter * padding
 
 
-def whole_output(request_id, events, tenant=None, padding=0):
+def whole_output(request_id, events, tenant=None, padding=0, letter="."):
     """Return the whole output of an item."""
     return "\n".join(
-        event_data(request_id, tenant or TENANT, number, padding) for number in range(1, events + 1)
+        event_data(request_id, tenant or TENANT, number, padding, letter)
+        for number in range(1, events + 1)
     )
 
 
@@ -388,7 +412,8 @@
             self.end_headers()
             for number in range(after + 1, options["events"] + 1):
                 time.sleep(options["interval"])
-                text = event_data(request_id, tenant, number, options.get("padding", 0))
+                padding, letter = options.get("padding", 0), options.get("letter", ".")
+                text = event_data(request_id, tenant, number, padding, letter)
                 data = f"id: {number}\ndata: {text}\n\n".encode()
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data) if chunked else data)
                 self.wfile.flush()
