Review: a job accepted after a freeze is given up before its time (case 14)

Cause: the offset to the store's clock is taken when an answer is read, also one that came during a freeze; the time of acceptance is then seconds too early, and is converted with a better offset. Change: a script with one daemon that is stopped for 4 s. It takes the place of the case with a large document, which needs a larger maxBodyBytes than the site has.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,54 +1,102 @@
-"""A large batch job: its last result is never listed."""
+"""A frozen daemon wakes up: a job that it accepts then is given up seconds before its time."""
 
+import signal
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins_3 as standins
 
-ITEMS = 200
-# Bytes of one item's body; the documents have about 6 MB and 3 MB.
-BODY_BYTES = {True: 22_500, False: 11_000}
-# After the job's results are due (runAimMs), the site's calm seconds (finishS).
-DUE_SECONDS = 18.0
-FINISH_SECONDS = 18.0
-EVENTS = 10
+KEEP_SECONDS = 60.0
+FREEZE_SECONDS = 4.0
+JOBS, ITEMS = 3, 4
+CALLERS = 3
+
+
+def keep_online(site, number, until):
+    """Send one stream after the other, so that batch items get no slot."""
+    count = 0
+    while time.monotonic() < until():
+        count += 1
+        headers = standins.stream_headers(f"online{number}x{count}", 5000)
+        status, _ = site.call(site.hosts[1 + number % 2], "POST", f"/s/{count}", b"p", headers)
+        if status != 200:
+            time.sleep(0.1)
+
+
+def submit(site, job, sent):
+    items = [standins.make_item(f"{job}{number:02d}", f"/b/{number}") for number in range(ITEMS)]
+    document = standins.json.dumps({"items": items})
+    host = site.hosts[0]
+    sent[job] = time.monotonic()
+    status, _ = site.call(host, "POST", f"/b/{job}", document, standins.job_headers(job))
+    site.record.write(f"job {job} at {host}: {status}")
+    if status != 202:
+        del sent[job]
 
 
 def check(stack, folder, trouble):
     site = standins.Site(stack, folder)
-    routes = [standins.make_route("r-batch", "/b/", "pool", "batch")]
-    # The largest document that the store takes as one object.
-    config = standins.make_config(7, routes, ["pool"], maxBodyBytes=standins.BLOB_BYTES)
-    site.store.put("op", "config", config)
-    for number in range(2):
-        site.start_worker(f"w-{number}", events=EVENTS, interval=0.02)
+    routes = [
+        standins.make_route("r-stream", "/s/", "pool", "stream"),
+        standins.make_route("r-batch", "/b/", "pool", "batch", keepS=KEEP_SECONDS),
+    ]
+    site.store.put("op", "config", standins.make_config(7, routes, ["pool"]))
+    site.start_worker("w-1", slots=2, events=50)
     site.start_daemons()
     site.wait_ready()
     time.sleep(3.0)
-    job, body = "1a26e10b", b"p" * BODY_BYTES[trouble]
-    items = [
-        standins.make_item(f"item{number:03d}", f"/b/{number}", body=body)
-        for number in range(ITEMS)
-    ]
-    size = len(standins.json.dumps({"items": items}))
-    site.record.write(f"document of {size} bytes")
-    if standins.submit(site, job, items)[-1] != 202:
-        return None
-    results = standins.read_results(site, job, ITEMS, DUE_SECONDS + FINISH_SECONDS)
-    listed = {result["id"] for result in results}
-    missing = [item["id"] for item in items if item["id"] not in listed]
-    runs = [line.split()[1] for line in site.runs()]
-    site.record.write(f"not listed: {missing}")
-    for item in missing:
-        site.record.write(f"{item} has run {runs.count(item)} times")
-    refused = site.store.refused
-    site.record.write(f"transactions over a limit of the store (entries, bytes): {refused[:3]}")
-    site.record.write(f"number of these: {len(refused)}")
-    if len(missing) > 1:
+    end = [float("inf")]
+    stack.callback(end.__setitem__, 0, 0.0)
+    for number in range(CALLERS):
+        caller = threading.Thread(
+            target=keep_online, args=(site, number, lambda: end[0]), daemon=True
+        )
+        caller.start()
+    time.sleep(1.0)
+    if trouble:
+        frozen = site.daemons[site.hosts[0]]
+        site.record.write("one daemon is frozen")
+        frozen.send_signal(signal.SIGSTOP)
+        time.sleep(FREEZE_SECONDS)
+        frozen.send_signal(signal.SIGCONT)
+        site.record.write("it has woken up")
+        time.sleep(0.3)
+    sent = {}
+    jobs = [f"{number:04d}10b5" for number in range(JOBS)]
+    submissions = [threading.Thread(target=submit, args=(site, job, sent)) for job in jobs]
+    for submission in submissions:
+        submission.start()
+    for submission in submissions:
+        submission.join()
+    if not sent:
         return None
-    return not missing
+    given_up = {}
+    last = max(sent.values()) + KEEP_SECONDS + 5.0
+    while len(given_up) < len(sent) and time.monotonic() < last:
+        for job in sent:
+            if job in given_up:
+                continue
+            status, body = site.call(
+                site.hosts[1],
+                "GET",
+                f"/trefoilreach/lots/{job}?after=0",
+                headers=standins.job_headers(job),
+            )
+            results = standins.json.loads(body)["results"] if status == 200 else []
+            if any(result["state"] == "completed" for result in results):
+                site.record.write(f"job {job}: an item has run")
+                return None
+            if results:
+                given_up[job] = time.monotonic() - sent[job]
+                site.record.write(f"job {job}: errored {given_up[job]:.3f} s after its first send")
+        time.sleep(0.2)
+    end[0] = 0.0
+    if len(given_up) < len(sent):
+        site.record.write("not all jobs were given up")
+    return all(seconds >= KEEP_SECONDS for seconds in given_up.values()) if given_up else None
 
 
 standins.main(check)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -315,25 +315,25 @@
             handler.reply(404, {})
 
 
-def event_data(request_id, tenant, number, padding=0, letter="."):
+def event_data(request_id, tenant, number, padding=0):
     """Return the data of one event; the output depends on the request's id and tenant only."""
-    return f"{tenant} {request_id} word-{number}" + letter * padding
+    return f"{tenant} {request_id} word-{number}" + "." * padding
 
 
-def whole_output(request_id, events, tenant=None, padding=0, letter="."):
+def whole_output(request_id, events, tenant=None, padding=0):
     """Return the whole output of an item."""
     return "\n".join(
-        event_data(request_id, tenant or TENANT, number, padding, letter)
-        for number in range(1, events + 1)
+        event_data(request_id, tenant or TENANT, number, padding) for number in range(1, events + 1)
     )
 
 
 def run_worker(options):
     """Serve as one worker until the process is killed.
 
-    Options: ``id``, ``service``, ``port``, ``address`` (as registered), ``store`` (port), ``slots``,
-    ``events``, ``interval`` (seconds), ``framing`` ("chunked" or "none"), ``runs`` (file that gets a
-    line for each request that begins to run).
+    Options: ``id``, ``service``, ``port``, ``address`` (as registered), ``store`` (its port),
+    ``slots``, ``events``, ``interval`` (seconds), ``framing`` ("chunked" or "none"), ``runs`` (file
+    that gets a line for each run that begins), ``padding`` of the texts, ``endless`` (whether each
+    head is followed by line feeds without end).
     """
     slots = threading.BoundedSemaphore(options["slots"])
     running = [0]
@@ -408,12 +408,16 @@
             self.send_header("Content-Type", "text/event-stream")
             self.send_header(*echo)
             self.send_header("X-Response-Signature", f"signed-{options['id']}")
-            self.send_header(*(("Transfer-Encoding", "chunked") if chunked else ("Connection", "close")))
+            self.send_header(
+                *(("Transfer-Encoding", "chunked") if chunked else ("Connection", "close"))
+            )
             self.end_headers()
+            while options.get("endless"):
+                # Bytes that are no answer, until the caller closes.
+                self.wfile.write(b"\n" * 4096)
             for number in range(after + 1, options["events"] + 1):
                 time.sleep(options["interval"])
-                padding, letter = options.get("padding", 0), options.get("letter", ".")
-                text = event_data(request_id, tenant, number, padding, letter)
+                text = event_data(request_id, tenant, number, options.get("padding", 0))
                 data = f"id: {number}\ndata: {text}\n\n".encode()
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data) if chunked else data)
                 self.wfile.flush()
@@ -569,8 +573,7 @@
         self.store = Store()
         stack.callback(self.store.close)
         self.ports = {
-            name: find_port()
-            for name in ("front", "ready", "control", "directory", "first")
+            name: find_port() for name in ("front", "ready", "control", "directory", "first")
         }
         self.hosts = [f"127.0.0.{number + 1}" for number in range(daemons)]
         self.daemons = {}
