Review: streams of a worker that sends line feeds without end have no end (case 15)

Cause: a stream that may not be resumed ends at its route's timeout only if a single read waits so long. Change: a script with such a worker beside a sound one.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,84 +1,85 @@
-"""A batch job with texts that are not ASCII: its pages of results exceed their limit."""
+"""A worker sends line feeds without end: streams get no final answer at their route's timeout."""
 
-import http.client
+import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins_3 as standins
 
-ITEMS, EVENTS, PADDING = 45, 60, 230
-# A Gujarati letter takes three bytes in UTF-8.
-LETTER = {True: "\u0a95", False: "k"}
-# A page has at most 1 MB; the caller takes a tenth more.
-LIMIT_BYTES = 1_048_576 + 104_857
-DUE_SECONDS, FINISH_SECONDS = 18.0, 18.0
+TIMEOUT_MS, AIM_MS, BUDGET_MS = 3000, 1250, 5000
+# A caller leaves after a gap of two seconds, four times the objective or eight times the longest
+# pause that is on time (250 ms), whichever is longest.
+PATIENCE_SECONDS = 5.0
+LATE_SECONDS = 0.5
+REQUESTS = 36
 
 
-def read_page(site, host, job, after):
-    """Read one page; return it, or None if it is larger than the caller can take."""
-    connection = http.client.HTTPConnection(host, site.ports["front"], timeout=6.0)
-    try:
-        path = f"/trefoilreach/lots/{job}?after={after}"
-        connection.request("GET", path, headers=standins.job_headers(job, **{"X-Wait-Ms": "1000"}))
-        response = connection.getresponse()
-        body = response.read(LIMIT_BYTES + 1)
-        length = response.getheader("Content-Length")
-        if response.status != 200:
-            site.record.write(f"page after {after} at {host}: {response.status} {body[:60]!r}")
-            return None
-        if len(body) > LIMIT_BYTES:
-            site.record.write(f"page after {after} at {host}: larger than 1 MB ({length} bytes)")
-            return None
-        page = standins.json.loads(body)
-        if page["results"]:
-            found = len(page["results"])
-            site.record.write(f"page after {after} at {host}: {found} results, {len(body)} bytes")
-        return page
-    except (OSError, http.client.HTTPException) as error:
-        site.record.write(f"page after {after} at {host}: {error!r}")
-        return None
-    finally:
-        connection.close()
+def ask(site, number, outcomes):
+    """Send a stream; note when its answer ended and its number of events."""
+    host = site.hosts[number % len(site.hosts)]
+    fields = standins.stream_headers(f"stream{number:02d}", BUDGET_MS)
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    caller = socket.create_connection((host, site.ports["front"]))
+    begun = time.monotonic()
+    caller.sendall(f"POST /s/{number} HTTP/1.1\r\n{head}Content-Length: 1\r\n\r\nx".encode())
+    heard_at, tail, events, size, ended = begun, b"", 0, 0, False
+    while not ended and time.monotonic() - heard_at < PATIENCE_SECONDS:
+        caller.settimeout(max(0.01, heard_at + PATIENCE_SECONDS - time.monotonic()))
+        try:
+            data = caller.recv(65536)
+        except TimeoutError:
+            break
+        except OSError:
+            data = b""
+        size += len(data)
+        found = (tail + data).count(b"data: ") - tail.count(b"data: ")
+        if found:
+            events, heard_at = events + found, time.monotonic()
+        # An answer of the system itself is short, and the last chunk of a stream is empty.
+        ended = not data or b"\r\n0\r\n\r\n" in tail + data or b"HTTP/1.1 5" in data
+        tail = (tail + data)[-6:]
+    outcomes[number] = ended, time.monotonic() - begun
+    caller.close()
+    end = "ended" if ended else "no end until its caller left"
+    site.record.write(
+        f"stream{number:02d} at {host}: {end} after {outcomes[number][1]:.3f} s, "
+        f"{events} events, {size} bytes"
+    )
 
 
 def check(stack, folder, trouble):
     site = standins.Site(stack, folder)
-    routes = [standins.make_route("r-batch", "/b/", "pool", "batch")]
-    site.store.put("op", "config", standins.make_config(7, routes, ["pool"]))
-    padding = PADDING if trouble else 3 * PADDING
-    options = {"events": EVENTS, "interval": 0.01, "padding": padding, "letter": LETTER[trouble]}
+    route = standins.make_route(
+        "r-stream", "/s/", "pool", "stream", timeoutMs=TIMEOUT_MS, targetLatencyMs=AIM_MS
+    )
+    site.store.put("op", "config", standins.make_config(7, [route], ["pool"]))
     for number in range(2):
-        site.start_worker(f"w-{number}", **options)
+        # One of two workers sends no events.
+        site.start_worker(
+            f"w-{number}", slots=16, events=20, framing="none", endless=trouble and not number
+        )
     site.start_daemons()
     site.wait_ready()
     time.sleep(3.0)
-    job = "7c41e09b52d6a3f8"
-    items = [standins.make_item(f"item{number:03d}", f"/b/{number}") for number in range(ITEMS)]
-    if standins.submit(site, job, items)[-1] != 202:
-        return None
-    # The caller fetches the results when they are due.
-    time.sleep(DUE_SECONDS)
-    listed = sum(name[0] == "results" for name in list(site.store.rows))
-    site.record.write(f"listed in the store: {listed} of {ITEMS}")
-    if listed < ITEMS:
-        return None
-    results, calls, end = [], 0, time.monotonic() + FINISH_SECONDS
-    while len(results) < ITEMS and time.monotonic() < end:
-        host = site.hosts[calls % len(site.hosts)]
-        page = read_page(site, host, job, len(results))
-        calls += 1
-        if page is None:
-            time.sleep(0.5)
-        else:
-            results += page["results"]
-    site.record.write(f"read: {len(results)} of {ITEMS}")
-    for result in results:
-        whole = standins.whole_output(result["id"], EVENTS, None, padding, LETTER[trouble])
-        if result["output"] != whole:
-            return None
-    return len(results) == ITEMS
+    outcomes = {}
+    callers = []
+    for number in range(REQUESTS):
+        callers.append(threading.Thread(target=ask, args=(site, number, outcomes)))
+        callers[-1].start()
+        time.sleep(0.05)
+    for caller in callers:
+        caller.join()
+    limit = TIMEOUT_MS / 1000 + LATE_SECONDS
+    overdue = [n for n, (ended, seconds) in outcomes.items() if not ended and seconds >= limit]
+    # Requests that were still unanswered at the timeout.
+    open_then = [n for n, (_, seconds) in outcomes.items() if seconds > TIMEOUT_MS / 1000]
+    site.record.write(
+        f"open at the timeout: {len(open_then)}, {LATE_SECONDS} s later: {len(overdue)}"
+    )
+    return len(overdue) < 8 or 4 * len(overdue) <= len(open_then)
 
 
 standins.main(check)
