--- a/review/13/case.py
+++ b/review/13/case.py
@@ -60,7 +60,9 @@
             standins.make_route("r-da9rgy3", "/s/hot/", "small", "stream"),
         ]
         site.store.put("op", "config", standins.make_config(9, routes, ["small", "large"]))
-        site.record.write("version 9: /s/hot/ stays at small as a route of its own, /s/ moves to large")
+        site.record.write(
+            "version 9: /s/hot/ stays at small as a route of its own, /s/ moves to large"
+        )
     for caller in callers:
         caller.join()
     held, hot_runs = True, 0
