--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -25,6 +25,7 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
+HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 BEAT_SECONDS = 1.2
 MAX_ENTRIES = 100
 MAX_CALL_BYTES = 1_000_000
@@ -41,9 +42,10 @@
     while True:
         port = random.randint(10_000, 30_000)
         with suppress(OSError), ExitStack() as stack:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                probe.bind(("0.0.0.0", port))
+            for host in HOSTS:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                    probe.bind((host, port))
             return port
 
 
@@ -575,7 +577,7 @@
         self.ports = {
             name: find_port() for name in ("front", "ready", "control", "directory", "first")
         }
-        self.hosts = [f"127.0.0.{number + 1}" for number in range(daemons)]
+        self.hosts = list(HOSTS[:daemons])
         self.daemons = {}
 
     def start_process(self, words, name, **environment):
